--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Commands of the project; each makes its own environment from pyproject.toml.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+
+.PHONY: demo test lint unit docs bench clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/marigoldchute-demo --seed $(SEED)
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m tools.run_tests
+
+test: lint unit
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/marigoldchute/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API of a node."""
--- /dev/null
+++ b/marigoldchute/admin/service.py
@@ -0,0 +1,220 @@
+"""Operations behind the administration API."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from marigoldchute.admin.messages import (
+    MemberStatus,
+    MoveStatus,
+    RollOrder,
+    RollResult,
+    Status,
+)
+from marigoldchute.bundle.codec import assemble, chunk_digest, decode_manifest
+from marigoldchute.bundle.validation import validate_content
+from marigoldchute.distribution.service import CHUNK_PREFIX, bundle_key
+from marigoldchute.errors import (
+    BundleError,
+    ConflictError,
+    MoveError,
+    NotFoundError,
+    PlatformError,
+    ResultCode,
+    UnknownOutcomeError,
+)
+from marigoldchute.moves.driver import verdict_key, write_verdict
+from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
+from marigoldchute.platform.api import CREATE_ONLY, ObjectStore
+
+if TYPE_CHECKING:
+    from marigoldchute.bundle.inforce import InForce
+    from marigoldchute.bundle.model import Manifest
+    from marigoldchute.bundle.signing import SignatureVerifier
+    from marigoldchute.distribution.service import Replicator
+    from marigoldchute.membership.service import Membership
+    from marigoldchute.moves.collector import Reporter
+    from marigoldchute.moves.engine import MoveEngine, MoveState
+
+
+class AdminService:
+    """Takes operators' orders and tells them what is known."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        in_force: InForce,
+        replicator: Replicator,
+        engine: MoveEngine,
+        reporter: Reporter,
+        store: ObjectStore,
+        verifier: SignatureVerifier,
+    ) -> None:
+        self._membership = membership
+        self._in_force = in_force
+        self._replicator = replicator
+        self._engine = engine
+        self._reporter = reporter
+        self._store = store
+        self._verifier = verifier
+
+    async def roll(self, order: RollOrder) -> RollResult:
+        """Check a signed bundle and write it to the store.
+
+        Raises
+        ------
+        BundleError
+            The bundle is not valid or its version is taken.
+        PlatformError
+            The store did not take it, or it is not known whether it did.
+        """
+        manifest = decode_manifest(order.manifest)
+        self._verifier.verify(manifest)
+        chunks = {chunk_digest(chunk): chunk for chunk in order.chunks}
+        validate_content(assemble(manifest, chunks))
+        newest = self._replicator.newest_version
+        if manifest.version <= newest:
+            raise BundleError(
+                f"version {manifest.version} is not above {newest}",
+                ResultCode.BUNDLE_VERSION_TAKEN,
+            )
+        for digest, chunk in chunks.items():
+            await self._write_chunk(digest, chunk)
+        await self._write_manifest(manifest, order.manifest)
+        self._replicator.publish(manifest, chunks)
+        return RollResult(manifest.version)
+
+    async def _write_chunk(self, digest: str, chunk: bytes) -> None:
+        try:
+            await self._store.put(CHUNK_PREFIX + digest, chunk, CREATE_ONLY)
+        except ConflictError:
+            return
+
+    async def _write_manifest(self, manifest: Manifest, body: bytes) -> None:
+        key = bundle_key(manifest.version)
+        try:
+            await self._store.put(key, body, CREATE_ONLY)
+        except (ConflictError, UnknownOutcomeError):
+            standing = decode_manifest((await self._store.get(key)).value)
+            if standing.token != manifest.token:
+                raise BundleError(
+                    f"version {manifest.version} was taken by {standing.author!r}",
+                    ResultCode.BUNDLE_VERSION_TAKEN,
+                ) from None
+
+    async def cancel(self, move_id: str, author: str, now_ms: int) -> Verdict:
+        """Take a move back unless it is decided; return the verdict that stands."""
+        self._state_of(move_id)
+        wanted = Verdict(
+            move_id,
+            VerdictKind.TAKEN_BACK,
+            f"cancelled by {author}",
+            author,
+            now_ms,
+            secrets.token_hex(8),
+            0,
+        )
+        standing = await write_verdict(self._store, wanted)
+        self._engine.publish_verdict(standing)
+        if standing.token != wanted.token:
+            raise MoveError(
+                f"{move_id} is already {standing.kind.value}: {standing.reason}",
+                ResultCode.MOVE_ALREADY_DECIDED,
+            )
+        return standing
+
+    async def verdict(self, move_id: str) -> MoveStatus:
+        """Return the verdict of a move as the store holds it.
+
+        Raises
+        ------
+        MoveError
+            The move is not known, or the store cannot say.
+        """
+        state = self._state_of(move_id)
+        try:
+            await self._store.get(verdict_key(move_id))
+        except NotFoundError:
+            pass
+        except PlatformError as exc:
+            raise MoveError(
+                f"verdict of {move_id} is not known: {exc.message}",
+                ResultCode.MOVE_VERDICT_UNKNOWN,
+            ) from exc
+        return self._move_status(state, await self._reporter.gather())
+
+    async def status(self) -> Status:
+        """Return what is known of members and moves."""
+        gathered = await self._reporter.gather()
+        members = tuple(
+            MemberStatus(
+                member.name,
+                member.data_centre,
+                member.region,
+                member.state.name.lower(),
+                gathered[member.name].version if member.name in gathered else 0,
+                tuple(
+                    f"{server.service}@{server.release}" for server in member.servers
+                ),
+            )
+            for member in sorted(self._membership.all(), key=lambda m: m.name)
+        )
+        moves = tuple(
+            self._move_status(state, gathered) for state in self._engine.states()
+        )
+        return Status(
+            self._membership.local.name,
+            self._in_force.version,
+            self._replicator.newest_version,
+            members,
+            moves,
+        )
+
+    def _state_of(self, move_id: str) -> MoveState:
+        for state in self._engine.states():
+            if state.move.move_id == move_id:
+                return state
+        raise MoveError(
+            f"move {move_id!r} is not in the bundle in force", ResultCode.MOVE_UNKNOWN
+        )
+
+    def _move_status(
+        self, state: MoveState, gathered: dict[str, MemberReport]
+    ) -> MoveStatus:
+        move = state.move
+        wanted = 1.0
+        verdict = "under way"
+        reason = ""
+        if state.fault is not None:
+            reason = state.fault.reason
+        if state.verdict is not None:
+            reason = state.verdict.reason
+            wanted = 1.0 if state.verdict.kind is VerdictKind.DONE else 0.0
+        shares: list[float] = []
+        confirmed = 0
+        members = self._membership.all()
+        for member in members:
+            report = gathered.get(member.name)
+            if report is None or report.incarnation != member.incarnation:
+                continue
+            for item in report.moves:
+                if item.move_id == move.move_id:
+                    shares.append(item.share)
+                    confirmed += item.share == wanted
+        unconfirmed = len(members) - confirmed
+        if state.verdict is not None:
+            verdict = state.verdict.kind.value
+            if state.verdict.kind is VerdictKind.TAKEN_BACK and unconfirmed:
+                verdict = "taking back"
+        return MoveStatus(
+            move.move_id,
+            move.service,
+            verdict,
+            reason,
+            confirmed,
+            unconfirmed,
+            min(shares, default=0.0),
+            max(shares, default=0.0),
+            move.deadline_ms,
+        )
--- /dev/null
+++ b/marigoldchute/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: model, validation, sign-off and the one in force."""
--- /dev/null
+++ b/marigoldchute/bundle/source.py
@@ -0,0 +1,106 @@
+"""The operator's file from which a bundle is built."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from marigoldchute.bundle.model import (
+    BundleContent,
+    Move,
+    Route,
+    Service,
+    Step,
+    Thresholds,
+)
+from marigoldchute.errors import BundleError
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveSource:
+    """A move as an operator writes it, with times relative to the roll.
+
+    Parameters
+    ----------
+    move_id, service, old_release, new_release : str
+        As in ``Move``.
+    complete_within_ms : int
+        Time from the start to the deadline.
+    start_after_ms : int
+        Time from the roll to the start.
+    steps : tuple of Step
+        Rising shares.
+    watch_ms : int
+        Watch at full share.
+    thresholds : Thresholds
+        Fault limits.
+    """
+
+    move_id: str
+    service: str
+    old_release: str
+    new_release: str
+    complete_within_ms: int
+    steps: tuple[Step, ...]
+    start_after_ms: int = 1000
+    watch_ms: int = 2000
+    thresholds: Thresholds = Thresholds()
+
+
+@dataclasses.dataclass(frozen=True)
+class BundleSource:
+    """The whole file."""
+
+    services: tuple[Service, ...]
+    routes: tuple[Route, ...]
+    moves: tuple[MoveSource, ...] = ()
+
+
+def parse_source(value: Any, source: str) -> BundleSource:
+    """Check a decoded file.
+
+    Raises
+    ------
+    BundleError
+        A value is missing or not allowed; names the key path.
+    """
+    try:
+        return msgspec.convert(value, BundleSource)
+    except msgspec.ValidationError as exc:
+        raise BundleError(f"{source}: {exc}") from exc
+
+
+def build_content(
+    source: BundleSource, now_ms: int, complete_within_ms: int | None = None
+) -> BundleContent:
+    """Fix the times of the moves and return the content to sign off.
+
+    Parameters
+    ----------
+    source : BundleSource
+        Checked file.
+    now_ms : int
+        Wall-clock time of the roll in milliseconds since the epoch.
+    complete_within_ms : int, optional
+        Replaces the time limit of every move.
+    """
+    moves = tuple(_fix(move, now_ms, complete_within_ms) for move in source.moves)
+    return BundleContent(source.services, source.routes, moves)
+
+
+def _fix(move: MoveSource, now_ms: int, complete_within_ms: int | None) -> Move:
+    start_ms = now_ms + move.start_after_ms
+    allowed_ms = complete_within_ms or move.complete_within_ms
+    return Move(
+        move.move_id,
+        move.service,
+        move.old_release,
+        move.new_release,
+        start_ms,
+        start_ms + allowed_ms,
+        move.steps,
+        move.watch_ms,
+        move.thresholds,
+    )
--- /dev/null
+++ b/marigoldchute/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/marigoldchute/cmd/node.py
@@ -0,0 +1,70 @@
+"""marigoldchute-node: the process on each backend server VM."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import signal
+import sys
+from typing import Annotated
+
+import cappa
+import trio
+
+from marigoldchute import __version__
+from marigoldchute.config import load_node_settings
+from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.events import EventLog
+from marigoldchute.node import Node
+
+
+@cappa.command(name="marigoldchute-node", help="Run the node of one VM.")
+@dataclasses.dataclass(frozen=True)
+class NodeCommand:
+    """Command line of the node.
+
+    Parameters
+    ----------
+    settings : str
+        Settings file of JSON with comments.
+    check_settings : bool
+        Only check the settings.
+    seed : int, optional
+        Seed of the random choices; random when omitted.
+    """
+
+    settings: str
+    check_settings: bool = False
+    seed: Annotated[int | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> int:
+        """Run the node; return the exit status."""
+        try:
+            cfg = load_node_settings(self.settings)
+        except MarigoldchuteError as exc:
+            print(exc, file=sys.stderr)
+            return exc.code.exit_status
+        if self.check_settings:
+            print(f"{self.settings}: settings are valid")
+            return 0
+        node = Node(cfg, EventLog(cfg.name), random.Random(self.seed))
+        trio.run(_run_until_signal, node)
+        return 0
+
+
+async def _run_until_signal(node: Node) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node.run)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+                return
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(cappa.invoke(NodeCommand, version=__version__))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marigoldchute/cmd/standin.py
@@ -0,0 +1,58 @@
+"""marigoldchute-standin: stand-ins for the store and for backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+
+import cappa
+import msgspec
+import trio
+
+from marigoldchute.standins.backend import Backend, BackendSettings
+from marigoldchute.standins.store import serve_store
+
+
+@cappa.command(name="store", help="Serve a stand-in of the platform's object API.")
+@dataclasses.dataclass(frozen=True)
+class StoreCommand:
+    """Serve the store stand-in on an address and port."""
+
+    address: str
+    port: int
+
+    def __call__(self) -> int:
+        """Serve until stopped."""
+        trio.run(serve_store, self.address, self.port)
+        return 0
+
+
+@cappa.command(name="backend", help="Serve a stand-in backend server.")
+@dataclasses.dataclass(frozen=True)
+class BackendCommand:
+    """Serve the stand-in described by JSON of ``BackendSettings``."""
+
+    settings: str
+
+    def __call__(self) -> int:
+        """Serve until stopped."""
+        settings = msgspec.json.decode(self.settings, type=BackendSettings)
+        trio.run(Backend(settings).run)
+        return 0
+
+
+@cappa.command(name="marigoldchute-standin", help="Stand-ins for demo and tests.")
+@dataclasses.dataclass(frozen=True)
+class StandinCommand:
+    """Command line of the stand-ins."""
+
+    command: cappa.Subcommands[StoreCommand | BackendCommand]
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(cappa.invoke(StandinCommand))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marigoldchute/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles from the platform's store to every node."""
--- /dev/null
+++ b/marigoldchute/errors.py
@@ -0,0 +1,155 @@
+"""Exception tree and numbered result codes."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ResultCode(enum.IntEnum):
+    """Numbered outcome of an operation; the hundreds digit is its class.
+
+    A program's exit status is the class: 0 for success, 1 for input, 2 for
+    bundles, 3 for the platform, 4 for peers, 5 for requests, 6 for moves and
+    7 for authentication.
+    """
+
+    OK = 0
+    SETTINGS_INVALID = 101
+    SETTINGS_UNREADABLE = 102
+    ARGUMENT_INVALID = 103
+    BUNDLE_MALFORMED = 201
+    BUNDLE_REFERENCE_MISSING = 202
+    BUNDLE_REFERENCE_CYCLE = 203
+    BUNDLE_TOO_LARGE = 204
+    BUNDLE_UNSIGNED = 205
+    BUNDLE_SIGNATURE_INVALID = 206
+    BUNDLE_KEY_UNKNOWN = 207
+    BUNDLE_DIGEST_MISMATCH = 208
+    BUNDLE_VERSION_NOT_HIGHER = 209
+    BUNDLE_CHUNK_MISSING = 210
+    BUNDLE_VERSION_TAKEN = 211
+    STORE_UNAVAILABLE = 301
+    STORE_CONFLICT = 302
+    STORE_NOT_FOUND = 303
+    STORE_THROTTLED = 304
+    STORE_OUTCOME_UNKNOWN = 305
+    STORE_BUDGET_SPENT = 306
+    STORE_VALUE_TOO_LARGE = 307
+    PEER_UNREACHABLE = 401
+    PEER_PROTOCOL = 402
+    PEER_TIMEOUT = 403
+    ANNOUNCEMENT_INVALID = 404
+    REQUEST_NOT_RUN_NO_BUNDLE = 501
+    REQUEST_NOT_RUN_NO_ROUTE = 502
+    REQUEST_NOT_RUN_NO_BACKEND = 503
+    REQUEST_NOT_RUN_OVERLOADED = 504
+    REQUEST_NOT_RUN_DEADLINE = 505
+    REQUEST_NOT_RUN_DRAINING = 506
+    REQUEST_NOT_RUN_INTERNAL_ONLY = 507
+    REQUEST_NOT_RUN_REFUSED = 508
+    REQUEST_OUTCOME_UNKNOWN = 510
+    REQUEST_MALFORMED = 520
+    REQUEST_TOO_LARGE = 521
+    MOVE_INVALID = 601
+    MOVE_DEADLINE_TOO_SHORT = 602
+    MOVE_CAPACITY_TOO_SMALL = 603
+    MOVE_OVERLAP = 604
+    MOVE_UNKNOWN = 605
+    MOVE_TAKEN_BACK = 606
+    MOVE_VERDICT_UNKNOWN = 607
+    MOVE_ALREADY_DECIDED = 608
+    AUTH_FAILED = 701
+
+    @property
+    def exit_status(self) -> int:
+        """Process exit status of the code's class."""
+        return self.value // 100
+
+
+class MarigoldchuteError(Exception):
+    """Base of every error that the project raises on purpose.
+
+    Parameters
+    ----------
+    message : str
+        Short sentence for an operator.
+    code : ResultCode, optional
+        Numbered code; the class's own default when omitted.
+    """
+
+    code: ResultCode = ResultCode.ARGUMENT_INVALID
+
+    def __init__(self, message: str, code: ResultCode | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        if code is not None:
+            self.code = code
+
+    def __str__(self) -> str:
+        return f"[{self.code.value} {self.code.name}] {self.message}"
+
+
+class SettingsError(MarigoldchuteError):
+    """Settings that cannot be read or are not allowed."""
+
+    code = ResultCode.SETTINGS_INVALID
+
+
+class BundleError(MarigoldchuteError):
+    """A bundle that must not come into force."""
+
+    code = ResultCode.BUNDLE_MALFORMED
+
+
+class PlatformError(MarigoldchuteError):
+    """A call to the platform's object API that failed."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
+class ConflictError(PlatformError):
+    """A conditional write whose condition did not hold."""
+
+    code = ResultCode.STORE_CONFLICT
+
+
+class NotFoundError(PlatformError):
+    """An object that the store does not hold."""
+
+    code = ResultCode.STORE_NOT_FOUND
+
+
+class UnknownOutcomeError(PlatformError):
+    """A write whose reply was lost and that may have taken effect."""
+
+    code = ResultCode.STORE_OUTCOME_UNKNOWN
+
+
+class PeerError(MarigoldchuteError):
+    """A failed exchange with another node."""
+
+    code = ResultCode.PEER_UNREACHABLE
+
+
+class RequestError(MarigoldchuteError):
+    """A caller's request that was not answered by a backend server."""
+
+    code = ResultCode.REQUEST_OUTCOME_UNKNOWN
+
+
+class NotRunError(RequestError):
+    """A request that certainly did not run; it may be tried again."""
+
+    code = ResultCode.REQUEST_NOT_RUN_NO_BACKEND
+
+
+class MoveError(MarigoldchuteError):
+    """A move that cannot be rolled or decided as asked."""
+
+    code = ResultCode.MOVE_INVALID
+
+
+class AuthError(MarigoldchuteError):
+    """A peer or operator that did not prove who it is."""
+
+    code = ResultCode.AUTH_FAILED
--- /dev/null
+++ b/marigoldchute/events.py
@@ -0,0 +1,135 @@
+"""Event log of a process: JSON lines with hybrid logical time stamps."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+import time
+from typing import IO, Any
+
+import eliot
+
+COUNTER_BITS = 20
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
+
+class HybridClock:
+    """Hybrid logical clock after Kulkarni et al., "Logical Physical Clocks" (2014).
+
+    A stamp holds milliseconds since the epoch in its upper bits and a counter in
+    its lower ``COUNTER_BITS`` bits, so stamps order events causally even when the
+    wall clocks of two VMs differ.
+    """
+
+    def __init__(self) -> None:
+        self._last = 0
+
+    def tick(self, now_ms: int) -> int:
+        """Return a stamp later than every stamp given or observed before."""
+        self._last = max(self._last + 1, now_ms << COUNTER_BITS)
+        return self._last
+
+    def observe(self, stamp: int) -> None:
+        """Take note of a stamp received from another process."""
+        self._last = max(self._last, stamp)
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One line of the event log.
+
+    Parameters
+    ----------
+    stamp : int
+        Hybrid logical time.
+    wall_ms : int
+        Wall-clock time of the process in milliseconds since the epoch.
+    process : str
+        Name of the node or program.
+    part : str
+        Duty that logged the event, for example ``moves``.
+    event : str
+        Event name, for example ``step``.
+    text : str
+        Short sentence for a reader.
+    fields : dict of str to Any
+        Further values, such as ``move``, ``version``, ``member`` or ``code``.
+    """
+
+    stamp: int
+    wall_ms: int
+    process: str
+    part: str
+    event: str
+    text: str
+    fields: dict[str, Any]
+
+
+class EventLog:
+    """Writes the events of one process as eliot messages, one JSON object a line.
+
+    Parameters
+    ----------
+    process : str
+        Name written into every event.
+    out : file object, optional
+        Text stream to which the lines go; standard output by default.
+    clock : HybridClock, optional
+        Clock shared with the links of the process.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        out: IO[str] | None = None,
+        clock: HybridClock | None = None,
+    ) -> None:
+        self.process = process
+        self.clock = clock if clock is not None else HybridClock()
+        self._logger = eliot.Logger()
+        eliot.to_file(out if out is not None else sys.stdout)
+
+    def emit(self, part: str, event: str, text: str, **fields: object) -> None:
+        """Log one event.
+
+        Parameters
+        ----------
+        part : str
+            Duty that logs, also the fixed prefix of the sentence.
+        event : str
+            Event name.
+        text : str
+            Short sentence without the prefix.
+        **fields : object
+            JSON-compatible values.
+        """
+        now_ms = wall_clock_ms()
+        eliot.log_message(
+            message_type=f"marigoldchute:{part}:{event}",
+            stamp=self.clock.tick(now_ms),
+            wall_ms=now_ms,
+            process=self.process,
+            text=f"{part}: {text}",
+            **fields,
+        )
+
+
+class EventSink:
+    """Event log that keeps events in memory, for components without a process."""
+
+    def __init__(self, process: str = "") -> None:
+        self.process = process
+        self.clock = HybridClock()
+        self.events: list[Event] = []
+
+    def emit(self, part: str, event: str, text: str, **fields: object) -> None:
+        """Keep one event."""
+        now_ms = wall_clock_ms()
+        stamp = self.clock.tick(now_ms)
+        self.events.append(
+            Event(stamp, now_ms, self.process, part, event, text, dict(fields))
+        )
--- /dev/null
+++ b/marigoldchute/link/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes: framing, heartbeats, calls and streams."""
--- /dev/null
+++ b/marigoldchute/link/endpoint.py
@@ -0,0 +1,186 @@
+"""Opening and accepting links."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from marigoldchute.errors import AuthError, PeerError, ResultCode
+from marigoldchute.link.frames import FrameDecoder
+from marigoldchute.link.handshake import (
+    HANDSHAKE_TIMEOUT_S,
+    HandshakeStream,
+    PeerIdentity,
+)
+from marigoldchute.link.link import Handlers, Link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from marigoldchute.events import HybridClock
+
+CONNECT_TIMEOUT_S = 2.0
+LISTEN_BACKLOG = 1024
+
+
+class LinkEndpoint:
+    """Opens links to peers and accepts theirs.
+
+    Parameters
+    ----------
+    local : PeerIdentity
+        Who this node is.
+    bind_address : str
+        IP number of this VM, also the source of outgoing connections.
+    secret : bytes
+        Shared secret of the peers.
+    handlers : Handlers
+        What to do with calls and streams of peers.
+    clock : HybridClock
+        Clock carried by heartbeats.
+    heartbeat_ms : int
+        Interval between heartbeats.
+    on_link : callable
+        Called with each accepted link before it runs.
+    """
+
+    def __init__(
+        self,
+        local: PeerIdentity,
+        bind_address: str,
+        secret: bytes,
+        handlers: Handlers,
+        clock: HybridClock,
+        heartbeat_ms: int,
+        on_link: Callable[[Link], None],
+    ) -> None:
+        self.local = local
+        self.links: set[Link] = set()
+        self._bind_address = bind_address
+        self._secret = secret
+        self._handlers = handlers
+        self._clock = clock
+        self._heartbeat_ms = heartbeat_ms
+        self._on_link = on_link
+
+    async def connect(self, address: str, port: int, purpose: str) -> Link:
+        """Open a link; the caller must then drive it with ``run``.
+
+        Parameters
+        ----------
+        address : str
+            IP number of the peer.
+        port : int
+            Its TCP port for peers.
+        purpose : str
+            ``control`` or ``traffic``.
+
+        Returns
+        -------
+        Link
+            Open link.
+
+        Raises
+        ------
+        PeerError
+            No connection in time, or the handshake failed.
+        AuthError
+            The peer does not hold the shared secret.
+        """
+        with trio.move_on_after(CONNECT_TIMEOUT_S + HANDSHAKE_TIMEOUT_S):
+            stream = await self._open_socket(address, port)
+            try:
+                return await self._open_link(stream, purpose)
+            except BaseException:
+                await trio.aclose_forcefully(stream)
+                raise
+        raise PeerError(f"no handshake with {address}:{port}", ResultCode.PEER_TIMEOUT)
+
+    async def _open_socket(self, address: str, port: int) -> trio.SocketStream:
+        sock = trio.socket.socket()
+        try:
+            await sock.bind((self._bind_address, 0))
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await sock.connect((address, port))
+        except (OSError, trio.TooSlowError) as exc:
+            sock.close()
+            raise PeerError(f"cannot connect to {address}:{port}: {exc}") from exc
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
+
+    async def _open_link(self, stream: trio.SocketStream, purpose: str) -> Link:
+        decoder = FrameDecoder()
+        handshake = HandshakeStream(stream, decoder)
+        local = self.local
+        identity = PeerIdentity(
+            local.name, local.incarnation, local.data_centre, local.region, purpose
+        )
+        try:
+            peer = await handshake.open(identity, self._secret)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise PeerError("connection ended in the handshake") from exc
+        return self._make_link(stream, decoder, handshake, peer, True)
+
+    def _make_link(
+        self,
+        stream: trio.SocketStream,
+        decoder: FrameDecoder,
+        handshake: HandshakeStream,
+        peer: PeerIdentity,
+        opened_here: bool,
+    ) -> Link:
+        return Link(
+            stream,
+            decoder,
+            peer,
+            opened_here,
+            self._handlers,
+            self._clock,
+            self._heartbeat_ms,
+            handshake.pending,
+        )
+
+    async def run_link(self, link: Link) -> None:
+        """Drive a link until it ends and keep count of it."""
+        self.links.add(link)
+        try:
+            await link.run()
+        finally:
+            self.links.discard(link)
+
+    async def serve(
+        self, port: int, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept links on a TCP port until cancelled."""
+        await trio.serve_tcp(
+            self._accept,
+            port,
+            host=self._bind_address,
+            backlog=LISTEN_BACKLOG,
+            task_status=task_status,
+        )
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        decoder = FrameDecoder()
+        handshake = HandshakeStream(stream, decoder)
+        peer = None
+        with (
+            contextlib.suppress(
+                PeerError,
+                AuthError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ),
+            trio.move_on_after(HANDSHAKE_TIMEOUT_S),
+        ):
+            peer = await handshake.accept(self.local, self._secret)
+        if peer is None:
+            await trio.aclose_forcefully(stream)
+            return
+        link = self._make_link(stream, decoder, handshake, peer, False)
+        self._on_link(link)
+        await self.run_link(link)
--- /dev/null
+++ b/marigoldchute/link/link.py
@@ -0,0 +1,339 @@
+"""One authenticated connection between two nodes.
+
+A link multiplexes calls, notifications and streams. Both ends send heartbeats; an end
+that hears nothing for ``SILENCE_FACTOR`` heartbeat intervals closes the link, so a
+connection that something in between has forgotten does not last.
+"""
+
+from __future__ import annotations
+
+import itertools
+import struct
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.errors import MarigoldchuteError, PeerError, ResultCode
+from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
+from marigoldchute.link.stream import Stream
+
+if TYPE_CHECKING:
+    from marigoldchute.events import HybridClock
+    from marigoldchute.link.handshake import PeerIdentity
+
+RECEIVE_BYTES = 262_144
+SILENCE_FACTOR = 3
+MAX_PENDING_WRITE_BYTES = 16_000_000
+_CALL_HEADER = struct.Struct(">H")
+_STAMP = struct.Struct(">Q")
+_CODE = struct.Struct(">I")
+_STREAM_KINDS = frozenset(
+    {
+        FrameKind.OPEN,
+        FrameKind.DATA,
+        FrameKind.END,
+        FrameKind.RESET,
+        FrameKind.CREDIT,
+    }
+)
+
+CallHandler = Callable[["Link", bytes], Awaitable[bytes]]
+StreamHandler = Callable[[Stream], Awaitable[None]]
+
+
+class Handlers:
+    """What a node does with calls, notifications and streams of its peers.
+
+    Each slice registers its methods under numbers of its own; a notification is a
+    call whose result is dropped.
+    """
+
+    def __init__(self) -> None:
+        self._calls: dict[int, CallHandler] = {}
+        self.stream: StreamHandler | None = None
+
+    def register(self, method: int, handler: CallHandler) -> None:
+        """Serve a method number with a handler."""
+        if method in self._calls:
+            raise ValueError(f"method {method} is registered twice")
+        self._calls[method] = handler
+
+    def find(self, method: int) -> CallHandler | None:
+        """Return the handler of a method number."""
+        return self._calls.get(method)
+
+
+class Link:
+    """One connection; ``run`` drives it until it ends.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Open connection after the handshake.
+    peer : PeerIdentity
+        Who is at the other end.
+    opened_here : bool
+        Whether this end connected; decides the parity of stream numbers.
+    handlers : Handlers
+        What to do with the peer's calls and streams.
+    clock : HybridClock
+        Receives the peer's stamps.
+    heartbeat_ms : int
+        Interval between heartbeats.
+    early_frames : list of (int, int, bytes)
+        Frames that arrived together with the end of the handshake.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        decoder: FrameDecoder,
+        peer: PeerIdentity,
+        opened_here: bool,
+        handlers: Handlers,
+        clock: HybridClock,
+        heartbeat_ms: int,
+        early_frames: list[tuple[int, int, bytes]],
+    ) -> None:
+        self.peer = peer
+        self.opened_here = opened_here
+        self.closed = trio.Event()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._stream = stream
+        self._decoder = decoder
+        self._early_frames = early_frames
+        self._handlers = handlers
+        self._clock = clock
+        self._heartbeat_s = heartbeat_ms / 1000
+        self._numbers = itertools.count(1 if opened_here else 2, 2)
+        self._streams: dict[int, Stream] = {}
+        self._replies: dict[int, _PendingReply] = {}
+        self._out = bytearray()
+        self._out_ready = trio.Event()
+        self._heard_at = trio.current_time()
+        self._sent_at = trio.current_time()
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def alive(self) -> bool:
+        """Whether the link can still be used."""
+        return not self.closed.is_set()
+
+    @property
+    def stream_count(self) -> int:
+        """Number of open streams."""
+        return len(self._streams)
+
+    async def run(self) -> None:
+        """Read, write and send heartbeats until the connection ends."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._write_frames)
+                nursery.start_soon(self._send_heartbeats)
+                await self._read_frames()
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, PeerError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection and fail what is pending on it."""
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        for stream in tuple(self._streams.values()):
+            stream.fail(ResultCode.PEER_UNREACHABLE, "connection to the peer ended")
+        for pending in tuple(self._replies.values()):
+            pending.fail(ResultCode.PEER_UNREACHABLE, "connection to the peer ended")
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        socket = getattr(self._stream, "socket", None)
+        if socket is not None:
+            socket.close()
+
+    async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
+        """Call a method of the peer and wait for its reply.
+
+        Parameters
+        ----------
+        method : int
+            Method number.
+        body : bytes
+            Encoded message.
+        timeout_s : float
+            Time limit in seconds.
+
+        Returns
+        -------
+        bytes
+            Encoded reply.
+
+        Raises
+        ------
+        PeerError
+            No reply in time, the link ended, or the peer answered with a failure.
+        """
+        number = next(self._numbers)
+        pending = _PendingReply()
+        self._replies[number] = pending
+        try:
+            self.send_frame(FrameKind.CALL, number, _CALL_HEADER.pack(method) + body)
+            with trio.move_on_after(timeout_s):
+                await pending.done.wait()
+        finally:
+            del self._replies[number]
+        return pending.result()
+
+    def notify(self, method: int, body: bytes) -> None:
+        """Send a message without waiting for a reply.
+
+        Raises
+        ------
+        PeerError
+            The link has ended, or the peer has not read for too long.
+        """
+        self.send_frame(FrameKind.NOTIFY, 0, _CALL_HEADER.pack(method) + body)
+
+    def open_stream(self, head: bytes) -> Stream:
+        """Open a stream to the peer with a head."""
+        stream = Stream(self, next(self._numbers), head)
+        self._streams[stream.number] = stream
+        self.send_frame(FrameKind.OPEN, stream.number, head)
+        return stream
+
+    def forget_stream(self, stream: Stream) -> None:
+        """Drop a stream whose both directions are over."""
+        self._streams.pop(stream.number, None)
+
+    def send_frame(self, kind: int, stream: int, body: bytes) -> None:
+        """Queue one frame for the writer.
+
+        Raises
+        ------
+        PeerError
+            The link has ended, or the peer has not read for too long.
+        """
+        if self.closed.is_set():
+            raise PeerError("connection to the peer ended")
+        self._out += encode_frame(kind, stream, body)
+        if len(self._out) > MAX_PENDING_WRITE_BYTES:
+            self.close()
+            raise PeerError("peer does not read")
+        self._out_ready.set()
+
+    async def _write_frames(self) -> None:
+        while True:
+            if not self._out:
+                self._out_ready = trio.Event()
+                await self._out_ready.wait()
+            data, self._out = self._out, bytearray()
+            self.bytes_sent += len(data)
+            self._sent_at = trio.current_time()
+            await self._stream.send_all(data)
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await trio.sleep(self._heartbeat_s)
+            now = trio.current_time()
+            if now - self._heard_at > SILENCE_FACTOR * self._heartbeat_s:
+                raise PeerError("peer is silent", ResultCode.PEER_TIMEOUT)
+            stamp = self._clock.tick(0)
+            self.send_frame(FrameKind.HEARTBEAT, 0, _STAMP.pack(stamp))
+
+    async def _read_frames(self) -> None:
+        for frame in self._early_frames:
+            self._take_frame(*frame)
+        while True:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return
+            self._heard_at = trio.current_time()
+            self.bytes_received += len(data)
+            for kind, number, body in self._decoder.feed(data):
+                self._take_frame(kind, number, body)
+
+    def _take_frame(self, kind: int, number: int, body: bytes) -> None:
+        if kind in _STREAM_KINDS:
+            self._take_stream_frame(kind, number, body)
+        elif kind == FrameKind.HEARTBEAT:
+            self._clock.observe(_STAMP.unpack(body)[0])
+        elif kind in (FrameKind.REPLY, FrameKind.FAILURE):
+            pending = self._replies.get(number)
+            if pending is not None:
+                pending.take(kind, body)
+        elif kind in (FrameKind.CALL, FrameKind.NOTIFY):
+            assert self._nursery is not None
+            self._nursery.start_soon(self._serve_call, kind, number, body)
+        else:
+            raise PeerError(f"frame of kind {kind}", ResultCode.PEER_PROTOCOL)
+
+    def _take_stream_frame(self, kind: int, number: int, body: bytes) -> None:
+        stream = self._streams.get(number)
+        if stream is not None:
+            stream.take_frame(kind, body)
+            return
+        opened_by_peer = number % 2 == (0 if self.opened_here else 1)
+        if kind != FrameKind.OPEN or not opened_by_peer:
+            return
+        stream = Stream(self, number, body)
+        self._streams[number] = stream
+        assert self._nursery is not None
+        self._nursery.start_soon(self._serve_stream, stream)
+
+    async def _serve_stream(self, stream: Stream) -> None:
+        try:
+            if self._handlers.stream is None:
+                stream.reset(ResultCode.PEER_PROTOCOL)
+                return
+            await self._handlers.stream(stream)
+        except PeerError:
+            pass
+        finally:
+            self.forget_stream(stream)
+
+    async def _serve_call(self, kind: int, number: int, body: bytes) -> None:
+        (method,) = _CALL_HEADER.unpack_from(body)
+        handler = self._handlers.find(method)
+        try:
+            if handler is None:
+                raise PeerError(f"method {method} unknown", ResultCode.PEER_PROTOCOL)
+            reply = await handler(self, body[_CALL_HEADER.size :])
+        except MarigoldchuteError as exc:
+            if kind == FrameKind.CALL and self.alive:
+                failure = _CODE.pack(exc.code) + exc.message.encode()
+                self.send_frame(FrameKind.FAILURE, number, failure)
+            return
+        if kind == FrameKind.CALL and self.alive:
+            self.send_frame(FrameKind.REPLY, number, reply)
+
+
+class _PendingReply:
+    """A call that waits for its reply."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self._reply: bytes | None = None
+        self._error: PeerError | None = None
+
+    def take(self, kind: int, body: bytes) -> None:
+        if kind == FrameKind.REPLY:
+            self._reply = body
+        else:
+            code = ResultCode(_CODE.unpack_from(body)[0])
+            self._error = PeerError(body[_CODE.size :].decode(), code)
+        self.done.set()
+
+    def fail(self, code: ResultCode, message: str) -> None:
+        self._error = PeerError(message, code)
+        self.done.set()
+
+    def result(self) -> bytes:
+        if self._error is not None:
+            raise self._error
+        if self._reply is None:
+            raise PeerError("peer did not reply in time", ResultCode.PEER_TIMEOUT)
+        return self._reply
--- /dev/null
+++ b/marigoldchute/link/methods.py
@@ -0,0 +1,16 @@
+"""Numbers of the methods that nodes call on one another."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Method(enum.IntEnum):
+    """Method number in a call or notification."""
+
+    PUSH_RECORDS = 1
+    COMPARE_DIGESTS = 2
+    PULL_RECORDS = 3
+    GET_CHUNK = 10
+    REPORT_EVIDENCE = 20
+    LIST_CONFIRMATIONS = 21
--- /dev/null
+++ b/marigoldchute/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of the mesh and the backend servers that they announce."""
--- /dev/null
+++ b/marigoldchute/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic moves between releases: schedule, evidence and verdict."""
--- /dev/null
+++ b/marigoldchute/node.py
@@ -0,0 +1,165 @@
+"""Assembly of the slices into one node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.admin.app import AdminApp
+from marigoldchute.admin.service import AdminService
+from marigoldchute.bundle.inforce import InForce
+from marigoldchute.bundle.signing import SignatureVerifier
+from marigoldchute.distribution.service import Replicator
+from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.events import EventLog, wall_clock_ms
+from marigoldchute.link.endpoint import LinkEndpoint
+from marigoldchute.link.handshake import PeerIdentity
+from marigoldchute.link.link import Handlers, Link
+from marigoldchute.link.pool import LinkPool
+from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
+from marigoldchute.membership.service import Membership
+from marigoldchute.moves.collector import Collector, Reporter
+from marigoldchute.moves.driver import Driver
+from marigoldchute.moves.engine import MoveEngine
+from marigoldchute.overlay.overlay import Overlay
+from marigoldchute.overlay.records import RecordTable
+from marigoldchute.platform.client import HttpObjectStore
+from marigoldchute.routing.entry import Entry
+from marigoldchute.routing.http_server import serve_connection
+from marigoldchute.routing.owner import Owner
+from marigoldchute.util.asgi import serve_app
+
+if TYPE_CHECKING:
+    import random
+
+    from marigoldchute.config import NodeSettings
+    from marigoldchute.routing.http_server import HttpRequest, HttpResponder
+
+TICK_S = 0.05
+
+
+class Node:
+    """One node process: proxy, member, replica and, at times, driver."""
+
+    def __init__(self, cfg: NodeSettings, log: EventLog, rng: random.Random) -> None:
+        self._cfg = cfg
+        self._log = log
+        incarnation = wall_clock_ms()
+        handlers = Handlers()
+        self._table = RecordTable()
+        self._in_force = InForce()
+        self._membership = Membership(cfg, incarnation, self._table, log)
+        self._endpoint = LinkEndpoint(
+            PeerIdentity(cfg.name, incarnation, cfg.data_centre, cfg.region),
+            cfg.address,
+            cfg.peer_secret.encode(),
+            handlers,
+            log.clock,
+            cfg.heartbeat_ms,
+            self._take_link,
+        )
+        self._overlay = Overlay(cfg.name, self._endpoint, handlers, self._table, rng)
+        address_of = self._membership.address_of
+        self._control = LinkPool(self._endpoint, "control-call", address_of)
+        self._traffic = LinkPool(self._endpoint, "traffic", address_of)
+        store = HttpObjectStore(cfg.store, rng)
+        verifier = SignatureVerifier(cfg.trusted_keys)
+        self._replicator = Replicator(
+            self._membership,
+            self._overlay,
+            self._table,
+            store,
+            verifier,
+            self._in_force,
+            handlers,
+            log,
+            rng,
+        )
+        self._engine = MoveEngine(self._in_force, self._table, log, cfg.clock_error_ms)
+        self._reporter = Reporter(
+            self._membership,
+            self._in_force,
+            self._engine,
+            Collector(handlers),
+            self._control,
+        )
+        self._driver = Driver(
+            self._membership, self._engine, self._reporter, store, cfg.clock_error_ms
+        )
+        self._entry = Entry(
+            self._in_force, self._engine, self._membership, self._traffic, rng
+        )
+        owner = Owner(self._membership, cfg.address)
+        handlers.stream = owner.serve
+        service = AdminService(
+            self._membership,
+            self._in_force,
+            self._replicator,
+            self._engine,
+            self._reporter,
+            store,
+            verifier,
+        )
+        self._admin = AdminApp(service, cfg.admin_token)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        cfg = self._cfg
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._control.run)
+            await nursery.start(self._traffic.run)
+            await nursery.start(self._endpoint.serve, cfg.peer_port)
+            nursery.start_soon(self._overlay.run, self._membership)
+            nursery.start_soon(self._replicator.run)
+            nursery.start_soon(self._reporter.run)
+            nursery.start_soon(self._driver.run)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(serve_app, self._admin, cfg.address, cfg.admin_port)
+            await nursery.start(self._serve_http, cfg.internal_port, self._internal)
+            await nursery.start(
+                self._serve_http, cfg.caller_port, self._entry.handle_external
+            )
+            self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
+
+    def _take_link(self, link: Link) -> None:
+        if link.peer.purpose == "control":
+            self._overlay.accept(link)
+
+    async def _tick(self) -> None:
+        while True:
+            now = trio.current_time()
+            self._membership.expire_announcements(now)
+            self._membership.check_lost(now)
+            if self._engine.advance(wall_clock_ms()):
+                self._reporter.wake()
+            await trio.sleep(TICK_S)
+
+    async def _serve_http(  # type: ignore[no-untyped-def]
+        self, port: int, handler, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await serve_connection(stream, handler)
+
+        await trio.serve_tcp(
+            serve, port, host=self._cfg.address, task_status=task_status
+        )
+
+    async def _internal(self, req: HttpRequest, responder: HttpResponder) -> None:
+        if req.target != ANNOUNCE_TARGET:
+            await self._entry.handle_internal(req, responder)
+            return
+        body = b""
+        while (data := await req.receive()) is not None:
+            body += data
+        status, text = 204, b""
+        try:
+            take_announcement(
+                self._membership, body, wall_clock_ms(), trio.current_time()
+            )
+        except MarigoldchuteError as exc:
+            status, text = 400, f"{exc}\n".encode()
+        await responder.start(
+            status, [(b"content-length", str(len(text)).encode())], text
+        )
+        await responder.finish()
--- /dev/null
+++ b/marigoldchute/overlay/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated records and the links over which they spread."""
--- /dev/null
+++ b/marigoldchute/overlay/records.py
@@ -0,0 +1,182 @@
+"""Replicated records: the state that every node holds a copy of.
+
+A record is replaced only by one of the same kind and key with a higher rank, so copies
+converge whatever the order, loss or repetition of messages.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+BUCKETS = 32
+
+
+class RecordKind(enum.IntEnum):
+    """What a record's body holds."""
+
+    MEMBER = 1
+    BUNDLE = 2
+    FAULT = 3
+    SUMMARY = 4
+    VERDICT = 5
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One replicated record.
+
+    Parameters
+    ----------
+    kind : int
+        A ``RecordKind``.
+    key : str
+        Name within the kind.
+    rank : tuple of (int, int)
+        Order among records of the same kind and key; the higher one wins.
+    body : bytes
+        Encoded content.
+    """
+
+    kind: int
+    key: str
+    rank: tuple[int, int]
+    body: bytes
+
+
+class RecordId(msgspec.Struct, frozen=True, array_like=True):
+    """Kind, key and rank of a record without its body."""
+
+    kind: int
+    key: str
+    rank: tuple[int, int]
+
+
+Validator = Callable[[Record], bool]
+Listener = Callable[[Record], None]
+
+
+class RecordTable:
+    """The records that this node holds.
+
+    Digests are kept per bucket so that two tables find their differences with a few
+    bytes when they are equal and one bucket's worth of names when one record differs.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[tuple[int, str], Record] = {}
+        self._digests = [0] * BUCKETS
+        self._validators: dict[int, Validator] = {}
+        self._listeners: dict[int, list[Listener]] = {}
+        self._on_change: list[Callable[[Record, str], None]] = []
+
+    def validate(self, kind: RecordKind, validator: Validator) -> None:
+        """Refuse records of a kind for which ``validator`` returns False."""
+        self._validators[kind] = validator
+
+    def subscribe(self, kind: RecordKind, listener: Listener) -> None:
+        """Call ``listener`` with each newly held record of a kind."""
+        self._listeners.setdefault(kind, []).append(listener)
+
+    def on_change(self, listener: Callable[[Record, str], None]) -> None:
+        """Call ``listener`` with each newly held record and its source peer."""
+        self._on_change.append(listener)
+
+    def offer(self, record: Record, source: str = "") -> bool:
+        """Hold a record if it ranks above the one held.
+
+        Parameters
+        ----------
+        record : Record
+            Record from this node or a peer.
+        source : str
+            Name of the peer it came from; empty for this node.
+
+        Returns
+        -------
+        bool
+            Whether the record is new.
+        """
+        identity = (record.kind, record.key)
+        held = self._records.get(identity)
+        if held is not None and held.rank >= record.rank:
+            return False
+        validator = self._validators.get(record.kind)
+        if validator is not None and not validator(record):
+            return False
+        self._replace(identity, held, record)
+        for listener in self._listeners.get(record.kind, ()):
+            listener(record)
+        for change_listener in self._on_change:
+            change_listener(record, source)
+        return True
+
+    def get(self, kind: RecordKind, key: str) -> Record | None:
+        """Return the held record of a kind and key."""
+        return self._records.get((kind, key))
+
+    def of_kind(self, kind: RecordKind) -> list[Record]:
+        """Return every held record of a kind."""
+        return [record for (k, _), record in self._records.items() if k == kind]
+
+    def discard(self, kind: RecordKind, key: str) -> None:
+        """Drop a record."""
+        held = self._records.pop((kind, key), None)
+        if held is not None:
+            self._toggle_digest(held)
+
+    def digests(self) -> list[int]:
+        """Return the digest of each bucket, ``BUCKETS`` integers of 64 bits."""
+        return list(self._digests)
+
+    def ids_in(self, buckets: Iterable[int]) -> list[RecordId]:
+        """Return the identities of the records in some buckets."""
+        wanted = set(buckets)
+        return [
+            RecordId(record.kind, record.key, record.rank)
+            for record in self._records.values()
+            if bucket_of(record.kind, record.key) in wanted
+        ]
+
+    def newer_than(
+        self, ids: Iterable[RecordId], buckets: Iterable[int]
+    ) -> list[Record]:
+        """Return the held records in some buckets that rank above those listed."""
+        known = {(item.kind, item.key): item.rank for item in ids}
+        wanted = set(buckets)
+        return [
+            record
+            for identity, record in self._records.items()
+            if bucket_of(*identity) in wanted
+            and (identity not in known or known[identity] < record.rank)
+        ]
+
+    def _replace(
+        self, identity: tuple[int, str], held: Record | None, record: Record
+    ) -> None:
+        if held is not None:
+            self._toggle_digest(held)
+        self._records[identity] = record
+        self._toggle_digest(record)
+
+    def _toggle_digest(self, record: Record) -> None:
+        self._digests[bucket_of(record.kind, record.key)] ^= _record_hash(record)
+
+
+def bucket_of(kind: int, key: str) -> int:
+    """Return the bucket of a record's kind and key."""
+    return (
+        hashlib.blake2b(f"{kind}/{key}".encode(), digest_size=1).digest()[0] % BUCKETS
+    )
+
+
+def _record_hash(record: Record) -> int:
+    text = f"{record.kind}/{record.key}/{record.rank[0]}/{record.rank[1]}"
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/marigoldchute/overlay/topology.py
@@ -0,0 +1,105 @@
+"""Which peers a node keeps links to, derived from the members alone.
+
+Within a data centre the members form a ring in the order of their hashed names, with
+fingers to the members 1, 2, 4, ... places ahead, so that a record reaches every member
+in a logarithmic number of hops. Between data centres a few members, chosen by
+rendezvous hashing, keep links; between regions as well.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from marigoldchute.membership.model import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from marigoldchute.membership.model import Member
+
+GATEWAYS_PER_PAIR = 2
+
+
+def rendezvous_order(members: Iterable[Member], topic: str) -> list[Member]:
+    """Return members in an order that all nodes compute alike for a topic.
+
+    Highest-random-weight hashing after Thaler and Ravishankar (1996): the loss of one
+    member moves only its own duties.
+    """
+    return sorted(members, key=lambda member: _weight(member.name, topic))
+
+
+def _weight(name: str, topic: str) -> bytes:
+    return hashlib.blake2b(f"{topic}/{name}".encode(), digest_size=8).digest()
+
+
+def wanted_peers(local: Member, members: Iterable[Member]) -> set[str]:
+    """Return the names of the peers to which this node opens links.
+
+    Parameters
+    ----------
+    local : Member
+        This node.
+    members : iterable of Member
+        Every known member, this node included.
+
+    Returns
+    -------
+    set of str
+        Names of peers; links that peers open to this node come on top.
+    """
+    reachable = [
+        member
+        for member in members
+        if member.state in (MemberState.ALIVE, MemberState.DRAINING)
+    ]
+    return _ring_fingers(local, reachable) | _gateway_peers(local, reachable)
+
+
+def _ring_fingers(local: Member, members: list[Member]) -> set[str]:
+    same = [member for member in members if member.data_centre == local.data_centre]
+    ring = rendezvous_order(same, "ring")
+    names = [member.name for member in ring]
+    if local.name not in names:
+        return set(names[:GATEWAYS_PER_PAIR])
+    position = names.index(local.name)
+    fingers: set[str] = set()
+    distance = 1
+    while distance < len(names):
+        fingers.add(names[(position + distance) % len(names)])
+        distance *= 2
+    fingers.discard(local.name)
+    return fingers
+
+
+def _gateway_peers(local: Member, members: list[Member]) -> set[str]:
+    peers: set[str] = set()
+    by_centre: dict[str, list[Member]] = {}
+    by_region: dict[str, list[Member]] = {}
+    for member in members:
+        by_centre.setdefault(member.data_centre, []).append(member)
+        by_region.setdefault(member.region, []).append(member)
+    home = by_centre.get(local.data_centre, [])
+    for centre, others in by_centre.items():
+        if centre > local.data_centre and others[0].region == local.region:
+            topic = f"centre/{local.data_centre}/{centre}"
+            peers |= _paired(local, home, others, topic)
+    region_home = by_region.get(local.region, [])
+    for region, others in by_region.items():
+        if region > local.region:
+            topic = f"region/{local.region}/{region}"
+            peers |= _paired(local, region_home, others, topic)
+    return peers
+
+
+def _paired(
+    local: Member, home: list[Member], others: list[Member], topic: str
+) -> set[str]:
+    ours = rendezvous_order(home, topic)[:GATEWAYS_PER_PAIR]
+    theirs = rendezvous_order(others, topic)[:GATEWAYS_PER_PAIR]
+    return {
+        other.name
+        for mine, other in zip(ours, theirs, strict=False)
+        if mine.name == local.name
+    }
--- /dev/null
+++ b/marigoldchute/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The request path from caller to backend server."""
--- /dev/null
+++ b/marigoldchute/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside the project, for the demo and the tests."""
--- /dev/null
+++ b/marigoldchute/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a duty of their own."""
--- /dev/null
+++ b/tests/support/meshes.py
@@ -0,0 +1,104 @@
+"""Meshes of real processes for the tests."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.standins.backend import BackendSettings
+from marigoldchute.standins.mesh import ADMIN_TOKEN, BACKEND_PORT, Mesh, MeshPlan, Vm
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+INTERNAL_PORT = 8001
+CENTRES = (
+    ("cartago-norte", "cartago"),
+    ("cartago-sur", "cartago"),
+    ("limon-muelle", "limon"),
+    ("limon-patio", "limon"),
+)
+
+
+def plan_mesh(block: int, centres: int, per_centre: int) -> MeshPlan:
+    """Return a plan on loopback addresses ``127.<block>.*.*``.
+
+    Parameters
+    ----------
+    block : int
+        Second byte of the addresses; each test module takes its own.
+    centres : int
+        Data centres, taken alternately from the two regions.
+    per_centre : int
+        VMs of each data centre.
+    """
+    chosen = [CENTRES[0], CENTRES[2], CENTRES[1], CENTRES[3]][:centres]
+    vms = tuple(
+        Vm(f"{name}-{i}", f"127.{block}.{number}.{i}", name, region)
+        for number, (name, region) in enumerate(chosen, start=1)
+        for i in range(1, per_centre + 1)
+    )
+    return MeshPlan(vms, f"127.{block}.200.1")
+
+
+class MeshTestCase(unittest.TestCase):
+    """A test with a mesh of its own, stopped at the end."""
+
+    block = 10
+    centres = 2
+    per_centre = 2
+    seed = 1
+
+    def setUp(self) -> None:
+        self._directory = tempfile.TemporaryDirectory()
+        self.addCleanup(self._directory.cleanup)
+        path = pathlib.Path(self._directory.name)
+        plan = plan_mesh(self.block, self.centres, self.per_centre)
+        self.mesh = Mesh(plan, path, self.seed)
+        self.mesh.write_key()
+        self.addCleanup(self.mesh.stop)
+
+    def run_async(self, body: Callable[[], Awaitable[None]], limit_s: float) -> None:
+        """Run a test body under a time limit."""
+
+        async def limited() -> None:
+            with trio.fail_after(limit_s):
+                await body()
+
+        trio.run(limited)
+
+    def start_nodes(self) -> None:
+        """Start the store and every node."""
+        self.mesh.start_store()
+        for vm in self.mesh.plan.vms:
+            self.mesh.start_node(vm.name)
+
+    def start_backends(self, service: str, releases: dict[str, str]) -> None:
+        """Start one backend server on each named VM with a release."""
+        for name, release in releases.items():
+            vm = self.mesh.vm(name)
+            self.mesh.start_backend(
+                BackendSettings(
+                    vm.address, BACKEND_PORT, INTERNAL_PORT, service, release
+                )
+            )
+
+    def write_bundle(self, text: str) -> str:
+        """Write an operator's bundle file and return its path."""
+        path = self.mesh.directory / "bundle.json"
+        path.write_text(text)
+        return str(path)
+
+    async def ctl(self, *args: str) -> tuple[int, str, str]:
+        """Run the operator's program; return status, output and errors."""
+        done = await trio.to_thread.run_sync(lambda: self.mesh.run_ctl(args))
+        return done.returncode, done.stdout, done.stderr
+
+    async def roll(self, path: str, vm_name: str) -> tuple[int, str, str]:
+        """Roll a bundle file through a node."""
+        node = f"{self.mesh.vm(vm_name).address}:7100"
+        return await self.ctl("roll", path, str(self.mesh.key_path), node, ADMIN_TOKEN)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: test runner and its plugins."""
--- /dev/null
+++ b/tools/known_red.py
@@ -0,0 +1,70 @@
+"""nose2 plugin that passes over exactly the failures listed in KNOWN-RED.txt."""
+
+from __future__ import annotations
+
+import pathlib
+
+from nose2.events import Plugin
+
+KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def read_known_red(path: pathlib.Path = KNOWN_RED_PATH) -> dict[str, str]:
+    """Return the listed test ids with the rest of their entries.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        File with one ``test id | command and seed | seen | issue`` entry a line.
+
+    Returns
+    -------
+    dict of str to str
+        Entry text by test id.
+    """
+    entries: dict[str, str] = {}
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if not line.strip() or line.startswith("#"):
+            continue
+        test_id, _, rest = line.partition("|")
+        entries[test_id.strip()] = rest.strip()
+    return entries
+
+
+class KnownRed(Plugin):
+    """Turns a listed failure into an expected one and counts outcomes."""
+
+    configSection = "known-red"
+    alwaysOn = True
+
+    def __init__(self) -> None:
+        self.entries = read_known_red()
+        self.passed = 0
+        self.failed = 0
+        self.known: list[str] = []
+        self.mended: list[str] = []
+
+    def setTestOutcome(self, event) -> None:
+        """Mark a listed failure as expected."""
+        if event.outcome in ("failed", "error") and event.test.id() in self.entries:
+            event.outcome = "skipped"
+            event.reason = "known red"
+            event.exc_info = None
+            self.known.append(event.test.id())
+
+    def testOutcome(self, event) -> None:
+        """Count one outcome."""
+        if event.outcome == "passed":
+            self.passed += 1
+            if event.test.id() in self.entries:
+                self.mended.append(event.test.id())
+        elif event.outcome in ("failed", "error"):
+            self.failed += 1
+
+    def print_summary(self) -> None:
+        """Print the known failures and the closing line."""
+        for test_id in self.known:
+            print(f"known red: {test_id}: {self.entries[test_id]}")
+        for test_id in self.mended:
+            print(f"listed as known red but passed: {test_id}")
+        print(f"{self.passed} passed, {self.failed} failed", flush=True)
