Add a fault-injecting proxy and reserve loopback addresses for each mesh

Cause: faults between processes need something between them, and two test runs on one machine took the same addresses. Before: no cut could be made. Conclusion: faults can be injected.

--- a/marigoldchute/cmd/standin.py
+++ b/marigoldchute/cmd/standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 import sys
 
 import cappa
@@ -10,6 +11,7 @@
 import trio
 
 from marigoldchute.standins.backend import Backend, BackendSettings
+from marigoldchute.standins.faultproxy import FaultProxy, ProxyPlan
 from marigoldchute.standins.store import serve_store
 
 
@@ -41,12 +43,26 @@
         return 0
 
 
+@cappa.command(name="proxy", help="Serve a fault-injecting proxy.")
+@dataclasses.dataclass(frozen=True)
+class ProxyCommand:
+    """Serve the proxy described by a file with JSON of ``ProxyPlan``."""
+
+    plan: str
+
+    def __call__(self) -> int:
+        """Serve until stopped."""
+        plan = msgspec.json.decode(pathlib.Path(self.plan).read_bytes(), type=ProxyPlan)
+        trio.run(FaultProxy(plan).run)
+        return 0
+
+
 @cappa.command(name="marigoldchute-standin", help="Stand-ins for demo and tests.")
 @dataclasses.dataclass(frozen=True)
 class StandinCommand:
     """Command line of the stand-ins."""
 
-    command: cappa.Subcommands[StoreCommand | BackendCommand]
+    command: cappa.Subcommands[StoreCommand | BackendCommand | ProxyCommand]
 
 
 def main() -> None:
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -63,7 +63,7 @@
         address_of = self._membership.address_of
         self._control = LinkPool(self._endpoint, "control-call", address_of)
         self._traffic = LinkPool(self._endpoint, "traffic", address_of)
-        store = HttpObjectStore(cfg.store, rng)
+        store = HttpObjectStore(cfg.store, rng, cfg.address)
         verifier = SignatureVerifier(cfg.trusted_keys)
         self._replicator = Replicator(
             self._membership,
--- a/marigoldchute/platform/client.py
+++ b/marigoldchute/platform/client.py
@@ -53,12 +53,18 @@
         Address, call budget and time limit.
     rng : random.Random
         Source of back-off jitter.
+    local_address : str
+        IP number from which connections are opened; any when empty.
     """
 
-    def __init__(self, settings: StoreSettings, rng: random.Random) -> None:
+    def __init__(
+        self, settings: StoreSettings, rng: random.Random, local_address: str = ""
+    ) -> None:
         self._settings = settings
         self._rng = rng
-        self._pool = httpcore.AsyncConnectionPool(max_connections=4)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=4, local_address=local_address or None
+        )
         self.calls = 0
 
     async def get(self, key: str) -> StoredObject:
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -8,15 +8,24 @@
 
 import dataclasses
 import json
+import socket
 import subprocess
 import sys
 from typing import TYPE_CHECKING
 
+import httpcore
+import msgspec
 import trio
 
 from marigoldchute.admin.client import AdminClient
 from marigoldchute.bundle.signing import generate_private_key, public_key_of
 from marigoldchute.errors import MarigoldchuteError, PeerError
+from marigoldchute.standins.faultproxy import (
+    ByteCount,
+    End,
+    Forward,
+    ProxyPlan,
+)
 
 if TYPE_CHECKING:
     import pathlib
@@ -24,8 +33,15 @@
 
     from marigoldchute.admin.messages import Status
     from marigoldchute.standins.backend import BackendSettings
+    from marigoldchute.standins.faultproxy import Rule
+    from marigoldchute.standins.store import StoreFaults
 
 STORE_PORT = 9000
+PROXY_PORT = 9001
+BLOCK_LOCK_PORT = 9999
+FIRST_BLOCK = 10
+PROXY_BLOCK_OFFSET = 120
+PEER_PORT = 7000
 BACKEND_PORT = 9100
 ADMIN_TOKEN = "operator-token"
 PEER_SECRET = "peer-secret"
@@ -33,6 +49,31 @@
 POLL_S = 0.05
 
 
+class LoopbackBlock:
+    """Reserves the addresses ``127.<number>.*.*`` for one mesh on this machine.
+
+    Meshes that run at the same time get different numbers; the one for the proxy is
+    ``number + PROXY_BLOCK_OFFSET``. The reservation ends with ``release``.
+    """
+
+    def __init__(self) -> None:
+        for number in range(FIRST_BLOCK, FIRST_BLOCK + PROXY_BLOCK_OFFSET):
+            sock = socket.socket()
+            try:
+                sock.bind((f"127.{number}.254.254", BLOCK_LOCK_PORT))
+            except OSError:
+                sock.close()
+                continue
+            self.number = number
+            self._sock = sock
+            return
+        raise OSError("every loopback block is in use")
+
+    def release(self) -> None:
+        """Let other meshes have the addresses."""
+        self._sock.close()
+
+
 @dataclasses.dataclass(frozen=True)
 class Vm:
     """One VM of the mesh."""
@@ -53,10 +94,20 @@
         VMs, each with a node.
     store_address : str
         IP number of the store stand-in.
+    proxy_block : str
+        First two bytes of the addresses under which the fault-injecting proxy offers
+        the nodes and the store, for example ``127.110``; empty for no proxy.
     """
 
     vms: tuple[Vm, ...]
     store_address: str
+    proxy_block: str = ""
+
+    def reached_address(self, address: str) -> str:
+        """Return the address under which others reach a VM or the store."""
+        if not self.proxy_block:
+            return address
+        return ".".join([self.proxy_block, *address.split(".")[2:]])
 
 
 class Mesh:
@@ -97,6 +148,40 @@
         args = ["store", self.plan.store_address, str(STORE_PORT)]
         self._start("store", "marigoldchute.cmd.standin", args)
 
+    def start_proxy(self) -> None:
+        """Start the fault-injecting proxy in front of the nodes and the store."""
+        ends = [End(v.name, v.data_centre, v.region, v.address) for v in self.plan.vms]
+        first = self.plan.vms[0]
+        store = End("store", "store", first.region, self.plan.store_address)
+        reached = self.plan.reached_address
+        forwards = [Forward(reached(e.address), PEER_PORT, e) for e in ends]
+        forwards.append(Forward(reached(store.address), STORE_PORT, store))
+        plan = ProxyPlan(
+            tuple(forwards), tuple(ends), self.plan.store_address, PROXY_PORT
+        )
+        path = self.directory / "proxy.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        self._start("proxy", "marigoldchute.cmd.standin", ["proxy", str(path)])
+
+    async def set_faults(self, *rules: Rule) -> None:
+        """Replace the rules of the fault-injecting proxy."""
+        await self._control(PROXY_PORT, "/rules", msgspec.json.encode(rules))
+
+    async def byte_counts(self) -> list[ByteCount]:
+        """Return the bytes that the fault-injecting proxy has forwarded."""
+        body = await self._control(PROXY_PORT, "/bytes", b"")
+        return msgspec.json.decode(body, type=list[ByteCount])
+
+    async def set_store_faults(self, faults: StoreFaults) -> None:
+        """Replace the faults of the store stand-in."""
+        await self._control(STORE_PORT, "/faults", msgspec.json.encode(faults))
+
+    async def _control(self, port: int, path: str, body: bytes) -> bytes:
+        url = f"http://{self.plan.store_address}:{port}{path}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request("POST", url, content=body)
+        return response.content
+
     def start_node(self, name: str) -> None:
         """Start the node of a VM."""
         path = self.directory / f"{name}.json"
@@ -177,13 +262,18 @@
         self.key_path.write_text(json.dumps(key))
 
     def _node_settings(self, vm: Vm) -> dict[str, object]:
-        seeds = [f"{other.address}:7000" for other in self.plan.vms[:3]]
+        reached = self.plan.reached_address
+        seeds = [f"{reached(v.address)}:{PEER_PORT}" for v in self.plan.vms[:3]]
         return {
             "name": vm.name,
             "address": vm.address,
+            "advertise_address": reached(vm.address),
             "data_centre": vm.data_centre,
             "region": vm.region,
-            "store": {"address": self.plan.store_address, "port": STORE_PORT},
+            "store": {
+                "address": reached(self.plan.store_address),
+                "port": STORE_PORT,
+            },
             "trusted_keys": [
                 {"key_id": "ops-1", "public_key": public_key_of(self.private_key)}
             ],
--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -24,7 +24,9 @@
 )
 
 
-def plan_mesh(block: int, centres: int, per_centre: int) -> MeshPlan:
+def plan_mesh(
+    block: int, centres: int, per_centre: int, proxied: bool = False
+) -> MeshPlan:
     """Return a plan on loopback addresses ``127.<block>.*.*``.
 
     Parameters
@@ -35,6 +37,8 @@
         Data centres, taken alternately from the two regions.
     per_centre : int
         VMs of each data centre.
+    proxied : bool
+        Whether nodes and store are reached through the fault-injecting proxy.
     """
     chosen = [CENTRES[0], CENTRES[2], CENTRES[1], CENTRES[3]][:centres]
     vms = tuple(
@@ -42,7 +46,8 @@
         for number, (name, region) in enumerate(chosen, start=1)
         for i in range(1, per_centre + 1)
     )
-    return MeshPlan(vms, f"127.{block}.200.1")
+    proxy_block = f"127.{block + 100}" if proxied else ""
+    return MeshPlan(vms, f"127.{block}.200.1", proxy_block)
 
 
 class MeshTestCase(unittest.TestCase):
@@ -51,13 +56,14 @@
     block = 10
     centres = 2
     per_centre = 2
+    proxied = False
     seed = 1
 
     def setUp(self) -> None:
         self._directory = tempfile.TemporaryDirectory()
         self.addCleanup(self._directory.cleanup)
         path = pathlib.Path(self._directory.name)
-        plan = plan_mesh(self.block, self.centres, self.per_centre)
+        plan = plan_mesh(self.block, self.centres, self.per_centre, self.proxied)
         self.mesh = Mesh(plan, path, self.seed)
         self.mesh.write_key()
         self.addCleanup(self.mesh.stop)
@@ -72,8 +78,10 @@
         trio.run(limited)
 
     def start_nodes(self) -> None:
-        """Start the store and every node."""
+        """Start the store, the proxy if wanted, and every node."""
         self.mesh.start_store()
+        if self.proxied:
+            self.mesh.start_proxy()
         for vm in self.mesh.plan.vms:
             self.mesh.start_node(vm.name)
 
--- /dev/null
+++ b/tests/test_path/test_partition.py
@@ -0,0 +1,33 @@
+"""A mesh behind the fault-injecting proxy."""
+
+from __future__ import annotations
+
+from marigoldchute.standins.faultproxy import Action, Rule
+from tests.support.meshes import MeshTestCase
+
+BUNDLE = """{
+  "services": [{"name": "turnos", "release": "r1"}],
+  "routes": [{"name": "turnos", "path_prefix": "/turnos", "service": "turnos"}]
+}"""
+
+
+class PartitionTest(MeshTestCase):
+    block = 12
+    proxied = True
+
+    def test_cut_region_gets_the_bundle_when_it_heals(self) -> None:
+        self.run_async(self._cut_and_heal, 50)
+
+    async def _cut_and_heal(self) -> None:
+        self.start_nodes()
+        await self.mesh.wait_until("limon-muelle-1", lambda s: len(s.members) == 4)
+        await self.mesh.set_faults(Rule("limon", "cartago", Action.DROP))
+        path = self.write_bundle(BUNDLE)
+        self.assertEqual((await self.roll(path, "cartago-norte-1"))[0], 0)
+        await self.mesh.wait_until("cartago-norte-2", lambda s: s.version == 1)
+        cut = await self.mesh.admin("limon-muelle-1").status()
+        self.assertEqual(cut.version, 0)
+        await self.mesh.set_faults()
+        await self.mesh.wait_until("limon-muelle-2", lambda s: s.version == 1)
+        counts = await self.mesh.byte_counts()
+        self.assertTrue(any(c.source_region != c.target_region for c in counts))
