Take the addresses of the tests' meshes from a reserved block

Before: two runs at once failed (roll answered 2, because both meshes stood on the same addresses). Conclusion: runs no longer disturb one another.

--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -10,7 +10,15 @@
 import trio
 
 from marigoldchute.standins.backend import BackendSettings
-from marigoldchute.standins.mesh import ADMIN_TOKEN, BACKEND_PORT, Mesh, MeshPlan, Vm
+from marigoldchute.standins.mesh import (
+    ADMIN_TOKEN,
+    BACKEND_PORT,
+    PROXY_BLOCK_OFFSET,
+    LoopbackBlock,
+    Mesh,
+    MeshPlan,
+    Vm,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -32,7 +40,7 @@
     Parameters
     ----------
     block : int
-        Second byte of the addresses; each test module takes its own.
+        Second byte of the addresses.
     centres : int
         Data centres, taken alternately from the two regions.
     per_centre : int
@@ -46,14 +54,13 @@
         for number, (name, region) in enumerate(chosen, start=1)
         for i in range(1, per_centre + 1)
     )
-    proxy_block = f"127.{block + 100}" if proxied else ""
+    proxy_block = f"127.{block + PROXY_BLOCK_OFFSET}" if proxied else ""
     return MeshPlan(vms, f"127.{block}.200.1", proxy_block)
 
 
 class MeshTestCase(unittest.TestCase):
     """A test with a mesh of its own, stopped at the end."""
 
-    block = 10
     centres = 2
     per_centre = 2
     proxied = False
@@ -63,7 +70,9 @@
         self._directory = tempfile.TemporaryDirectory()
         self.addCleanup(self._directory.cleanup)
         path = pathlib.Path(self._directory.name)
-        plan = plan_mesh(self.block, self.centres, self.per_centre, self.proxied)
+        block = LoopbackBlock()
+        self.addCleanup(block.release)
+        plan = plan_mesh(block.number, self.centres, self.per_centre, self.proxied)
         self.mesh = Mesh(plan, path, self.seed)
         self.mesh.write_key()
         self.addCleanup(self.mesh.stop)
@@ -106,7 +115,15 @@
         done = await trio.to_thread.run_sync(lambda: self.mesh.run_ctl(args))
         return done.returncode, done.stdout, done.stderr
 
+    def admin_address(self, vm_name: str) -> str:
+        """Return the address and port of a node's administration API."""
+        return f"{self.mesh.vm(vm_name).address}:7100"
+
+    def caller_url(self, vm_name: str, path: str) -> str:
+        """Return the URL of a path at a node's caller port."""
+        return f"http://{self.mesh.vm(vm_name).address}:8000{path}"
+
     async def roll(self, path: str, vm_name: str) -> tuple[int, str, str]:
         """Roll a bundle file through a node."""
-        node = f"{self.mesh.vm(vm_name).address}:7100"
+        node = self.admin_address(vm_name)
         return await self.ctl("roll", path, str(self.mesh.key_path), node, ADMIN_TOKEN)
--- a/tests/test_path/test_partition.py
+++ b/tests/test_path/test_partition.py
@@ -12,7 +12,6 @@
 
 
 class PartitionTest(MeshTestCase):
-    block = 12
     proxied = True
 
     def test_cut_region_gets_the_bundle_when_it_heals(self) -> None:
--- a/tests/test_path/test_thin_path.py
+++ b/tests/test_path/test_thin_path.py
@@ -28,8 +28,6 @@
 
 
 class ThinPathTest(MeshTestCase):
-    block = 11
-
     def test_roll_moves_traffic_and_verdict_is_done(self) -> None:
         self.run_async(self._roll, 50)
 
@@ -50,7 +48,11 @@
         before = await self._call_all(5)
         self.assertGreater(before[200, b"r1"], before[200, b"r2"])
         status, out, err = await self.ctl(
-            "verdict", "turnos-r2", "127.11.1.1:7100", ADMIN_TOKEN, "--wait"
+            "verdict",
+            "turnos-r2",
+            self.admin_address("cartago-norte-1"),
+            ADMIN_TOKEN,
+            "--wait",
         )
         self.assertEqual((status, json.loads(out)["verdict"]), (0, "done"), err)
         after = await self._call_all(5)
@@ -61,7 +63,7 @@
         async with httpcore.AsyncConnectionPool() as pool:
             for _ in range(rounds):
                 for vm in self.mesh.plan.vms:
-                    url = f"http://{vm.address}:8000/turnos/1"
+                    url = self.caller_url(vm.name, "/turnos/1")
                     response = await pool.request("GET", url)
                     counts[response.status, response.content.split()[0]] += 1
                 await trio.sleep(0.01)
@@ -74,7 +76,9 @@
         self.start_nodes()
         await self.mesh.wait_until("cartago-norte-1", lambda s: True)
         async with httpcore.AsyncConnectionPool() as pool:
-            response = await pool.request("GET", "http://127.11.1.1:8000/turnos/1")
+            response = await pool.request(
+                "GET", self.caller_url("cartago-norte-1", "/turnos/1")
+            )
         headers = dict(response.headers)
         self.assertEqual(response.status, 503)
         self.assertEqual(headers[b"marigoldchute-code"], b"501")
