--- /dev/null
+++ b/marigoldchute/distribution/audit.py
@@ -0,0 +1,29 @@
+"""What a node logs of a bundle in force, so that a run can be audited."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldchute.bundle.codec import chunk_digest, manifest_digest, split_content
+
+if TYPE_CHECKING:
+    from marigoldchute.bundle.model import Bundle
+
+
+def audit_fields(bundle: Bundle) -> dict[str, object]:
+    """Return the event fields that let an auditor check a bundle in force.
+
+    ``content_digest`` is computed from the decoded content that requests see, not
+    copied from the manifest.
+    """
+    manifest, content = bundle.manifest, bundle.content
+    chunks = [chunk_digest(chunk) for chunk in split_content(content)]
+    return {
+        "version": manifest.version,
+        "digest": manifest.digest,
+        "content_digest": manifest_digest(manifest.version, chunks),
+        "key_id": manifest.key_id,
+        "signature": manifest.signature.hex(),
+        "services": sorted(service.name for service in content.services),
+        "routed_services": sorted({route.service for route in content.routes}),
+    }
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -14,6 +14,7 @@
 )
 from marigoldchute.bundle.model import Bundle
 from marigoldchute.bundle.validation import validate_content
+from marigoldchute.distribution.audit import audit_fields
 from marigoldchute.errors import (
     BundleError,
     MarigoldchuteError,
@@ -171,13 +172,13 @@
             self._refused.add(manifest.digest)
             self._log_refusal(exc, manifest.version)
             return True
-        if self._in_force.swap(Bundle(manifest, content)):
+        bundle = Bundle(manifest, content)
+        if self._in_force.swap(bundle):
             self._log.emit(
                 "distribution",
                 "in_force",
                 f"Version {manifest.version} is in force.",
-                version=manifest.version,
-                digest=manifest.digest,
+                **audit_fields(bundle),
             )
         wanted = set(manifest.chunks)
         self._chunks = {d: c for d, c in self._chunks.items() if d in wanted}
--- /dev/null
+++ b/tests/support/fake_store.py
@@ -0,0 +1,44 @@
+"""An object store in memory with scripted failures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldchute.errors import ConflictError, NotFoundError
+from marigoldchute.platform.api import StoredObject
+
+Step = Callable[["FakeStore", str, bytes], None]
+
+
+class FakeStore:
+    """Applies writes unless the next scripted step raises first.
+
+    Steps run before a put, each once and in order; a step may write by itself.
+    """
+
+    def __init__(self, *steps: Step) -> None:
+        self.objects: dict[str, StoredObject] = {}
+        self.steps = list(steps)
+        self.hidden_reads = 0
+        self._revision = 0
+
+    def write(self, key: str, value: bytes) -> int:
+        self._revision += 1
+        self.objects[key] = StoredObject(key, value, self._revision)
+        return self._revision
+
+    async def get(self, key: str) -> StoredObject:
+        if self.hidden_reads > 0:
+            self.hidden_reads -= 1
+            raise NotFoundError(key)
+        if key not in self.objects:
+            raise NotFoundError(key)
+        return self.objects[key]
+
+    async def put(self, key: str, value: bytes, expected_revision: int) -> int:
+        if self.steps:
+            self.steps.pop(0)(self, key, value)
+        held = self.objects.get(key)
+        if (held.revision if held else 0) != expected_revision:
+            raise ConflictError(key)
+        return self.write(key, value)
--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from marigoldchute.bundle.signing import public_key_of
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.mesh import (
     ADMIN_TOKEN,
@@ -19,6 +20,7 @@
     MeshPlan,
     Vm,
 )
+from tests.support.invariants import find_violations, read_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -77,6 +79,12 @@
         self.mesh.write_key()
         self.addCleanup(self.mesh.stop)
 
+    def tearDown(self) -> None:
+        self.mesh.stop()
+        public_keys = {"ops-1": public_key_of(self.mesh.private_key)}
+        events = read_events(self.mesh.directory)
+        self.assertEqual(find_violations(events, public_keys), [])
+
     def run_async(self, body: Callable[[], Awaitable[None]], limit_s: float) -> None:
         """Run a test body under a time limit."""
 
