Count bytes, links, processor time and memory of a node at /v1/stats

Cause: neither the cost of control nor that of requests could be read from a node, and the end that opened a link knew its purpose only as the acceptor's default, so control and traffic could not be told apart. The link now holds the purpose itself.

Shown by tests.test_link.test_stats.

--- a/marigoldchute/admin/app.py
+++ b/marigoldchute/admin/app.py
@@ -68,6 +68,8 @@
         method, path = scope["method"], scope["path"]
         if (method, path) == ("GET", "/v1/status"):
             return await self._service.status()
+        if (method, path) == ("GET", "/v1/stats"):
+            return self._service.stats()
         if (method, path) == ("POST", "/v1/bundles"):
             return await self._service.roll(await _read_order(receive))
         kind, _, name = path.removeprefix("/v1/").partition("/")
--- a/marigoldchute/admin/client.py
+++ b/marigoldchute/admin/client.py
@@ -15,6 +15,7 @@
     Status,
 )
 from marigoldchute.errors import MarigoldchuteError, PeerError, ResultCode
+from marigoldchute.link.stats import NodeStats
 from marigoldchute.moves.model import Verdict
 
 T = TypeVar("T")
@@ -41,6 +42,10 @@
         """Return what the node knows of the mesh."""
         return await self._call("GET", "/v1/status", b"", Status)
 
+    async def stats(self) -> NodeStats:
+        """Return what the node has spent."""
+        return await self._call("GET", "/v1/stats", b"", NodeStats)
+
     async def roll(self, order: RollOrder) -> RollResult:
         """Hand over a signed bundle."""
         body = msgspec.json.encode(order)
--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -29,10 +29,13 @@
 from marigoldchute.platform.api import CREATE_ONLY, ObjectStore
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import Manifest
     from marigoldchute.bundle.signing import SignatureVerifier
     from marigoldchute.distribution.service import Replicator
+    from marigoldchute.link.stats import NodeStats
     from marigoldchute.membership.service import Membership
     from marigoldchute.moves.collector import Reporter
     from marigoldchute.moves.engine import MoveEngine, MoveState
@@ -50,6 +53,7 @@
         reporter: Reporter,
         store: ObjectStore,
         verifier: SignatureVerifier,
+        stats: Callable[[], NodeStats],
     ) -> None:
         self._membership = membership
         self._in_force = in_force
@@ -58,6 +62,7 @@
         self._reporter = reporter
         self._store = store
         self._verifier = verifier
+        self.stats = stats
 
     async def roll(self, order: RollOrder) -> RollResult:
         """Check a signed bundle and write it to the store.
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -15,6 +15,7 @@
     PeerIdentity,
 )
 from marigoldchute.link.link import Handlers, Link
+from marigoldchute.link.stats import ByteTotals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +65,15 @@
         self._clock = clock
         self._heartbeat_ms = heartbeat_ms
         self._on_link = on_link
+        self._ended_totals: dict[str, ByteTotals] = {}
+
+    def byte_totals(self) -> dict[str, ByteTotals]:
+        """Return the bytes of all links, ended ones included, by purpose."""
+        totals = dict(self._ended_totals)
+        for link in self.links:
+            held = totals.get(link.purpose, ByteTotals())
+            totals[link.purpose] = held.plus(link.bytes_sent, link.bytes_received)
+        return totals
 
     async def connect(self, address: str, port: int, purpose: str) -> Link:
         """Open a link; the caller must then drive it with ``run``.
@@ -123,7 +133,7 @@
             peer = await handshake.open(identity, self._secret)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise PeerError("connection ended in the handshake") from exc
-        return self._make_link(stream, decoder, handshake, peer, True)
+        return self._make_link(stream, decoder, handshake, peer, purpose, True)
 
     def _make_link(
         self,
@@ -131,12 +141,14 @@
         decoder: FrameDecoder,
         handshake: HandshakeStream,
         peer: PeerIdentity,
+        purpose: str,
         opened_here: bool,
     ) -> Link:
         return Link(
             stream,
             decoder,
             peer,
+            purpose,
             opened_here,
             self._handlers,
             self._clock,
@@ -151,6 +163,9 @@
             await link.run()
         finally:
             self.links.discard(link)
+            held = self._ended_totals.get(link.purpose, ByteTotals())
+            sent, received = link.bytes_sent, link.bytes_received
+            self._ended_totals[link.purpose] = held.plus(sent, received)
 
     async def serve(
         self, port: int, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
@@ -181,6 +196,6 @@
         if peer is None:
             await trio.aclose_forcefully(stream)
             return
-        link = self._make_link(stream, decoder, handshake, peer, False)
+        link = self._make_link(stream, decoder, handshake, peer, peer.purpose, False)
         self._on_link(link)
         await self.run_link(link)
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -73,6 +73,8 @@
         Open connection after the handshake.
     peer : PeerIdentity
         Who is at the other end.
+    purpose : str
+        What the end that connected wants the link for.
     opened_here : bool
         Whether this end connected; decides the parity of stream numbers.
     handlers : Handlers
@@ -90,6 +92,7 @@
         stream: trio.abc.Stream,
         decoder: FrameDecoder,
         peer: PeerIdentity,
+        purpose: str,
         opened_here: bool,
         handlers: Handlers,
         clock: HybridClock,
@@ -97,6 +100,7 @@
         early_frames: list[tuple[int, int, bytes]],
     ) -> None:
         self.peer = peer
+        self.purpose = purpose
         self.opened_here = opened_here
         self.closed = trio.Event()
         self.bytes_sent = 0
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -17,6 +17,7 @@
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Handlers, Link
 from marigoldchute.link.pool import LinkPool
+from marigoldchute.link.stats import collect_stats
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
 from marigoldchute.membership.service import Membership
 from marigoldchute.moves.collector import Collector, Reporter
@@ -34,6 +35,7 @@
     import random
 
     from marigoldchute.config import NodeSettings
+    from marigoldchute.link.stats import NodeStats
     from marigoldchute.routing.http_server import HttpRequest, HttpResponder
 
 TICK_S = 0.05
@@ -45,6 +47,7 @@
     def __init__(self, cfg: NodeSettings, log: EventLog, rng: random.Random) -> None:
         self._cfg = cfg
         self._log = log
+        self._started_at = 0.0
         incarnation = wall_clock_ms()
         handlers = Handlers()
         self._table = RecordTable()
@@ -100,12 +103,14 @@
             self._reporter,
             store,
             verifier,
+            self._stats,
         )
         self._admin = AdminApp(service, cfg.admin_token)
 
     async def run(self) -> None:
         """Serve until cancelled."""
         cfg = self._cfg
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._control.run)
             await nursery.start(self._traffic.run)
@@ -122,8 +127,12 @@
             )
             self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
 
+    def _stats(self) -> NodeStats:
+        uptime_s = trio.current_time() - self._started_at
+        return collect_stats(self._endpoint, len(self._membership.all()), uptime_s)
+
     def _take_link(self, link: Link) -> None:
-        if link.peer.purpose == "control":
+        if link.purpose == "control":
             self._overlay.accept(link)
 
     async def _tick(self) -> None:
--- /dev/null
+++ b/tests/test_link/test_stats.py
@@ -0,0 +1,29 @@
+"""Resources spent by a node, as its administration API tells them."""
+
+from __future__ import annotations
+
+import trio
+
+from tests.support.meshes import MeshTestCase
+
+
+class NodeStatsTest(MeshTestCase):
+    centres = 1
+
+    def test_stats_count_control_bytes_links_and_processor_time(self) -> None:
+        self.run_async(self._read_stats, 30)
+
+    async def _read_stats(self) -> None:
+        self.start_nodes()
+        await self.mesh.wait_until("cartago-norte-1", lambda s: len(s.members) == 2)
+        client = self.mesh.admin("cartago-norte-1")
+        first = await client.stats()
+        await trio.sleep(1.5)
+        second = await client.stats()
+        self.assertEqual(second.members, 2)
+        self.assertGreaterEqual(second.links, 1)
+        self.assertGreater(second.control_bytes_sent, first.control_bytes_sent)
+        self.assertGreater(second.control_bytes_received, first.control_bytes_received)
+        self.assertGreater(second.cpu_s, 0.0)
+        self.assertGreater(second.rss, 1_000_000)
+        self.assertEqual(second.traffic_bytes_sent, 0)
