Order the members for duties and links once for each change of them

Ruled out: a cheaper hash, since ordering 870 names stays linear. Before: a question cost 1.9 ms (duty) and 6.7 ms (links). Conclusion: cost follows changes.

--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -23,9 +23,8 @@
     ResultCode,
 )
 from marigoldchute.link.methods import Method
-from marigoldchute.membership.model import MemberState
+from marigoldchute.overlay.duties import READER
 from marigoldchute.overlay.records import Record, RecordKind
-from marigoldchute.overlay.topology import rendezvous_order
 
 if TYPE_CHECKING:
     import random
@@ -92,14 +91,7 @@
     def is_reader(self) -> bool:
         """Whether this node reads the store for its data centre."""
         local = self._membership.local
-        candidates = [
-            member
-            for member in self._membership.all()
-            if member.data_centre == local.data_centre
-            and member.state is MemberState.ALIVE
-        ]
-        order = rendezvous_order(candidates, "reader")
-        return bool(order) and order[0].name == local.name
+        return self._membership.duties.is_held_here(READER, local.data_centre)
 
     @property
     def newest_version(self) -> int:
--- a/marigoldchute/membership/service.py
+++ b/marigoldchute/membership/service.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from marigoldchute.membership.model import BackendServer, Member, MemberState
+from marigoldchute.overlay.duties import Duties
 from marigoldchute.overlay.records import Record, RecordKind
 from marigoldchute.overlay.topology import wanted_peers
 
@@ -41,6 +42,9 @@
         self._table = table
         self._log = log
         self._members: dict[str, Member] = {}
+        self._generation = 0
+        self._wanted: tuple[int, dict[str, tuple[str, int]]] = (-1, {})
+        self.duties = Duties(self)
         self._lost_at: dict[str, float] = {}
         self._announced: dict[str, tuple[BackendServer, float]] = {}
         self._local = Member(
@@ -60,6 +64,11 @@
         """The member record of this node."""
         return self._local
 
+    @property
+    def generation(self) -> int:
+        """Rises with each change of the members."""
+        return self._generation
+
     def all(self) -> tuple[Member, ...]:
         """Return every known member that is not gone, this node included."""
         return tuple(
@@ -95,11 +104,14 @@
 
     def wanted(self) -> dict[str, tuple[str, int]]:
         """Return the address and port of each peer to keep a link to."""
-        names = wanted_peers(self._local, self.all())
-        return {
-            name: (self._members[name].address, self._members[name].peer_port)
-            for name in names
-        }
+        if self._wanted[0] != self._generation:
+            names = wanted_peers(self._local, self.all())
+            targets = {
+                name: (self._members[name].address, self._members[name].peer_port)
+                for name in names
+            }
+            self._wanted = (self._generation, targets)
+        return self._wanted[1]
 
     def seeds(self) -> list[tuple[str, int]]:
         """Return the seeds of the settings, other than this node."""
@@ -153,6 +165,7 @@
         member = _MEMBER.decode(record.body)
         held = self._members.get(member.name)
         self._members[member.name] = member
+        self._generation += 1
         if member.name == self._local.name:
             self._refute(member)
         elif held is None or held.state != member.state:
--- a/marigoldchute/moves/collector.py
+++ b/marigoldchute/moves/collector.py
@@ -9,17 +9,13 @@
 
 from marigoldchute.errors import AuthError, PeerError
 from marigoldchute.link.methods import Method
-from marigoldchute.membership.model import MemberState
 from marigoldchute.moves.model import MemberReport
-from marigoldchute.overlay.topology import rendezvous_order
+from marigoldchute.overlay.duties import COLLECTOR
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.link.link import Handlers, Link
     from marigoldchute.link.pool import LinkPool
-    from marigoldchute.membership.model import Member
     from marigoldchute.membership.service import Membership
     from marigoldchute.moves.engine import MoveEngine
 
@@ -30,17 +26,6 @@
 _REPORTS = msgspec.msgpack.Decoder(list[MemberReport])
 
 
-def collector_of(members: Iterable[Member], data_centre: str) -> str | None:
-    """Return the name of the member that collects for a data centre."""
-    candidates = [
-        member
-        for member in members
-        if member.data_centre == data_centre and member.state is MemberState.ALIVE
-    ]
-    order = rendezvous_order(candidates, "collector")
-    return order[0].name if order else None
-
-
 class Collector:
     """Keeps the last report of each member that reports to this node."""
 
@@ -111,7 +96,7 @@
             self._engine.reports(),
         )
         self._collector.take(report)
-        target = collector_of(self._membership.all(), local.data_centre)
+        target = self._membership.duties.holder(COLLECTOR, local.data_centre)
         if target is None or target == local.name:
             return
         body = msgspec.msgpack.encode(report)
@@ -127,7 +112,7 @@
         gathered: dict[str, MemberReport] = {}
         async with trio.open_nursery() as nursery:
             for centre in {member.data_centre for member in members}:
-                target = collector_of(members, centre)
+                target = self._membership.duties.holder(COLLECTOR, centre)
                 if target is not None:
                     nursery.start_soon(self._gather_from, target, gathered)
         return gathered
--- a/marigoldchute/moves/driver.py
+++ b/marigoldchute/moves/driver.py
@@ -14,9 +14,8 @@
     UnknownOutcomeError,
 )
 from marigoldchute.events import wall_clock_ms
-from marigoldchute.membership.model import MemberState
 from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
-from marigoldchute.overlay.topology import rendezvous_order
+from marigoldchute.overlay.duties import DRIVER
 from marigoldchute.platform.api import CREATE_ONLY, ObjectStore
 
 if TYPE_CHECKING:
@@ -77,13 +76,7 @@
     @property
     def is_driver(self) -> bool:
         """Whether this node decides moves now."""
-        candidates = [
-            member
-            for member in self._membership.all()
-            if member.state is MemberState.ALIVE
-        ]
-        order = rendezvous_order(candidates, "driver")
-        return bool(order) and order[0].name == self._membership.local.name
+        return self._membership.duties.is_held_here(DRIVER)
 
     async def run(self) -> None:
         """Decide moves until cancelled."""
