Let the backend server stand-in misbehave on request while it runs

Tests of failures and of moves need errors, slowness, refusals, hangs and cut answers that begin at run time, on one route, under load or after a time. The stand-in takes them by POST to /standin/faults and shows its counts of executions at /standin/state.

--- a/marigoldchute/standins/backend.py
+++ b/marigoldchute/standins/backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import random
 from typing import Any
@@ -16,6 +17,12 @@
     HttpResponder,
     serve_connection,
 )
+from marigoldchute.standins.backend_faults import (
+    FAULTS_TARGET,
+    STATE_TARGET,
+    BackendFaults,
+    BackendState,
+)
 
 ANNOUNCE_INTERVAL_S = 1.0
 
@@ -31,7 +38,7 @@
     port : int
         Its own TCP port.
     node_port : int
-        Internal port of the node on the VM.
+        Internal port of the node on the VM; 0 to announce nothing.
     service, release : str
         What it serves.
     slots, connections : int
@@ -42,6 +49,10 @@
         Share of requests answered with status 500.
     seed : int
         Seed of the random choices.
+    cold_ms : int
+        Time after the start during which an answer takes ``cold_factor`` as long.
+    cold_factor : float
+        Slowness of the cold start.
     """
 
     address: str
@@ -54,6 +65,12 @@
     service_ms: float = 2.0
     error_share: float = 0.0
     seed: int = 1
+    cold_ms: int = 0
+    cold_factor: float = 10.0
+
+
+class _CutAnswer(Exception):
+    """Ends a connection in the middle of an answer."""
 
 
 class Backend:
@@ -62,13 +79,25 @@
     def __init__(self, settings: BackendSettings) -> None:
         self._settings = settings
         self._rng = random.Random(settings.seed)
-        self.runs: dict[bytes, int] = {}
+        self._faults = BackendFaults(error_share=settings.error_share)
+        self._faults_since = 0.0
+        self._started_at = 0.0
+        self._announce_now = trio.Event()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._total_runs = 0
+        self._cancelled = 0
+        self._running = 0
+        self._max_running = 0
+        self._connections = 0
+        self._max_connections = 0
 
     async def run(self) -> None:
         """Serve and announce until cancelled."""
+        self._faults_since = self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._listen)
-            nursery.start_soon(self._announce)
+            if self._settings.node_port:
+                nursery.start_soon(self._announce)
 
     async def _listen(
         self, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
@@ -82,36 +111,143 @@
         )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        await serve_connection(stream, self._handle)
+        self._connections += 1
+        self._max_connections = max(self._max_connections, self._connections)
+        try:
+            await serve_connection(stream, self._handle)
+        except _CutAnswer:
+            await trio.aclose_forcefully(stream)
+        finally:
+            self._connections -= 1
 
     async def _handle(self, req: HttpRequest, responder: HttpResponder) -> None:
+        if req.target == FAULTS_TARGET:
+            await self._set_faults(req, responder)
+            return
+        if req.target == STATE_TARGET:
+            await _answer(responder, 200, msgspec.json.encode(self.state()))
+            return
         size = 0
         while (data := await req.receive()) is not None:
             size += len(data)
-        await trio.sleep(self._settings.service_ms / 1000)
-        status = 500 if self._rng.random() < self._settings.error_share else 200
+        self._running += 1
+        self._max_running = max(self._max_running, self._running)
+        try:
+            await self._run_request(req, responder, size)
+        except trio.Cancelled:
+            self._cancelled += 1
+            raise
+        finally:
+            self._running -= 1
+
+    def state(self) -> BackendState:
+        """Return what was counted since the start."""
+        return BackendState(
+            dict(self._runs),
+            self._total_runs,
+            self._cancelled,
+            self._running,
+            self._max_running,
+            self._connections,
+            self._max_connections,
+        )
+
+    async def _run_request(
+        self, req: HttpRequest, responder: HttpResponder, size: int
+    ) -> None:
+        faults = self._active_faults(req)
+        if self._draw(faults.refuse_share):
+            await _answer(responder, 503, b"", [(b"marigoldchute-not-run", b"1")])
+            return
+        self._count_run(req)
+        await trio.sleep((self._service_ms() + faults.delay_ms) / 1000)
+        if self._draw(faults.drop_share):
+            raise _CutAnswer
+        if self._draw(faults.hang_share):
+            await trio.sleep_forever()
         body = b"%s %s %d\n" % (self._settings.release.encode(), req.target, size)
-        headers = [(b"content-length", str(len(body)).encode())]
-        await responder.start(status, headers, body)
-        await responder.finish()
+        if self._draw(faults.cut_share):
+            length = str(len(body) + 1).encode()
+            await responder.start(200, [(b"content-length", length)], body)
+            raise _CutAnswer
+        status = 500 if self._draw(faults.error_share) else 200
+        await _answer(responder, status, body)
+
+    def _count_run(self, req: HttpRequest) -> None:
+        self._total_runs += 1
+        key = req.header(b"idempotency-key")
+        if key is not None:
+            self._runs[key.decode("latin-1")] += 1
+
+    def _active_faults(self, req: HttpRequest) -> BackendFaults:
+        elapsed_s = trio.current_time() - self._faults_since
+        path = req.target.decode("latin-1")
+        if self._faults.act_on(path, self._running, elapsed_s):
+            return self._faults
+        return BackendFaults()
+
+    def _draw(self, share: float) -> bool:
+        return share > 0 and self._rng.random() < share
+
+    def _service_ms(self) -> float:
+        settings = self._settings
+        if self._cold_left_ms() > 0:
+            return settings.service_ms * settings.cold_factor
+        return settings.service_ms
+
+    def _cold_left_ms(self) -> int:
+        age_ms = (trio.current_time() - self._started_at) * 1000
+        return max(0, int(self._settings.cold_ms - age_ms))
+
+    async def _set_faults(self, req: HttpRequest, responder: HttpResponder) -> None:
+        body = b""
+        while (data := await req.receive()) is not None:
+            body += data
+        try:
+            self._faults = msgspec.json.decode(body, type=BackendFaults)
+        except msgspec.DecodeError as exc:
+            await _answer(responder, 400, f"{exc}\n".encode())
+            return
+        self._faults_since = trio.current_time()
+        self._announce_now.set()
+        await _answer(responder, 204, b"")
 
     async def _announce(self) -> None:
         settings = self._settings
-        said = Announcement(
-            settings.service,
-            settings.release,
-            settings.port,
-            settings.slots,
-            settings.connections,
-        )
         url = (
             f"http://{settings.address}:{settings.node_port}{ANNOUNCE_TARGET.decode()}"
         )
-        body = msgspec.json.encode(said)
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
+                self._announce_now = trio.Event()
+                body = msgspec.json.encode(self._announcement())
+                interval_s = ANNOUNCE_INTERVAL_S
                 try:
                     await pool.request("POST", url, content=body)
                 except (httpcore.NetworkError, httpcore.ProtocolError):
-                    await trio.sleep(ANNOUNCE_INTERVAL_S / 4)
-                await trio.sleep(ANNOUNCE_INTERVAL_S)
+                    interval_s = ANNOUNCE_INTERVAL_S / 4
+                with trio.move_on_after(interval_s):
+                    await self._announce_now.wait()
+
+    def _announcement(self) -> Announcement:
+        settings = self._settings
+        return Announcement(
+            settings.service,
+            settings.release,
+            settings.port,
+            settings.slots,
+            settings.connections,
+            self._faults.draining,
+            self._cold_left_ms(),
+        )
+
+
+async def _answer(
+    responder: HttpResponder,
+    status: int,
+    body: bytes,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await responder.start(status, [length, *(headers or [])], body)
+    await responder.finish()
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -20,6 +20,11 @@
 from marigoldchute.admin.client import AdminClient
 from marigoldchute.bundle.signing import generate_private_key, public_key_of
 from marigoldchute.errors import MarigoldchuteError, PeerError
+from marigoldchute.standins.backend_faults import (
+    FAULTS_TARGET,
+    STATE_TARGET,
+    BackendState,
+)
 from marigoldchute.standins.faultproxy import (
     ByteCount,
     End,
@@ -33,6 +38,7 @@
 
     from marigoldchute.admin.messages import Status
     from marigoldchute.standins.backend import BackendSettings
+    from marigoldchute.standins.backend_faults import BackendFaults
     from marigoldchute.standins.faultproxy import Rule
     from marigoldchute.standins.store import StoreFaults
 
@@ -172,6 +178,28 @@
         body = await self._control(PROXY_PORT, "/bytes", b"")
         return msgspec.json.decode(body, type=list[ByteCount])
 
+    async def set_backend_faults(
+        self, vm_name: str, faults: BackendFaults, port: int = BACKEND_PORT
+    ) -> None:
+        """Replace the faults of a backend server stand-in."""
+        await self._ask_backend(vm_name, port, FAULTS_TARGET, faults)
+
+    async def backend_state(
+        self, vm_name: str, port: int = BACKEND_PORT
+    ) -> BackendState:
+        """Return what a backend server stand-in has counted."""
+        body = await self._ask_backend(vm_name, port, STATE_TARGET, None)
+        return msgspec.json.decode(body, type=BackendState)
+
+    async def _ask_backend(
+        self, vm_name: str, port: int, target: bytes, message: object
+    ) -> bytes:
+        url = f"http://{self.vm(vm_name).address}:{port}{target.decode()}"
+        body = msgspec.json.encode(message)
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request("POST", url, content=body)
+        return response.content
+
     async def set_store_faults(self, faults: StoreFaults) -> None:
         """Replace the faults of the store stand-in."""
         await self._control(STORE_PORT, "/faults", msgspec.json.encode(faults))
@@ -252,6 +280,26 @@
                     return status
                 await trio.sleep(POLL_S)
 
+    async def wait_for_port(
+        self, address: str, port: int, timeout_s: float = 15.0
+    ) -> None:
+        """Wait until a process accepts connections.
+
+        Raises
+        ------
+        trio.TooSlowError
+            It did not in time.
+        """
+        with trio.fail_after(timeout_s):
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(address, port)
+                except OSError:
+                    await trio.sleep(POLL_S)
+                    continue
+                await stream.aclose()
+                return
+
     def write_key(self) -> None:
         """Write the operator's signing key."""
         key = {
