Add the demo, the time line and the operator's commands; take the token off the command line

Cause: the README's first command had no program behind it, and ctl took the admin token as a positional argument, visible in every process list.

Ruled out: a demo on the tests' base class, as programs must not import the test runner; so the plan of a mesh moves from tests/support to standins/mesh.py.

Before: `make demo` failed, no time line, `ctl roll FILE KEY NODE TOKEN`. Programs end with the class of the result code; a bad command line is class 1. tests/support: roll and ctl use the new form; a mesh's seed comes from MARIGOLDCHUTE_SEED, 1 by default. No check is changed.

--- /dev/null
+++ b/marigoldchute/bundle/signoff.py
@@ -0,0 +1,135 @@
+"""Sign-off of built bundles into the order that a node accepts."""
+
+from __future__ import annotations
+
+import binascii
+import dataclasses
+import secrets
+from typing import Any
+
+import msgspec
+
+from marigoldchute.admin.messages import RollOrder
+from marigoldchute.bundle.codec import chunk_digest, encode_manifest, split_content
+from marigoldchute.bundle.model import BundleContent
+from marigoldchute.bundle.signing import public_key_of, sign_manifest
+from marigoldchute.bundle.source import build_content, parse_source
+from marigoldchute.bundle.validation import validate_content
+from marigoldchute.errors import BundleError, MarigoldchuteError, SettingsError
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyFile:
+    """Signing key of an operator, as ``keys new`` writes it.
+
+    Parameters
+    ----------
+    key_id : str
+        Name under which the nodes trust the key.
+    private_key, public_key : str
+        Ed25519 key pair, 32 bytes each in base64.
+    """
+
+    key_id: str
+    private_key: str
+    public_key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class BuiltBundle:
+    """Checked content with fixed times, ready to be signed."""
+
+    content: BundleContent
+
+
+def parse_key_file(value: Any, source: str) -> KeyFile:
+    """Check a decoded key file.
+
+    Raises
+    ------
+    SettingsError
+        A value is missing, or the two halves of the key do not belong together.
+    """
+    try:
+        key = msgspec.convert(value, KeyFile)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{source}: {exc}") from exc
+    try:
+        public_key = public_key_of(key.private_key)
+    except SettingsError as exc:
+        raise SettingsError(f"{source}: $.private_key: {exc.message}") from exc
+    if public_key != key.public_key:
+        raise SettingsError(f"{source}: $.public_key does not belong to $.private_key")
+    return key
+
+
+def content_of_file(
+    value: Any, source: str, now_ms: int, complete_within_ms: int | None = None
+) -> BundleContent:
+    """Return the checked content of an operator's or a built file.
+
+    Parameters
+    ----------
+    value : Any
+        Decoded file.
+    source : str
+        File name for messages.
+    now_ms : int
+        Wall-clock time in milliseconds since the epoch, from which the relative times
+        of an operator's file count.
+    complete_within_ms : int, optional
+        Replaces the time limit of every move of an operator's file.
+
+    Raises
+    ------
+    MarigoldchuteError
+        The file is not a valid bundle.
+    """
+    if isinstance(value, dict) and "content" in value:
+        try:
+            content = msgspec.convert(value, BuiltBundle).content
+        except msgspec.ValidationError as exc:
+            raise BundleError(f"{source}: {exc}") from exc
+    else:
+        parsed = parse_source(value, source)
+        content = build_content(parsed, now_ms, complete_within_ms)
+    try:
+        validate_content(content)
+    except MarigoldchuteError as exc:
+        raise type(exc)(f"{source}: {exc.message}", exc.code) from exc
+    return content
+
+
+def sign_content(
+    content: BundleContent, version: int, key: KeyFile, author: str
+) -> RollOrder:
+    """Sign content off as a version and return the order for a node."""
+    chunks = split_content(content)
+    manifest = sign_manifest(
+        version,
+        [chunk_digest(chunk) for chunk in chunks],
+        key.key_id,
+        key.private_key,
+        author,
+        secrets.token_hex(8),
+    )
+    return RollOrder(encode_manifest(manifest), tuple(chunks))
+
+
+def is_signed_file(value: Any) -> bool:
+    """Whether a decoded file is a signed bundle."""
+    return isinstance(value, dict) and "manifest" in value
+
+
+def parse_signed(value: Any, source: str) -> RollOrder:
+    """Check a decoded signed bundle.
+
+    Raises
+    ------
+    BundleError
+        The file is not a signed bundle.
+    """
+    try:
+        return msgspec.convert(value, RollOrder)
+    except (msgspec.ValidationError, binascii.Error) as exc:
+        raise BundleError(f"{source}: {exc}") from exc
--- /dev/null
+++ b/marigoldchute/cmd/_bundle_commands.py
@@ -0,0 +1,216 @@
+"""Commands of the operator's program for keys and bundles."""
+
+from __future__ import annotations
+
+import dataclasses
+import getpass
+import os
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+
+from marigoldchute.bundle.signing import generate_private_key, public_key_of
+from marigoldchute.bundle.signoff import (
+    BuiltBundle,
+    KeyFile,
+    content_of_file,
+    parse_key_file,
+    sign_content,
+)
+from marigoldchute.cmd._program import print_json, report_error
+from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.events import wall_clock_ms
+from marigoldchute.util.jsonc import load_file
+
+KEY_FILE_MODE = 0o600
+
+BundlePath = Annotated[
+    str, cappa.Arg(value_name="FILE", help="Bundle file of JSON with comments.")
+]
+KeyPath = Annotated[
+    str,
+    cappa.Arg(
+        long="--key",
+        short="-k",
+        value_name="FILE",
+        default=cappa.Env("MARIGOLDCHUTE_KEY", default=""),
+        help="Signing key made by 'keys new'. Also $MARIGOLDCHUTE_KEY.",
+    ),
+]
+OutPath = Annotated[
+    str,
+    cappa.Arg(
+        long="--out",
+        short="-o",
+        value_name="FILE",
+        help="File to write; standard output when omitted.",
+    ),
+]
+WithinMs = Annotated[
+    int | None,
+    cappa.Arg(
+        long="--complete-within-ms",
+        value_name="MS",
+        help="Time from start to deadline for every move, in place of the file's.",
+    ),
+]
+
+
+def load_key(path: str) -> KeyFile:
+    """Read and check a signing key.
+
+    Raises
+    ------
+    MarigoldchuteError
+        It is not given, cannot be read or is not a key.
+    """
+    if not path:
+        raise MarigoldchuteError(
+            "no signing key: give --key FILE, made by 'marigoldchute-ctl keys new ID'"
+        )
+    return parse_key_file(load_file(path), path)
+
+
+def write_output(value: Any, path: str, mode: int = 0o644) -> None:
+    """Write a value as JSON to a new file, or print it when no path is given.
+
+    Raises
+    ------
+    MarigoldchuteError
+        The file is there already or cannot be written.
+    """
+    if not path:
+        print_json(value)
+        return
+    body = msgspec.json.format(msgspec.json.encode(value)) + b"\n"
+    try:
+        fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+    except OSError as exc:
+        raise MarigoldchuteError(f"{path}: cannot be written: {exc.strerror}") from exc
+    with os.fdopen(fd, "wb") as file:
+        file.write(body)
+
+
+@cappa.command(name="new", help="Make a signing key.")
+@dataclasses.dataclass(frozen=True)
+class KeysNewCommand:
+    """Make an Ed25519 key for sign-off.
+
+    The private key stays with the operator; the entry for ``trusted_keys`` in the
+    nodes' settings is printed.
+    """
+
+    key_id: Annotated[
+        str, cappa.Arg(value_name="KEY_ID", help="Name of the key, e.g. ops-2026.")
+    ]
+    out: OutPath = ""
+
+    def __call__(self) -> int:
+        """Write the key."""
+        private_key = generate_private_key()
+        key = KeyFile(self.key_id, private_key, public_key_of(private_key))
+        try:
+            write_output(key, self.out, KEY_FILE_MODE)
+        except MarigoldchuteError as exc:
+            return report_error(exc)
+        if self.out:
+            print(f"{self.out}: keep it secret. For trusted_keys of the settings:")
+            print_json({"key_id": key.key_id, "public_key": key.public_key})
+        return 0
+
+
+@cappa.command(name="keys", help="Make keys for sign-off.")
+@dataclasses.dataclass(frozen=True)
+class KeysCommand:
+    """Commands for signing keys."""
+
+    command: cappa.Subcommands[KeysNewCommand]
+
+
+@cappa.command(name="check", help="Check a bundle file without a node.")
+@dataclasses.dataclass(frozen=True)
+class CheckCommand:
+    """Check names, references and moves of a bundle file."""
+
+    bundle: BundlePath
+
+    def __call__(self) -> int:
+        """Check the file."""
+        try:
+            value = load_file(self.bundle)
+            content = content_of_file(value, self.bundle, wall_clock_ms())
+        except MarigoldchuteError as exc:
+            return report_error(exc)
+        print(
+            f"{self.bundle}: valid, {len(content.services)} services, "
+            f"{len(content.routes)} routes, {len(content.moves)} moves"
+        )
+        return 0
+
+
+@cappa.command(name="build", help="Check a bundle file and fix its times.")
+@dataclasses.dataclass(frozen=True)
+class BuildCommand:
+    """Build the content to sign; the moves' times count from now."""
+
+    bundle: BundlePath
+    out: OutPath = ""
+    complete_within_ms: WithinMs = None
+
+    def __call__(self) -> int:
+        """Build the content."""
+        try:
+            content = content_of_file(
+                load_file(self.bundle),
+                self.bundle,
+                wall_clock_ms(),
+                self.complete_within_ms,
+            )
+            write_output(BuiltBundle(content), self.out)
+        except MarigoldchuteError as exc:
+            return report_error(exc)
+        return 0
+
+
+@cappa.command(name="sign", help="Sign off a bundle for a later roll.")
+@dataclasses.dataclass(frozen=True)
+class SignCommand:
+    """Sign a bundle file or a built bundle as a version."""
+
+    bundle: BundlePath
+    key: KeyPath
+    version: Annotated[
+        int,
+        cappa.Arg(
+            long="--as-version",
+            value_name="N",
+            help="Version that the bundle becomes; one above 'status' shows.",
+        ),
+    ]
+    out: OutPath = ""
+    complete_within_ms: WithinMs = None
+
+    def __call__(self) -> int:
+        """Sign the bundle."""
+        try:
+            key = load_key(self.key)
+            value = load_file(self.bundle)
+            content = content_of_file(
+                value, self.bundle, wall_clock_ms(), self.complete_within_ms
+            )
+            if self.version < 1:
+                raise MarigoldchuteError("--as-version must be at least 1")
+            order = sign_content(content, self.version, key, getpass.getuser())
+            write_output(order, self.out)
+        except MarigoldchuteError as exc:
+            return report_error(exc)
+        return 0
+
+
+@cappa.command(name="bundle", help="Check, build and sign bundles; needs no node.")
+@dataclasses.dataclass(frozen=True)
+class BundleCommand:
+    """Commands for bundle files."""
+
+    command: cappa.Subcommands[CheckCommand | BuildCommand | SignCommand]
--- /dev/null
+++ b/marigoldchute/cmd/_program.py
@@ -0,0 +1,72 @@
+"""What the programs share: running a command line and ending with a status."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import cappa
+import msgspec
+import trio
+
+from marigoldchute import __version__
+from marigoldchute.admin.messages import Failure
+from marigoldchute.errors import MarigoldchuteError, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+INTERRUPTED_STATUS = 130
+
+
+def run_program(command: type) -> NoReturn:
+    """Parse the command line, run the command and exit.
+
+    The exit status is 0 or the class of the result code; a command line that cannot
+    be parsed is class 1, input.
+    """
+    try:
+        status = cappa.invoke(command, version=__version__, color=sys.stdout.isatty())
+    except cappa.Exit as exc:
+        sys.exit(ResultCode.ARGUMENT_INVALID.exit_status if exc.code else 0)
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED_STATUS)
+    except BrokenPipeError:
+        sys.exit(0)
+    sys.exit(status)
+
+
+def run_action(action: Callable[[], Awaitable[int]], as_json: bool = False) -> int:
+    """Run an asynchronous command and report the project's errors.
+
+    Parameters
+    ----------
+    action : callable
+        Returns the exit status.
+    as_json : bool
+        Whether an error is printed as JSON.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        return trio.run(action)
+    except MarigoldchuteError as exc:
+        return report_error(exc, as_json)
+
+
+def report_error(exc: MarigoldchuteError, as_json: bool = False) -> int:
+    """Print an error and return its exit status."""
+    if as_json:
+        failure = Failure(exc.code.value, exc.code.name, exc.message)
+        print(msgspec.json.encode(failure).decode(), file=sys.stderr)
+    else:
+        print(exc, file=sys.stderr)
+    return exc.code.exit_status
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value)).decode())
--- /dev/null
+++ b/marigoldchute/cmd/_render.py
@@ -0,0 +1,114 @@
+"""Text that the operator's program prints for people."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from marigoldchute.admin.messages import MemberStatus, MoveStatus, Status
+
+BAR_WIDTH = 20
+DECIDED = ("done", "taken back")
+
+
+def render_status(status: Status, now_ms: int) -> str:
+    """Return the status of the mesh at a glance.
+
+    Parameters
+    ----------
+    status : Status
+        What a node knows.
+    now_ms : int
+        Wall-clock time in milliseconds since the epoch.
+    """
+    lines = [
+        f"{status.node}: version {status.version} in force, "
+        f"newest signed version {status.newest_version}",
+        "",
+        *_convergence_lines(status),
+    ]
+    for move in status.moves:
+        lines += ["", *_move_lines(move, now_ms)]
+    return "\n".join(lines)
+
+
+def render_move(move: MoveStatus, now_ms: int) -> str:
+    """Return one move at a glance."""
+    return "\n".join(_move_lines(move, now_ms))
+
+
+def render_members(members: Iterable[MemberStatus]) -> str:
+    """Return a table of members."""
+    rows = [("member", "data centre", "region", "state", "version", "backend servers")]
+    rows += [
+        (
+            member.name,
+            member.data_centre,
+            member.region,
+            member.state,
+            str(member.version),
+            ", ".join(member.servers) or "-",
+        )
+        for member in members
+    ]
+    return _table(rows)
+
+
+def render_bar(part: int, whole: int) -> str:
+    """Return a bar of ``BAR_WIDTH`` characters; full only when all are counted."""
+    filled = BAR_WIDTH * part // whole if whole else 0
+    return "[" + "#" * filled + "." * (BAR_WIDTH - filled) + "]"
+
+
+def _convergence_lines(status: Status) -> list[str]:
+    centres: dict[tuple[str, str], list[MemberStatus]] = {}
+    for member in status.members:
+        centres.setdefault((member.region, member.data_centre), []).append(member)
+    rows = [("region", "data centre", "newest in force", "", "members")]
+    for (region, centre), members in sorted(centres.items()):
+        at_newest = sum(m.version == status.newest_version for m in members)
+        states = collections.Counter(member.state for member in members)
+        rows.append(
+            (
+                region,
+                centre,
+                render_bar(at_newest, len(members)),
+                f"{at_newest}/{len(members)}",
+                ", ".join(f"{count} {state}" for state, count in states.items()),
+            )
+        )
+    return _table(rows).splitlines()
+
+
+def _move_lines(move: MoveStatus, now_ms: int) -> list[str]:
+    total = move.confirmed + move.unconfirmed
+    low, high = move.lowest_share, move.highest_share
+    share = f"{low:.0%}" if low == high else f"{low:.0%} to {high:.0%}"
+    lines = [
+        f"move {move.move_id} of {move.service}: {move.verdict}",
+        f"  share of the new release  {share}",
+        f"  confirmed  {render_bar(move.confirmed, total)} {move.confirmed}/{total}",
+    ]
+    if move.reason:
+        lines.append(f"  reason     {move.reason}")
+    if move.verdict not in DECIDED:
+        lines.append(f"  time left  {_time_left(move.deadline_ms - now_ms)}")
+    return lines
+
+
+def _time_left(left_ms: int) -> str:
+    if left_ms < 0:
+        return f"none, the deadline was {-left_ms / 1000:.1f} s ago"
+    return f"{left_ms / 1000:.1f} s"
+
+
+def _table(rows: Sequence[tuple[str, ...]]) -> str:
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+    return "\n".join(line.rstrip() for line in lines)
--- a/marigoldchute/cmd/node.py
+++ b/marigoldchute/cmd/node.py
@@ -5,20 +5,24 @@
 import dataclasses
 import random
 import signal
-import sys
 from typing import Annotated
 
 import cappa
 import trio
 
-from marigoldchute import __version__
+from marigoldchute.cmd._program import report_error, run_program
 from marigoldchute.config import load_node_settings
 from marigoldchute.errors import MarigoldchuteError
 from marigoldchute.events import EventLog
 from marigoldchute.node import Node
 
 
-@cappa.command(name="marigoldchute-node", help="Run the node of one VM.")
+@cappa.command(
+    name="marigoldchute-node",
+    help="Run the node of one VM.",
+    description="Example: marigoldchute-node settings.json\n\n"
+    "Serves until SIGTERM. Events go to standard output, one JSON object a line.",
+)
 @dataclasses.dataclass(frozen=True)
 class NodeCommand:
     """Command line of the node.
@@ -33,17 +37,23 @@
         Seed of the random choices; random when omitted.
     """
 
-    settings: str
-    check_settings: bool = False
-    seed: Annotated[int | None, cappa.Arg(long=True)] = None
+    settings: Annotated[
+        str, cappa.Arg(value_name="FILE", help="Settings, JSON with comments.")
+    ]
+    check_settings: Annotated[
+        bool,
+        cappa.Arg(long="--check-settings", help="Only check the settings and exit."),
+    ] = False
+    seed: Annotated[
+        int | None, cappa.Arg(long="--seed", help="Seed of random choices, for tests.")
+    ] = None
 
     def __call__(self) -> int:
         """Run the node; return the exit status."""
         try:
             cfg = load_node_settings(self.settings)
         except MarigoldchuteError as exc:
-            print(exc, file=sys.stderr)
-            return exc.code.exit_status
+            return report_error(exc)
         if self.check_settings:
             print(f"{self.settings}: settings are valid")
             return 0
@@ -63,7 +73,7 @@
 
 def main() -> None:
     """Run the program."""
-    sys.exit(cappa.invoke(NodeCommand, version=__version__))
+    run_program(NodeCommand)
 
 
 if __name__ == "__main__":
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -49,10 +50,18 @@
 PROXY_BLOCK_OFFSET = 120
 PEER_PORT = 7000
 BACKEND_PORT = 9100
+INTERNAL_PORT = 8001
+CALLER_PORT = 8000
 ADMIN_TOKEN = "operator-token"
 PEER_SECRET = "peer-secret"
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.05
+DATA_CENTRES = (
+    ("cartago-norte", "cartago"),
+    ("limon-muelle", "limon"),
+    ("cartago-sur", "cartago"),
+    ("limon-patio", "limon"),
+)
 
 
 class LoopbackBlock:
@@ -116,6 +125,31 @@
         return ".".join([self.proxy_block, *address.split(".")[2:]])
 
 
+def plan_mesh(
+    block: int, centres: int, per_centre: int, proxied: bool = False
+) -> MeshPlan:
+    """Return a plan on loopback addresses ``127.<block>.*.*``.
+
+    Parameters
+    ----------
+    block : int
+        Second byte of the addresses.
+    centres : int
+        Data centres, taken alternately from the two regions.
+    per_centre : int
+        VMs of each data centre.
+    proxied : bool
+        Whether nodes and store are reached through the fault-injecting proxy.
+    """
+    vms = tuple(
+        Vm(f"{name}-{i}", f"127.{block}.{number}.{i}", name, region)
+        for number, (name, region) in enumerate(DATA_CENTRES[:centres], start=1)
+        for i in range(1, per_centre + 1)
+    )
+    proxy_block = f"127.{block + PROXY_BLOCK_OFFSET}" if proxied else ""
+    return MeshPlan(vms, f"127.{block}.200.1", proxy_block)
+
+
 class Mesh:
     """Starts, stops and asks the processes of a mesh.
 
@@ -247,9 +281,10 @@
         self._processes.clear()
 
     def run_ctl(self, args: Sequence[str]) -> subprocess.CompletedProcess[str]:
-        """Run the operator's program."""
+        """Run the operator's program with the mesh's admin token."""
         return subprocess.run(
             [sys.executable, "-m", "marigoldchute.cmd.ctl", *args],
+            env={**os.environ, "MARIGOLDCHUTE_TOKEN": ADMIN_TOKEN},
             capture_output=True,
             text=True,
             check=False,
--- /dev/null
+++ b/marigoldchute/timeline.py
@@ -0,0 +1,138 @@
+"""One time line over the event logs of all processes, in causal order."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marigoldchute.events import COUNTER_BITS, Event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MESSAGE_PREFIX = "marigoldchute"
+PROCESS_WIDTH = 16
+_EVENT_KEYS = frozenset(("message_type", "stamp", "wall_ms", "process", "text"))
+_ELIOT_KEYS = frozenset(("timestamp", "task_uuid", "task_level"))
+
+
+class _LogLine(msgspec.Struct):
+    """Fields that every event has; the rest is read from the same object."""
+
+    message_type: str
+    stamp: int
+    wall_ms: int
+    process: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class EventFilter:
+    """Which events to show; an empty criterion lets every event pass.
+
+    Parameters
+    ----------
+    move, vm, part, event, request : str
+        Move id, name of the VM that logged or is concerned, duty, event name, request
+        id.
+    version : int, optional
+        Bundle version.
+    since_ms, until_ms : int, optional
+        Range of wall-clock times in milliseconds since the epoch, both inclusive.
+    """
+
+    move: str = ""
+    vm: str = ""
+    part: str = ""
+    event: str = ""
+    request: str = ""
+    version: int | None = None
+    since_ms: int | None = None
+    until_ms: int | None = None
+
+    def matches(self, event: Event) -> bool:
+        """Whether an event passes every criterion."""
+        fields = event.fields
+        return (
+            (not self.move or fields.get("move") == self.move)
+            and (not self.vm or self.vm in (event.process, fields.get("member")))
+            and (not self.part or event.part == self.part)
+            and (not self.event or event.event == self.event)
+            and (not self.request or fields.get("request") == self.request)
+            and (self.version is None or fields.get("version") == self.version)
+            and (self.since_ms is None or event.wall_ms >= self.since_ms)
+            and (self.until_ms is None or event.wall_ms <= self.until_ms)
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Timeline:
+    """Events in causal order and the number of lines that are none."""
+
+    events: tuple[Event, ...]
+    skipped_lines: int
+
+
+def parse_line(line: bytes) -> Event | None:
+    """Return the event of a log line, or None when the line is not one.
+
+    Truncated lines, the output of other programs and other eliot messages are not
+    events.
+    """
+    try:
+        head = msgspec.json.decode(line, type=_LogLine)
+        values = msgspec.json.decode(line)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    prefix, _, rest = head.message_type.partition(":")
+    part, colon, name = rest.partition(":")
+    if prefix != MESSAGE_PREFIX or not colon:
+        return None
+    known = _EVENT_KEYS | _ELIOT_KEYS
+    fields = {key: value for key, value in values.items() if key not in known}
+    return Event(head.stamp, head.wall_ms, head.process, part, name, head.text, fields)
+
+
+def merge_lines(logs: Iterable[Iterable[bytes]]) -> Timeline:
+    """Merge the lines of several logs.
+
+    Events are ordered by their hybrid logical stamps. A process stamps each message
+    that it receives into its own clock, so a cause never stands after its effect,
+    whatever the wall clocks say. Equal stamps stand in order of process name.
+    """
+    events: list[Event] = []
+    skipped = 0
+    for log in logs:
+        for line in log:
+            event = parse_line(line)
+            if event is not None:
+                events.append(event)
+            elif line.strip():
+                skipped += 1
+    events.sort(key=lambda event: (event.stamp, event.process))
+    return Timeline(tuple(events), skipped)
+
+
+def format_event(event: Event) -> str:
+    """Return an event as one line of text: time in UTC, process, sentence."""
+    time = datetime.datetime.fromtimestamp(event.wall_ms / 1000, datetime.UTC)
+    clock = time.strftime("%H:%M:%S.") + f"{event.wall_ms % 1000:03d}"
+    ahead_ms = (event.stamp >> COUNTER_BITS) - event.wall_ms
+    note = f" [logical time {ahead_ms:+d} ms]" if ahead_ms else ""
+    return f"{clock}  {event.process:<{PROCESS_WIDTH}}  {event.text}{note}"
+
+
+def event_to_dict(event: Event) -> dict[str, Any]:
+    """Return an event as a JSON object for programs."""
+    own = {
+        "stamp": event.stamp,
+        "wall_ms": event.wall_ms,
+        "process": event.process,
+        "part": event.part,
+        "event": event.event,
+        "text": event.text,
+    }
+    return own | event.fields
--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import tempfile
 import unittest
@@ -12,53 +13,17 @@
 from marigoldchute.bundle.signing import public_key_of
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.mesh import (
-    ADMIN_TOKEN,
     BACKEND_PORT,
-    PROXY_BLOCK_OFFSET,
+    INTERNAL_PORT,
     LoopbackBlock,
     Mesh,
-    MeshPlan,
-    Vm,
+    plan_mesh,
 )
 from tests.support.invariants import find_violations, read_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-INTERNAL_PORT = 8001
-CENTRES = (
-    ("cartago-norte", "cartago"),
-    ("cartago-sur", "cartago"),
-    ("limon-muelle", "limon"),
-    ("limon-patio", "limon"),
-)
-
-
-def plan_mesh(
-    block: int, centres: int, per_centre: int, proxied: bool = False
-) -> MeshPlan:
-    """Return a plan on loopback addresses ``127.<block>.*.*``.
-
-    Parameters
-    ----------
-    block : int
-        Second byte of the addresses.
-    centres : int
-        Data centres, taken alternately from the two regions.
-    per_centre : int
-        VMs of each data centre.
-    proxied : bool
-        Whether nodes and store are reached through the fault-injecting proxy.
-    """
-    chosen = [CENTRES[0], CENTRES[2], CENTRES[1], CENTRES[3]][:centres]
-    vms = tuple(
-        Vm(f"{name}-{i}", f"127.{block}.{number}.{i}", name, region)
-        for number, (name, region) in enumerate(chosen, start=1)
-        for i in range(1, per_centre + 1)
-    )
-    proxy_block = f"127.{block + PROXY_BLOCK_OFFSET}" if proxied else ""
-    return MeshPlan(vms, f"127.{block}.200.1", proxy_block)
-
 
 class MeshTestCase(unittest.TestCase):
     """A test with a mesh of its own, stopped at the end."""
@@ -66,7 +31,7 @@
     centres = 2
     per_centre = 2
     proxied = False
-    seed = 1
+    seed = int(os.environ.get("MARIGOLDCHUTE_SEED", "1"))
 
     def setUp(self) -> None:
         self._directory = tempfile.TemporaryDirectory()
@@ -134,4 +99,5 @@
     async def roll(self, path: str, vm_name: str) -> tuple[int, str, str]:
         """Roll a bundle file through a node."""
         node = self.admin_address(vm_name)
-        return await self.ctl("roll", path, str(self.mesh.key_path), node, ADMIN_TOKEN)
+        key = str(self.mesh.key_path)
+        return await self.ctl("roll", path, "--key", key, "--node", node)
--- a/tests/test_path/test_thin_path.py
+++ b/tests/test_path/test_thin_path.py
@@ -8,7 +8,6 @@
 import httpcore
 import trio
 
-from marigoldchute.standins.mesh import ADMIN_TOKEN
 from tests.support.meshes import MeshTestCase
 
 BUNDLE = """
@@ -50,9 +49,10 @@
         status, out, err = await self.ctl(
             "verdict",
             "turnos-r2",
+            "--node",
             self.admin_address("cartago-norte-1"),
-            ADMIN_TOKEN,
             "--wait",
+            "--json",
         )
         self.assertEqual((status, json.loads(out)["verdict"]), (0, "done"), err)
         after = await self._call_all(5)
