Bound calls to the store and resume watches after gaps

Cause: the client spent no budget, retried watches only, decoded outside its error handling, and could not tell a compacted log or an answer from the past. Found by the tests: a cut answer was not read again (decode ran after the retry), and a deletion was missed when a watch had passed through a list from the past (hypothesis, write/compact/delete/past). Both failed first. A roll writes only the chunks that the newest manifest lacks. Ruled out: trusting revisions for safety; a stale answer is only useless, versions and signatures decide.

--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -17,16 +17,14 @@
 from marigoldchute.distribution.service import CHUNK_PREFIX, bundle_key
 from marigoldchute.errors import (
     BundleError,
-    ConflictError,
     MoveError,
     NotFoundError,
     PlatformError,
     ResultCode,
-    UnknownOutcomeError,
 )
 from marigoldchute.moves.driver import verdict_key, write_verdict
 from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
-from marigoldchute.platform.api import CREATE_ONLY, ObjectStore
+from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +37,7 @@
     from marigoldchute.membership.service import Membership
     from marigoldchute.moves.collector import Reporter
     from marigoldchute.moves.engine import MoveEngine, MoveState
+    from marigoldchute.platform.api import ObjectStore
 
 
 class AdminService:
@@ -84,29 +83,28 @@
                 f"version {manifest.version} is not above {newest}",
                 ResultCode.BUNDLE_VERSION_TAKEN,
             )
-        for digest, chunk in chunks.items():
+        for digest, chunk in self._replicator.chunks_to_write(chunks).items():
             await self._write_chunk(digest, chunk)
         await self._write_manifest(manifest, order.manifest)
         self._replicator.publish(manifest, chunks)
         return RollResult(manifest.version)
 
     async def _write_chunk(self, digest: str, chunk: bytes) -> None:
-        try:
-            await self._store.put(CHUNK_PREFIX + digest, chunk, CREATE_ONLY)
-        except ConflictError:
-            return
+        # A chunk is named after its content, so whoever wrote it wrote the same.
+        await create_once(self._store, CHUNK_PREFIX + digest, chunk, chunk.__eq__)
 
     async def _write_manifest(self, manifest: Manifest, body: bytes) -> None:
+        def is_mine(value: bytes) -> bool:
+            return decode_manifest(value).token == manifest.token
+
         key = bundle_key(manifest.version)
-        try:
-            await self._store.put(key, body, CREATE_ONLY)
-        except (ConflictError, UnknownOutcomeError):
-            standing = decode_manifest((await self._store.get(key)).value)
-            if standing.token != manifest.token:
-                raise BundleError(
-                    f"version {manifest.version} was taken by {standing.author!r}",
-                    ResultCode.BUNDLE_VERSION_TAKEN,
-                ) from None
+        created = await create_once(self._store, key, body, is_mine)
+        if not created.is_mine:
+            author = decode_manifest(created.value).author
+            raise BundleError(
+                f"version {manifest.version} was taken by {author!r}",
+                ResultCode.BUNDLE_VERSION_TAKEN,
+            )
 
     async def cancel(self, move_id: str, author: str, now_ms: int) -> Verdict:
         """Take a move back unless it is decided; return the verdict that stands."""
--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -40,13 +40,16 @@
         TCP port of the object API.
     calls_per_s : float
         Greatest sustained rate of calls from this node.
+    burst_calls : float
+        Calls that this node may make at once after a quiet time.
     timeout_ms : int
         Time limit of one call.
     """
 
     address: str
     port: int
-    calls_per_s: float = 5.0
+    calls_per_s: float = 2.0
+    burst_calls: float = 60.0
     timeout_ms: int = 3000
 
 
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -105,6 +105,15 @@
             nursery.start_soon(self._follow_manifests)
             nursery.start_soon(self._read_store)
 
+    def chunks_to_write(self, chunks: dict[str, bytes]) -> dict[str, bytes]:
+        """Return the chunks that the store may not hold yet.
+
+        Those of an accepted manifest are there: they are written before it.
+        """
+        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
+        held = set(decode_manifest(record.body).chunks) if record else set()
+        return {d: chunk for d, chunk in chunks.items() if d not in held}
+
     def publish(self, manifest: Manifest, chunks: dict[str, bytes]) -> None:
         """Take a bundle that this node has just written to the store."""
         self._chunks |= chunks
--- a/marigoldchute/errors.py
+++ b/marigoldchute/errors.py
@@ -28,6 +28,8 @@
     BUNDLE_VERSION_NOT_HIGHER = 209
     BUNDLE_CHUNK_MISSING = 210
     BUNDLE_VERSION_TAKEN = 211
+    BUNDLE_DUPLICATE_NAME = 212
+    BUNDLE_VALUE_OUT_OF_RANGE = 213
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
     STORE_NOT_FOUND = 303
@@ -35,10 +37,14 @@
     STORE_OUTCOME_UNKNOWN = 305
     STORE_BUDGET_SPENT = 306
     STORE_VALUE_TOO_LARGE = 307
+    STORE_CIRCUIT_OPEN = 308
+    STORE_ANSWER_MALFORMED = 309
+    STORE_LOG_COMPACTED = 310
     PEER_UNREACHABLE = 401
     PEER_PROTOCOL = 402
     PEER_TIMEOUT = 403
     ANNOUNCEMENT_INVALID = 404
+    PEER_BUSY = 405
     REQUEST_NOT_RUN_NO_BUNDLE = 501
     REQUEST_NOT_RUN_NO_ROUTE = 502
     REQUEST_NOT_RUN_NO_BACKEND = 503
@@ -58,6 +64,8 @@
     MOVE_TAKEN_BACK = 606
     MOVE_VERDICT_UNKNOWN = 607
     MOVE_ALREADY_DECIDED = 608
+    MOVE_UNDECIDED_CHANGED = 609
+    MOVE_OUTCOME_CONTRADICTED = 610
     AUTH_FAILED = 701
 
     @property
@@ -119,6 +127,12 @@
     code = ResultCode.STORE_NOT_FOUND
 
 
+class CompactedError(PlatformError):
+    """A watch from a revision that the store's log no longer reaches back to."""
+
+    code = ResultCode.STORE_LOG_COMPACTED
+
+
 class UnknownOutcomeError(PlatformError):
     """A write whose reply was lost and that may have taken effect."""
 
--- /dev/null
+++ b/marigoldchute/platform/messages.py
@@ -0,0 +1,105 @@
+"""Answers of the object API, JSON over HTTP (docs/STORE-PROTOCOL.md)."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TypeVar
+
+import msgspec
+
+from marigoldchute.errors import (
+    CompactedError,
+    ConflictError,
+    NotFoundError,
+    PlatformError,
+    ResultCode,
+    UnknownOutcomeError,
+)
+from marigoldchute.platform.api import StoredObject, WatchEvent
+
+_T = TypeVar("_T")
+_REFUSED_BEFORE_RUNNING = (429, 503)
+
+
+class Item(msgspec.Struct, frozen=True):
+    """One object; ``value`` is base64, or null for a deleted object."""
+
+    key: str
+    value: str | None
+    revision: int
+
+    def to_object(self) -> StoredObject:
+        """Return the object, whose value must be there."""
+        if self.value is None:
+            raise _malformed(f"{self.key} has no value")
+        return StoredObject(self.key, _decode_value(self.value), self.revision)
+
+    def to_event(self) -> WatchEvent:
+        """Return the change."""
+        value = None if self.value is None else _decode_value(self.value)
+        return WatchEvent(self.key, value, self.revision)
+
+
+class Items(msgspec.Struct, frozen=True):
+    """Objects or changes, and the store's revision that they are complete up to."""
+
+    items: list[Item]
+    revision: int
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Revision of a write."""
+
+    revision: int
+
+
+def decode_answer(body: bytes, cls: type[_T], method: str) -> _T:
+    """Decode an answer.
+
+    Raises
+    ------
+    UnknownOutcomeError
+        The answer to a write is malformed or cut, so its outcome is not known.
+    PlatformError
+        The answer to a read is malformed or cut.
+    """
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except msgspec.DecodeError as exc:
+        if method != "GET":
+            raise UnknownOutcomeError(f"store's answer is malformed: {exc}") from exc
+        raise _malformed(str(exc)) from exc
+
+
+def raise_for_status(method: str, path: str, status: int, content: bytes) -> None:
+    """Raise the error that an HTTP status stands for."""
+    if status < 300:
+        return
+    detail = content.decode(errors="replace")[:200]
+    if status == 404:
+        raise NotFoundError(f"{path} is not there")
+    if status == 409:
+        raise ConflictError(f"{path} has changed: {detail}")
+    if status == 410:
+        raise CompactedError(f"{path} reaches further back than the store's log")
+    if status == 413:
+        raise PlatformError(f"{path}: {detail}", ResultCode.STORE_VALUE_TOO_LARGE)
+    if status == 429:
+        raise PlatformError("store refused the call", ResultCode.STORE_THROTTLED)
+    if method != "GET" and status not in _REFUSED_BEFORE_RUNNING:
+        raise UnknownOutcomeError(f"store answered {status} to a write: {detail}")
+    raise PlatformError(f"store answered {status}: {detail}")
+
+
+def _decode_value(value: str) -> bytes:
+    try:
+        return base64.b64decode(value, validate=True)
+    except binascii.Error as exc:
+        raise _malformed(f"value is not base64: {exc}") from exc
+
+
+def _malformed(detail: str) -> PlatformError:
+    return PlatformError(
+        f"store's answer is malformed: {detail}", ResultCode.STORE_ANSWER_MALFORMED
+    )
--- /dev/null
+++ b/marigoldchute/platform/watch.py
@@ -0,0 +1,114 @@
+"""Watches that resume after failures and relist after gaps."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import trio
+
+from marigoldchute.errors import CompactedError, PlatformError
+from marigoldchute.platform.api import WatchEvent
+from marigoldchute.platform.backoff import Backoff
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator
+
+    from marigoldchute.platform.messages import Items
+
+WATCH_WAIT_MS = 2_000
+RELIST_INTERVAL_S = 1.0
+BACKOFF_MIN_S = 0.2
+BACKOFF_MAX_S = 5.0
+
+
+class ChangeSource(Protocol):
+    """Single calls out of which a watch is made."""
+
+    async def list_items(self, prefix: str) -> Items:
+        """Return the objects under a prefix and the revision of the list."""
+
+    async def changes(self, prefix: str, after_revision: int, wait_ms: int) -> Items:
+        """Wait for changes under a prefix after a revision.
+
+        Raises ``CompactedError`` when the store no longer knows them all.
+        """
+
+
+class Watch:
+    """The position of one watch in the store's log.
+
+    A revision that goes backwards is an answer from the past. It is a gap like a
+    compacted log: the objects are listed again, at most once each
+    ``RELIST_INTERVAL_S``, and the watch goes on from that list. Stale lists repeat
+    what was seen and report no deletions.
+    """
+
+    def __init__(self, source: ChangeSource, prefix: str, rng: random.Random) -> None:
+        self._source = source
+        self._prefix = prefix
+        self._rng = rng
+        self._backoff = Backoff(BACKOFF_MIN_S, BACKOFF_MAX_S, rng)
+        self._position: int | None = None
+        self._highest = 0
+        self._keys: set[str] = set()
+        self._relist_at = 0.0
+        self.gaps = 0
+
+    async def events(self) -> AsyncIterator[WatchEvent]:
+        """Yield the present objects, then every later change; never ends."""
+        while True:
+            for event in await self._next_batch():
+                yield event
+
+    async def _next_batch(self) -> list[WatchEvent]:
+        try:
+            if self._position is None:
+                batch = await self._relist()
+            else:
+                batch = await self._follow(self._position)
+        except PlatformError:
+            await trio.sleep(self._backoff.next_delay_s())
+            return []
+        self._backoff.reset()
+        return batch
+
+    async def _relist(self) -> list[WatchEvent]:
+        await trio.sleep_until(self._relist_at)
+        jitter = self._rng.uniform(1.0, 2.0)
+        self._relist_at = trio.current_time() + RELIST_INTERVAL_S * jitter
+        items = await self._source.list_items(self._prefix)
+        events = [item.to_event() for item in items.items]
+        listed = {event.key for event in events}
+        if items.revision >= self._highest:
+            vanished = sorted(self._keys - listed)
+            events += [WatchEvent(key, None, items.revision) for key in vanished]
+            self._keys = listed
+        else:
+            self._keys |= listed
+        self._highest = max(self._highest, items.revision)
+        self._position = items.revision
+        return events
+
+    async def _follow(self, position: int) -> list[WatchEvent]:
+        try:
+            items = await self._source.changes(self._prefix, position, WATCH_WAIT_MS)
+        except CompactedError:
+            self._note_gap()
+            return []
+        if items.revision < position:
+            self._note_gap()
+            return []
+        events = [item.to_event() for item in items.items]
+        for event in events:
+            if event.value is None:
+                self._keys.discard(event.key)
+            else:
+                self._keys.add(event.key)
+        self._highest = max(self._highest, items.revision)
+        self._position = items.revision
+        return events
+
+    def _note_gap(self) -> None:
+        self.gaps += 1
+        self._position = None
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -32,6 +32,7 @@
     Forward,
     ProxyPlan,
 )
+from marigoldchute.standins.store import CallCounts
 
 if TYPE_CHECKING:
     import pathlib
@@ -238,6 +239,11 @@
         """Replace the faults of the store stand-in."""
         await self._control(STORE_PORT, "/faults", msgspec.json.encode(faults))
 
+    async def store_calls(self) -> CallCounts:
+        """Return the calls that the store stand-in has counted."""
+        body = await self._control(STORE_PORT, "/calls", b"")
+        return msgspec.json.decode(body, type=CallCounts)
+
     async def _control(self, port: int, path: str, body: bytes) -> bytes:
         url = f"http://{self.plan.store_address}:{port}{path}"
         async with httpcore.AsyncConnectionPool() as pool:
--- /dev/null
+++ b/tests/test_platform/test_watch.py
@@ -0,0 +1,113 @@
+"""Watches over every order of faults, on a clock of the test's own."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marigoldchute.errors import CompactedError, PlatformError
+from marigoldchute.platform.messages import Item, Items
+from marigoldchute.platform.watch import RELIST_INTERVAL_S, Watch
+
+ACTIONS = st.sampled_from(["write", "delete", "fail", "compact", "past", "present"])
+
+
+class _Source:
+    """A log of writes whose reads may fail, be compacted or come from the past."""
+
+    def __init__(self) -> None:
+        self.log: list[Item] = []
+        self.compacted = 0
+        self.visible: int | None = None
+        self.failures = 0
+        self.list_times: list[float] = []
+
+    def _seen(self) -> list[Item]:
+        end = len(self.log) if self.visible is None else self.visible
+        return self.log[:end]
+
+    def state(self) -> dict[str, str]:
+        held: dict[str, str] = {}
+        for item in self._seen():
+            if item.value is None:
+                held.pop(item.key, None)
+            else:
+                held[item.key] = item.value
+        return held
+
+    def _maybe_fail(self) -> None:
+        if self.failures > 0:
+            self.failures -= 1
+            raise PlatformError("down")
+
+    async def list_items(self, prefix: str) -> Items:
+        self.list_times.append(trio.current_time())
+        self._maybe_fail()
+        seen = self._seen()
+        items = [Item(k, v, len(seen)) for k, v in self.state().items()]
+        return Items(items, len(seen))
+
+    async def changes(self, prefix: str, after_revision: int, wait_ms: int) -> Items:
+        self._maybe_fail()
+        seen = self._seen()
+        if after_revision < self.compacted and len(seen) >= self.compacted:
+            raise CompactedError("compacted")
+        changed = seen[after_revision:]
+        if not changed:
+            await trio.sleep(wait_ms / 1000)
+        return Items(changed, len(seen))
+
+    def act(self, action: str, rng: random.Random) -> None:
+        if action in ("write", "delete"):
+            value = "dg==" if action == "write" else None
+            key = f"k/{rng.randrange(4)}"
+            self.log.append(Item(key, value, len(self.log) + 1))
+        elif action == "fail":
+            self.failures = 3
+        elif action == "compact":
+            self.compacted = len(self.log)
+        elif action == "past":
+            self.visible = rng.randrange(len(self.log) + 1)
+        else:
+            self.visible = None
+
+
+class WatchTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=80, deadline=None)
+    @given(st.lists(ACTIONS, max_size=30), st.integers(0, 1000))
+    def test_watcher_ends_with_the_state_of_the_store(
+        self, actions: list[str], seed: int
+    ) -> None:
+        rng = random.Random(seed)
+        source = _Source()
+        held: dict[str, int] = {}
+
+        async def follow() -> None:
+            async for event in Watch(source, "k/", rng).events():
+                if event.value is None:
+                    held.pop(event.key, None)
+                else:
+                    held[event.key] = event.revision
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follow)
+                for action in actions:
+                    source.act(action, rng)
+                    await trio.sleep(rng.uniform(0.0, 3.0))
+                source.act("present", rng)
+                source.log.append(Item("k/end", "dg==", len(source.log) + 1))
+                await trio.sleep(60)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(set(held), set(source.state()))
+        times = source.list_times
+        for first, second in itertools.pairwise(times):
+            self.assertGreaterEqual(second - first, RELIST_INTERVAL_S)
