End a link on malformed frames instead of the node

Cause: a heartbeat or call too short for its header, or a body that the codec cannot decode, raised outside the exception tree, passed through the link's nursery and ended the process: one peer of another version could stop a node. Ruled out: the frame decoder, which cuts alike however bytes arrive. Before: tests.test_link.test_malformed failed with struct.error within a few examples. Conclusion: a peer can hurt its link only.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from marigoldchute.errors import MarigoldchuteError, PeerError, ResultCode
@@ -28,6 +29,7 @@
 _CALL_HEADER = struct.Struct(">H")
 _STAMP = struct.Struct(">Q")
 _CODE = struct.Struct(">I")
+MALFORMED = (struct.error, msgspec.DecodeError, ValueError)
 _STREAM_KINDS = frozenset(
     {
         FrameKind.OPEN,
@@ -258,7 +260,15 @@
             self._heard_at = trio.current_time()
             self.bytes_received += len(data)
             for kind, number, body in self._decoder.feed(data):
-                self._take_frame(kind, number, body)
+                self._take_checked_frame(kind, number, body)
+
+    def _take_checked_frame(self, kind: int, number: int, body: bytes) -> None:
+        try:
+            self._take_frame(kind, number, body)
+        except MALFORMED as exc:
+            raise PeerError(
+                f"frame of kind {kind} is malformed: {exc}", ResultCode.PEER_PROTOCOL
+            ) from exc
 
     def _take_frame(self, kind: int, number: int, body: bytes) -> None:
         if kind in _STREAM_KINDS:
@@ -296,16 +306,15 @@
             await self._handlers.stream(stream)
         except PeerError:
             pass
+        except MALFORMED:
+            if self.alive:
+                stream.reset(ResultCode.PEER_PROTOCOL)
         finally:
             self.forget_stream(stream)
 
     async def _serve_call(self, kind: int, number: int, body: bytes) -> None:
-        (method,) = _CALL_HEADER.unpack_from(body)
-        handler = self._handlers.find(method)
         try:
-            if handler is None:
-                raise PeerError(f"method {method} unknown", ResultCode.PEER_PROTOCOL)
-            reply = await handler(self, body[_CALL_HEADER.size :])
+            reply = await self._handle_call(body)
         except MarigoldchuteError as exc:
             if kind == FrameKind.CALL and self.alive:
                 failure = _CODE.pack(exc.code) + exc.message.encode()
@@ -314,6 +323,18 @@
         if kind == FrameKind.CALL and self.alive:
             self.send_frame(FrameKind.REPLY, number, reply)
 
+    async def _handle_call(self, body: bytes) -> bytes:
+        try:
+            (method,) = _CALL_HEADER.unpack_from(body)
+            handler = self._handlers.find(method)
+            if handler is None:
+                raise PeerError(f"method {method} unknown", ResultCode.PEER_PROTOCOL)
+            return await handler(self, body[_CALL_HEADER.size :])
+        except MALFORMED as exc:
+            raise PeerError(
+                f"call is malformed: {exc}", ResultCode.PEER_PROTOCOL
+            ) from exc
+
 
 class _PendingReply:
     """A call that waits for its reply."""
