Check settings and bundle files by place and range; run tests in parallel processes

Cause: a settings file without secrets, with a port of 70000, a host name or a misspelt nested key was taken or refused without saying what is allowed; unknown keys of a bundle file were ignored.

Ruled out: a schema library; msgspec carries the ranges in the types and util/convert.py adds the finding. Sharding by package, since the modules with a mesh take nearly all of the time: each of those gets a process, the others share one.

After: every refusal names file, key path or line, finding and allowance; empty or short peer_secret and admin_token are refused.

--- a/marigoldchute/bundle/signoff.py
+++ b/marigoldchute/bundle/signoff.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import binascii
 import dataclasses
 import secrets
 from typing import Any
 
-import msgspec
-
 from marigoldchute.admin.messages import RollOrder
 from marigoldchute.bundle.codec import chunk_digest, encode_manifest, split_content
 from marigoldchute.bundle.model import BundleContent
@@ -16,6 +13,7 @@
 from marigoldchute.bundle.source import build_content, parse_source
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.errors import BundleError, MarigoldchuteError, SettingsError
+from marigoldchute.util.convert import ConversionError, convert
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,8 +49,8 @@
         A value is missing, or the two halves of the key do not belong together.
     """
     try:
-        key = msgspec.convert(value, KeyFile)
-    except msgspec.ValidationError as exc:
+        key = convert(value, KeyFile)
+    except ConversionError as exc:
         raise SettingsError(f"{source}: {exc}") from exc
     try:
         public_key = public_key_of(key.private_key)
@@ -87,8 +85,8 @@
     """
     if isinstance(value, dict) and "content" in value:
         try:
-            content = msgspec.convert(value, BuiltBundle).content
-        except msgspec.ValidationError as exc:
+            content = convert(value, BuiltBundle).content
+        except ConversionError as exc:
             raise BundleError(f"{source}: {exc}") from exc
     else:
         parsed = parse_source(value, source)
@@ -130,6 +128,6 @@
         The file is not a signed bundle.
     """
     try:
-        return msgspec.convert(value, RollOrder)
-    except (msgspec.ValidationError, binascii.Error) as exc:
+        return convert(value, RollOrder)
+    except ConversionError as exc:
         raise BundleError(f"{source}: {exc}") from exc
--- a/marigoldchute/bundle/source.py
+++ b/marigoldchute/bundle/source.py
@@ -5,8 +5,6 @@
 import dataclasses
 from typing import Any
 
-import msgspec
-
 from marigoldchute.bundle.model import (
     BundleContent,
     Move,
@@ -16,6 +14,7 @@
     Thresholds,
 )
 from marigoldchute.errors import BundleError
+from marigoldchute.util.convert import ConversionError, convert
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,8 +66,8 @@
         A value is missing or not allowed; names the key path.
     """
     try:
-        return msgspec.convert(value, BundleSource)
-    except msgspec.ValidationError as exc:
+        return convert(value, BundleSource)
+    except ConversionError as exc:
         raise BundleError(f"{source}: {exc}") from exc
 
 
--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -2,15 +2,35 @@
 
 from __future__ import annotations
 
+import base64
+import binascii
 import dataclasses
-import difflib
-from typing import Any
+import ipaddress
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
 from marigoldchute.errors import SettingsError
+from marigoldchute.util.convert import ConversionError, convert
 from marigoldchute.util.jsonc import load_file
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+KEY_BYTES = 32
+MIN_SECRET_LENGTH = 16
+
+Name = Annotated[
+    str,
+    msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64),
+]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+ClockErrorMs = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
+HeartbeatMs = Annotated[int, msgspec.Meta(ge=50, le=60_000)]
+TimeoutMs = Annotated[int, msgspec.Meta(ge=10, le=60_000)]
+CallRate = Annotated[float, msgspec.Meta(gt=0, le=1000)]
+BurstCalls = Annotated[float, msgspec.Meta(ge=1, le=10_000)]
+
 
 @dataclasses.dataclass(frozen=True)
 class TrustedKey:
@@ -24,7 +44,7 @@
         Ed25519 public key, 32 bytes in base64.
     """
 
-    key_id: str
+    key_id: Name
     public_key: str
 
 
@@ -47,10 +67,10 @@
     """
 
     address: str
-    port: int
-    calls_per_s: float = 2.0
-    burst_calls: float = 60.0
-    timeout_ms: int = 3000
+    port: Port
+    calls_per_s: CallRate = 2.0
+    burst_calls: BurstCalls = 60.0
+    timeout_ms: TimeoutMs = 3000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,57 +96,30 @@
     caller_port, internal_port, peer_port, admin_port : int
         TCP ports for callers, local backend servers, peers and operators.
     peer_secret, admin_token : str
-        Shared secrets of peers and operators.
+        Shared secrets of peers and operators, at least ``MIN_SECRET_LENGTH``
+        characters each.
     clock_error_ms : int
         Greatest difference between a VM's clock and true time.
     heartbeat_ms : int
         Interval between heartbeats on an idle connection.
     """
 
-    name: str
+    name: Name
     address: str
-    data_centre: str
-    region: str
+    data_centre: Name
+    region: Name
     store: StoreSettings
     trusted_keys: tuple[TrustedKey, ...]
     seeds: tuple[str, ...] = ()
     advertise_address: str = ""
-    caller_port: int = 8000
-    internal_port: int = 8001
-    peer_port: int = 7000
-    admin_port: int = 7100
+    caller_port: Port = 8000
+    internal_port: Port = 8001
+    peer_port: Port = 7000
+    admin_port: Port = 7100
     peer_secret: str = ""
     admin_token: str = ""
-    clock_error_ms: int = 250
-    heartbeat_ms: int = 1000
-
-
-def check_keys(value: Any, cls: type, path: str) -> None:
-    """Refuse keys that a settings class does not know.
-
-    Parameters
-    ----------
-    value : Any
-        Decoded JSON value.
-    cls : type
-        Dataclass that describes it.
-    path : str
-        File name and key path for the message.
-
-    Raises
-    ------
-    SettingsError
-        An unknown key, with the nearest known name.
-    """
-    if not isinstance(value, dict):
-        return
-    known = {field.name for field in dataclasses.fields(cls)}
-    for key in value:
-        if key in known:
-            continue
-        near = difflib.get_close_matches(key, sorted(known), n=1)
-        hint = f"; did you mean {near[0]!r}?" if near else ""
-        raise SettingsError(f"{path}: unknown key {key!r}{hint}")
+    clock_error_ms: ClockErrorMs = 250
+    heartbeat_ms: HeartbeatMs = 1000
 
 
 def parse_node_settings(value: Any, source: str) -> NodeSettings:
@@ -149,15 +142,15 @@
     SettingsError
         A missing or unknown key, or a value that is not allowed.
     """
-    check_keys(value, NodeSettings, source)
-    if isinstance(value, dict):
-        check_keys(value.get("store"), StoreSettings, f"{source}: $.store")
-        for index, key in enumerate(value.get("trusted_keys") or ()):
-            check_keys(key, TrustedKey, f"{source}: $.trusted_keys[{index}]")
     try:
-        return msgspec.convert(value, NodeSettings)
-    except msgspec.ValidationError as exc:
+        cfg = convert(value, NodeSettings)
+        _check_addresses(cfg)
+        _check_ports(cfg)
+        _check_keys(cfg.trusted_keys)
+        _check_secrets(cfg)
+    except ConversionError as exc:
         raise SettingsError(f"{source}: {exc}") from exc
+    return cfg
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -179,3 +172,89 @@
         The file cannot be read, parsed or is not allowed.
     """
     return parse_node_settings(load_file(path), path)
+
+
+def _check_addresses(cfg: NodeSettings) -> None:
+    _check_address("$.address", cfg.address)
+    _check_address("$.store.address", cfg.store.address)
+    if cfg.advertise_address:
+        _check_address("$.advertise_address", cfg.advertise_address)
+    for index, seed in enumerate(cfg.seeds):
+        _check_seed(f"$.seeds[{index}]", seed)
+    _check_unique("$.seeds", "seed", cfg.seeds)
+
+
+def _check_address(path: str, text: str) -> None:
+    try:
+        address = ipaddress.IPv4Address(text)
+    except ValueError as exc:
+        raise ConversionError(
+            f"{path}: expected an IP number like 10.1.2.3, found {text!r}"
+        ) from exc
+    if address.is_unspecified or address.is_multicast:
+        raise ConversionError(
+            f"{path}: expected the address of one machine, found {text!r}"
+        )
+
+
+def _check_seed(path: str, seed: str) -> None:
+    address, colon, port = seed.partition(":")
+    if not colon:
+        raise ConversionError(
+            f"{path}: expected ADDRESS:PORT like 10.1.2.3:7000, found {seed!r}"
+        )
+    _check_address(path, address)
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= 65535):
+        raise ConversionError(
+            f"{path}: expected a port from 1 to 65535, found {port!r}"
+        )
+
+
+def _check_ports(cfg: NodeSettings) -> None:
+    ports = (cfg.caller_port, cfg.internal_port, cfg.peer_port, cfg.admin_port)
+    _check_unique(
+        "$", "port of caller, internal, peer and admin", (str(port) for port in ports)
+    )
+
+
+def _check_keys(keys: tuple[TrustedKey, ...]) -> None:
+    if not keys:
+        raise ConversionError(
+            "$.trusted_keys: expected at least one key, without which no bundle is "
+            "accepted; make one with 'marigoldchute-ctl keys new'"
+        )
+    _check_unique("$.trusted_keys", "key_id", (key.key_id for key in keys))
+    for index, key in enumerate(keys):
+        _check_key(f"$.trusted_keys[{index}].public_key", key.public_key)
+
+
+def _check_key(path: str, text: str) -> None:
+    try:
+        size = len(base64.b64decode(text, validate=True))
+    except (binascii.Error, ValueError) as exc:
+        raise ConversionError(f"{path}: expected base64, found {text!r}") from exc
+    if size != KEY_BYTES:
+        raise ConversionError(
+            f"{path}: expected an Ed25519 public key of {KEY_BYTES} bytes, "
+            f"found {size} bytes"
+        )
+
+
+def _check_secrets(cfg: NodeSettings) -> None:
+    for name in ("peer_secret", "admin_token"):
+        size = len(getattr(cfg, name))
+        if size < MIN_SECRET_LENGTH:
+            raise ConversionError(
+                f"$.{name}: expected at least {MIN_SECRET_LENGTH} characters, "
+                f"found {size}"
+            )
+    if cfg.peer_secret == cfg.admin_token:
+        raise ConversionError("$.admin_token: must differ from $.peer_secret")
+
+
+def _check_unique(path: str, what: str, values: Iterable[str]) -> None:
+    seen: set[str] = set()
+    for value in values:
+        if value in seen:
+            raise ConversionError(f"{path}: {what} {value!r} stands twice")
+        seen.add(value)
--- a/marigoldchute/util/jsonc.py
+++ b/marigoldchute/util/jsonc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import json5
@@ -30,9 +31,31 @@
         The text is not JSON with comments; names the file and line.
     """
     try:
-        return json5.loads(text, allow_duplicate_keys=False)
-    except ValueError as exc:
+        return json.loads(text, object_pairs_hook=_unique_keys)
+    except json.JSONDecodeError:
+        pass  # comments, or a fault that the slower parser describes
+    except _DuplicateKeyError as exc:
         raise SettingsError(f"{source}: {exc}", ResultCode.SETTINGS_UNREADABLE) from exc
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as exc:
+        detail = str(exc).replace("<string>:", "line ")
+        raise SettingsError(
+            f"{source}: {detail}", ResultCode.SETTINGS_UNREADABLE
+        ) from exc
+
+
+class _DuplicateKeyError(Exception):
+    pass
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    value = dict(pairs)
+    if len(value) == len(pairs):
+        return value
+    keys = [key for key, _ in pairs]
+    twice = next(key for key in keys if keys.count(key) > 1)
+    raise _DuplicateKeyError(f"duplicate key {twice!r} in one object")
 
 
 def load_file(path: str) -> Any:
@@ -60,4 +83,8 @@
         raise SettingsError(
             f"{path}: {exc.strerror}", ResultCode.SETTINGS_UNREADABLE
         ) from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsError(
+            f"{path}: not UTF-8 at byte {exc.start}", ResultCode.SETTINGS_UNREADABLE
+        ) from exc
     return loads(text, path)
--- /dev/null
+++ b/tests/test_bundle/test_signoff.py
@@ -0,0 +1,122 @@
+"""Bundle files of operators, from text to a signed order."""
+
+from __future__ import annotations
+
+import pathlib
+import unittest
+from typing import Any
+
+import msgspec
+
+from marigoldchute.bundle.codec import decode_manifest
+from marigoldchute.bundle.signing import (
+    SignatureVerifier,
+    generate_private_key,
+    public_key_of,
+)
+from marigoldchute.bundle.signoff import (
+    BuiltBundle,
+    KeyFile,
+    content_of_file,
+    is_signed_file,
+    parse_key_file,
+    parse_signed,
+    sign_content,
+)
+from marigoldchute.config import TrustedKey
+from marigoldchute.errors import BundleError, ResultCode, SettingsError
+from marigoldchute.util.jsonc import load_file
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+NOW_MS = 1_000_000
+SOURCE: dict[str, Any] = {
+    "services": [{"name": "turnos", "release": "r1"}],
+    "routes": [{"name": "turnos", "path_prefix": "/turnos", "service": "turnos"}],
+}
+
+
+def new_key() -> KeyFile:
+    private_key = generate_private_key()
+    return KeyFile("ops-1", private_key, public_key_of(private_key))
+
+
+def to_json(value: Any) -> Any:
+    return msgspec.json.decode(msgspec.json.encode(value))
+
+
+class ContentTest(unittest.TestCase):
+    def test_examples_of_both_deployments_are_valid(self) -> None:
+        moves = {"foundation": "turnos-2026.12", "hanbit": "certification-v19"}
+        for name, move_id in moves.items():
+            with self.subTest(name=name):
+                path = str(EXAMPLES / name / "bundle.json")
+                content = content_of_file(load_file(path), path, NOW_MS)
+                self.assertEqual([m.move_id for m in content.moves], [move_id])
+                self.assertGreater(content.moves[0].deadline_ms, NOW_MS)
+                self.assertEqual(sum(s.internal for s in content.services), 2)
+
+    def test_built_file_keeps_its_times(self) -> None:
+        path = str(EXAMPLES / "hanbit" / "bundle.json")
+        built = content_of_file(load_file(path), path, NOW_MS)
+        again = content_of_file(to_json(BuiltBundle(built)), "built.json", NOW_MS * 2)
+        self.assertEqual(again, built)
+
+    def test_time_limit_can_be_replaced(self) -> None:
+        path = str(EXAMPLES / "foundation" / "bundle.json")
+        content = content_of_file(load_file(path), path, NOW_MS, 90_000)
+        move = content.moves[0]
+        self.assertEqual(move.deadline_ms - move.start_ms, 90_000)
+
+    def test_unknown_key_is_refused_with_the_nearest_name(self) -> None:
+        route = SOURCE["routes"][0] | {"path_prefx": "/x"}
+        with self.assertRaises(BundleError) as caught:
+            content_of_file(SOURCE | {"routes": [route]}, "b.json", NOW_MS)
+        self.assertIn(
+            "b.json: $.routes[0]: unknown key 'path_prefx'; "
+            "did you mean 'path_prefix'?",
+            caught.exception.message,
+        )
+
+    def test_route_to_a_missing_service_is_refused_with_its_code(self) -> None:
+        with self.assertRaises(BundleError) as caught:
+            content_of_file(SOURCE | {"services": []}, "b.json", NOW_MS)
+        self.assertIs(caught.exception.code, ResultCode.BUNDLE_REFERENCE_MISSING)
+        self.assertIn("b.json: ", caught.exception.message)
+
+
+class SignTest(unittest.TestCase):
+    def test_signed_order_is_accepted_with_its_key_and_survives_a_file(self) -> None:
+        key = new_key()
+        order = sign_content(
+            content_of_file(SOURCE, "b.json", NOW_MS), 7, key, "an operator"
+        )
+        value = to_json(order)
+        self.assertTrue(is_signed_file(value))
+        self.assertEqual(parse_signed(value, "signed.json"), order)
+        manifest = decode_manifest(order.manifest)
+        SignatureVerifier([TrustedKey(key.key_id, key.public_key)]).verify(manifest)
+        self.assertEqual((manifest.version, manifest.author), (7, "an operator"))
+
+    def test_damaged_signed_file_is_refused(self) -> None:
+        for value in ({"manifest": 1}, {"manifest": "AA=="}, {"manifest": "?"}):
+            with self.subTest(value=value), self.assertRaises(BundleError):
+                parse_signed(value, "signed.json")
+
+
+class KeyFileTest(unittest.TestCase):
+    def test_key_survives_a_file(self) -> None:
+        key = new_key()
+        self.assertEqual(parse_key_file(to_json(key), "key.json"), key)
+
+    def test_halves_of_different_keys_are_refused(self) -> None:
+        mixed = to_json(new_key()) | {"public_key": new_key().public_key}
+        with self.assertRaises(SettingsError) as caught:
+            parse_key_file(mixed, "key.json")
+        self.assertIn("does not belong", caught.exception.message)
+
+    def test_key_that_is_not_32_bytes_is_refused(self) -> None:
+        for text in ("AAAA", "not base64", ""):
+            bad = to_json(new_key()) | {"private_key": text}
+            with self.subTest(text=text), self.assertRaises(SettingsError) as caught:
+                parse_key_file(bad, "key.json")
+            self.assertIn("key.json: $.private_key", caught.exception.message)
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -6,7 +6,8 @@
 
 from nose2.events import Plugin
 
-KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+KNOWN_RED_REASON = "known red"
+KNOWN_RED_PATH = pathlib.Path("KNOWN-RED.txt")
 
 
 def read_known_red(path: pathlib.Path = KNOWN_RED_PATH) -> dict[str, str]:
@@ -15,7 +16,8 @@
     Parameters
     ----------
     path : pathlib.Path
-        File with one ``test id | command and seed | seen | issue`` entry a line.
+        File with one ``test id | command and seed | seen | issue`` entry a line, by
+        default the one in the current directory; nothing is listed without a file.
 
     Returns
     -------
@@ -23,6 +25,8 @@
         Entry text by test id.
     """
     entries: dict[str, str] = {}
+    if not path.exists():
+        return entries
     for line in path.read_text(encoding="utf-8").splitlines():
         if not line.strip() or line.startswith("#"):
             continue
@@ -41,6 +45,7 @@
         self.entries = read_known_red()
         self.passed = 0
         self.failed = 0
+        self.skipped = 0
         self.known: list[str] = []
         self.mended: list[str] = []
 
@@ -49,7 +54,7 @@
         test_id = event.test.id().partition(" ")[0]
         if _has_failed(event) and test_id in self.entries:
             event.outcome = "skipped"
-            event.reason = "known red"
+            event.reason = KNOWN_RED_REASON
             event.exc_info = None
             self.known.append(test_id)
 
@@ -61,14 +66,8 @@
             self.passed += 1
             if event.test.id() in self.entries:
                 self.mended.append(event.test.id())
-
-    def print_summary(self) -> None:
-        """Print the known failures and the closing line."""
-        for test_id in self.known:
-            print(f"known red: {test_id}: {self.entries[test_id]}")
-        for test_id in self.mended:
-            print(f"listed as known red but passed: {test_id}")
-        print(f"{self.passed} passed, {self.failed} failed", flush=True)
+        elif event.outcome == "skipped" and event.reason != KNOWN_RED_REASON:
+            self.skipped += 1
 
 
 def _has_failed(event) -> bool:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,12 +1,129 @@
-"""Runs every test with nose2; exit status 1 when one failed or none ran."""
+"""Runs every test with nose2 in parallel processes.
+
+The last line counts the tests of all processes. The exit status is 1 when a test
+failed, a process ended without a result or in error, or no test ran.
+"""
 
 from __future__ import annotations
 
+import argparse
+import concurrent.futures
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
 import sys
+import tempfile
+from typing import TYPE_CHECKING
+
+from tools.known_red import read_known_red
+from tools.run_shard import ShardResult, read_result
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+TEST_DIRECTORY = "tests"
+MESH_SUPPORT = "tests.support.meshes"
+DEFAULT_JOBS = 3
+SHARD_TIMEOUT_S = 400.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardRun:
+    """Output and result of one process.
+
+    Parameters
+    ----------
+    names : tuple of str
+        Test modules.
+    output : str
+        All that it printed.
+    result : ShardResult or None
+        None when the process ended without one.
+    problem : str
+        Why the process itself counts as failed; empty when it does not.
+    """
+
+    names: tuple[str, ...]
+    output: str
+    result: ShardResult | None
+    problem: str = ""
+
+
+def find_shards(root: pathlib.Path) -> list[tuple[str, ...]]:
+    """Return the test modules of each process.
+
+    A module with a mesh of real processes is run by a process of its own, as it takes
+    longest; all others share one.
+    """
+    meshes: list[tuple[str, ...]] = []
+    others: list[str] = []
+    for path in sorted((root / TEST_DIRECTORY).rglob("test_*.py")):
+        name = ".".join(path.relative_to(root).with_suffix("").parts)
+        if MESH_SUPPORT in path.read_text(encoding="utf-8"):
+            meshes.append((name,))
+        else:
+            others.append(name)
+    return [*meshes, tuple(others)] if others else meshes
+
+
+def run_shard(names: Sequence[str], timeout_s: float = SHARD_TIMEOUT_S) -> ShardRun:
+    """Run test modules in a process of their own."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "result.json"
+        process = subprocess.Popen(
+            [sys.executable, "-m", "tools.run_shard", str(path), *names],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            errors="replace",
+            start_new_session=True,
+        )
+        problem = ""
+        try:
+            output, _ = process.communicate(timeout=timeout_s)
+        except subprocess.TimeoutExpired:
+            problem = f"did not end within {timeout_s:g} s"
+            _end_group(process)
+            output, _ = process.communicate()
+        _end_group(process)
+        result = read_result(path)
+    if not problem and process.returncode != 0:
+        problem = f"ended with status {process.returncode}"
+    elif not problem and result is None:
+        problem = "ended without a result"
+    return ShardRun(tuple(names), output, result, problem)
+
+
+def _end_group(process: subprocess.Popen[str]) -> None:
+    """End a process and those that it started and left behind."""
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
 
-import nose2
 
-from tools.known_red import KnownRed
+def print_summary(runs: Iterable[ShardRun]) -> int:
+    """Print what was passed over and the closing line; return the exit status."""
+    entries = read_known_red()
+    passed = failed = skipped = 0
+    for run in runs:
+        result = run.result or ShardResult()
+        passed += result.passed
+        failed += result.failed
+        skipped += result.skipped
+        for test_id in result.known:
+            print(f"known red: {test_id}: {entries[test_id]}")
+        for test_id in result.mended:
+            print(f"listed as known red but passed: {test_id}")
+        if run.problem:
+            failed += 1
+            print(f"test process failed: {' '.join(run.names)}: {run.problem}")
+    if skipped:
+        print(f"{skipped} skipped")
+    print(f"{passed} passed, {failed} failed", flush=True)
+    return 0 if passed > 0 and failed == 0 else 1
 
 
 def main() -> int:
@@ -17,11 +134,18 @@
     int
         Process exit status.
     """
-    program = nose2.main(module=None, exit=False)
-    counts = next(p for p in program.session.plugins if isinstance(p, KnownRed))
-    sys.stderr.flush()
-    counts.print_summary()
-    return 0 if counts.passed > 0 and counts.failed == 0 else 1
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="packages, modules, classes or tests")
+    parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
+    args = parser.parse_args()
+    shards = [tuple(args.names)] if args.names else find_shards(pathlib.Path())
+    runs: list[ShardRun] = []
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        futures = [pool.submit(run_shard, names) for names in shards]
+        for fut in concurrent.futures.as_completed(futures):
+            runs.append(fut.result())
+            print(runs[-1].output, flush=True)
+    return print_summary(runs)
 
 
 if __name__ == "__main__":
