--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -66,7 +66,7 @@
             meshes.append((name,))
         else:
             others.append(name)
-    return [*meshes, tuple(others)] if others else meshes
+    return [tuple(others), *meshes] if others else meshes
 
 
 def run_shard(names: Sequence[str], timeout_s: float = SHARD_TIMEOUT_S) -> ShardRun:
