Test a new release's outcomes beside the old one's, anytime-valid

Cause: moves went by schedule alone, so a bad release was taken to the full share. Ruled out: pooled cumulative counts (when a dependency fails while the new release has the larger share, pooling blames the new one; the tests show windows do not); one test at fixed sizes (it is looked at many times a second). Before: no evidence. After: counts by route, release and load level in windows of the same time; an e-process after Turner, Ly and Gruenwald on each node alone and, merged by the collectors, over the mesh; steps wait for enough answers and for the evidence; a verdict is judged by a pure function; a member that joins late follows the verdict or its peers and never guesses.

--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -22,7 +22,7 @@
     PlatformError,
     ResultCode,
 )
-from marigoldchute.moves.driver import verdict_key, write_verdict
+from marigoldchute.moves.driver import decode_verdict, verdict_key, write_verdict
 from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
 from marigoldchute.platform.conditional import create_once
 
@@ -35,8 +35,9 @@
     from marigoldchute.distribution.service import Replicator
     from marigoldchute.link.stats import NodeStats
     from marigoldchute.membership.service import Membership
-    from marigoldchute.moves.collector import Reporter
-    from marigoldchute.moves.engine import MoveEngine, MoveState
+    from marigoldchute.moves.engine import MoveEngine
+    from marigoldchute.moves.reporter import Reporter
+    from marigoldchute.moves.state import MoveState
     from marigoldchute.platform.api import ObjectStore
 
 
@@ -137,7 +138,9 @@
         """
         state = self._state_of(move_id)
         try:
-            await self._store.get(verdict_key(move_id))
+            if state.verdict is None:
+                stored = await self._store.get(verdict_key(move_id))
+                self._engine.publish_verdict(decode_verdict(stored.value))
         except NotFoundError:
             pass
         except PlatformError as exc:
--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -102,6 +102,10 @@
         Greatest difference between a VM's clock and true time.
     heartbeat_ms : int
         Interval between heartbeats on an idle connection.
+    clock_offset_ms : int
+        Added to the machine's clock, for tests.
+    move_evidence : bool
+        Whether the outcomes of requests act on moves; benches compare without.
     """
 
     name: Name
@@ -120,6 +124,8 @@
     admin_token: str = ""
     clock_error_ms: ClockErrorMs = 250
     heartbeat_ms: HeartbeatMs = 1000
+    clock_offset_ms: int = 0
+    move_evidence: bool = True
 
 
 def parse_node_settings(value: Any, source: str) -> NodeSettings:
--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -14,3 +14,5 @@
     GET_CHUNK = 10
     REPORT_EVIDENCE = 20
     LIST_CONFIRMATIONS = 21
+    LIST_STANDS = 22
+    LIST_SUMMARIES = 23
--- a/marigoldchute/moves/driver.py
+++ b/marigoldchute/moves/driver.py
@@ -8,23 +8,26 @@
 import msgspec
 import trio
 
-from marigoldchute.errors import (
-    ConflictError,
-    PlatformError,
-    UnknownOutcomeError,
-)
-from marigoldchute.events import wall_clock_ms
-from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
+from marigoldchute.errors import PlatformError
+from marigoldchute.moves.judge import Decision, judge
+from marigoldchute.moves.model import Verdict
 from marigoldchute.overlay.duties import DRIVER
-from marigoldchute.platform.api import CREATE_ONLY, ObjectStore
+from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.membership.service import Membership
-    from marigoldchute.moves.collector import Reporter
-    from marigoldchute.moves.engine import MoveEngine, MoveState
+    from marigoldchute.moves.engine import MoveEngine
+    from marigoldchute.moves.model import Stand
+    from marigoldchute.moves.reporter import Reporter
+    from marigoldchute.moves.state import MoveState
+    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.util.clock import Clock
 
 VERDICT_PREFIX = "verdicts/"
-DECIDE_INTERVAL_S = 0.1
+DECIDE_INTERVAL_S = 0.25
+READER_CHECK_S = 0.5
 
 _VERDICT = msgspec.json.Decoder(Verdict)
 
@@ -34,6 +37,11 @@
     return VERDICT_PREFIX + move_id
 
 
+def decode_verdict(value: bytes) -> Verdict:
+    """Decode a verdict as the store holds it."""
+    return _VERDICT.decode(value)
+
+
 async def write_verdict(store: ObjectStore, verdict: Verdict) -> Verdict:
     """Write a verdict unless one stands; return the one that stands.
 
@@ -42,13 +50,13 @@
     PlatformError
         It is not known which verdict stands.
     """
-    key = verdict_key(verdict.move_id)
-    try:
-        await store.put(key, msgspec.json.encode(verdict), CREATE_ONLY)
-        return verdict
-    except (ConflictError, UnknownOutcomeError):
-        stored = await store.get(key)
-        return _VERDICT.decode(stored.value)
+    created = await create_once(
+        store,
+        verdict_key(verdict.move_id),
+        msgspec.json.encode(verdict),
+        lambda value: decode_verdict(value).token == verdict.token,
+    )
+    return verdict if created.is_mine else decode_verdict(created.value)
 
 
 class Driver:
@@ -65,12 +73,14 @@
         engine: MoveEngine,
         reporter: Reporter,
         store: ObjectStore,
+        clock: Clock,
         clock_error_ms: int,
     ) -> None:
         self._membership = membership
         self._engine = engine
         self._reporter = reporter
         self._store = store
+        self._clock = clock
         self._clock_error_ms = clock_error_ms
 
     @property
@@ -85,59 +95,84 @@
             undecided = [s for s in self._engine.states() if s.verdict is None]
             if not undecided or not self.is_driver:
                 continue
-            gathered = await self._reporter.gather()
+            stands = await self._reporter.gather_stands()
             for state in undecided:
-                await self._decide(state, gathered)
-
-    async def _decide(
-        self, state: MoveState, gathered: dict[str, MemberReport]
-    ) -> None:
-        verdict = self._judge(state, gathered, wall_clock_ms())
-        if verdict is None:
+                await self._decide(state, stands.get(state.move.move_id, {}))
+
+    async def _decide(self, state: MoveState, stands: dict[str, Stand]) -> None:
+        now_ms = self._clock.now_ms()
+        decision = judge(
+            state.move,
+            state.fault,
+            self._membership.all(),
+            stands,
+            now_ms,
+            self._clock_error_ms,
+        )
+        if decision is None:
             return
+        verdict = self._verdict(state.move.move_id, decision, now_ms)
         try:
             standing = await write_verdict(self._store, verdict)
         except PlatformError:
             return
         self._engine.publish_verdict(standing)
 
-    def _judge(
-        self, state: MoveState, gathered: dict[str, MemberReport], now_ms: int
-    ) -> Verdict | None:
-        move = state.move
-        members = self._membership.all()
-        confirmed = sum(
-            is_confirmed(gathered.get(member.name), member.incarnation, move.move_id)
-            for member in members
-        )
-        if state.fault is not None:
-            return self._verdict(state, VerdictKind.TAKEN_BACK, "fault", confirmed)
-        in_time = now_ms + self._clock_error_ms < move.deadline_ms
-        if confirmed == len(members) and in_time:
-            return self._verdict(
-                state, VerdictKind.DONE, "all members confirmed", confirmed
-            )
-        if now_ms > move.deadline_ms + self._clock_error_ms:
-            reason = f"{len(members) - confirmed} members unconfirmed at the deadline"
-            return self._verdict(state, VerdictKind.TAKEN_BACK, reason, confirmed)
-        return None
-
-    def _verdict(
-        self, state: MoveState, kind: VerdictKind, reason: str, confirmed: int
-    ) -> Verdict:
+    def _verdict(self, move_id: str, decision: Decision, now_ms: int) -> Verdict:
         return Verdict(
-            state.move.move_id,
-            kind,
-            reason,
+            move_id,
+            decision.kind,
+            decision.reason,
             self._membership.local.name,
-            wall_clock_ms(),
+            now_ms,
             secrets.token_hex(8),
-            confirmed,
+            decision.confirmed,
         )
 
 
-def is_confirmed(report: MemberReport | None, incarnation: int, move_id: str) -> bool:
-    """Whether a report confirms a move for an incarnation of a member."""
-    if report is None or report.incarnation != incarnation:
-        return False
-    return any(m.move_id == move_id and m.confirmed for m in report.moves)
+class VerdictReader:
+    """Watches the store for the verdicts of undecided moves, one node a data centre.
+
+    A writer that dies before it has told its peers leaves the verdict in the store
+    alone.
+
+    Parameters
+    ----------
+    engine : MoveEngine
+        Moves of the bundle in force.
+    store : ObjectStore
+        Where verdicts stand.
+    is_reader : callable
+        Whether this node reads the store for its data centre.
+    """
+
+    def __init__(
+        self, engine: MoveEngine, store: ObjectStore, is_reader: Callable[[], bool]
+    ) -> None:
+        self._engine = engine
+        self._store = store
+        self._is_reader = is_reader
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Keep a watch for each undecided move until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                wanted = self._undecided() if self._is_reader() else set()
+                for move_id in wanted - self._scopes.keys():
+                    self._scopes[move_id] = trio.CancelScope()
+                    nursery.start_soon(self._watch, move_id)
+                for move_id in self._scopes.keys() - wanted:
+                    self._scopes.pop(move_id).cancel()
+                await trio.sleep(READER_CHECK_S)
+
+    def _undecided(self) -> set[str]:
+        states = self._engine.states()
+        return {state.move.move_id for state in states if state.verdict is None}
+
+    async def _watch(self, move_id: str) -> None:
+        key = verdict_key(move_id)
+        with self._scopes[move_id]:
+            async for event in self._store.watch(key):
+                if event.key == key and event.value is not None:
+                    self._engine.publish_verdict(decode_verdict(event.value))
--- a/marigoldchute/moves/model.py
+++ b/marigoldchute/moves/model.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+LOG_UNIT = 0.01
+
 
 class VerdictKind(enum.StrEnum):
     """Outcome of a move."""
@@ -56,6 +58,31 @@
     at_ms: int
 
 
+class Stage(enum.IntEnum):
+    """Where one member stands in one move.
+
+    ``ROLLING`` follows the steps. ``CONFIRMED`` has promised the full share until the
+    verdict. ``RETURNED`` fell back to share 0 at the deadline without having confirmed,
+    which rules *done* out. ``UNDECIDED`` joined too late to know whether it was counted
+    and looks for the verdict. ``DECIDED`` knows it.
+    """
+
+    ROLLING = 0
+    CONFIRMED = 1
+    RETURNED = 2
+    UNDECIDED = 3
+    DECIDED = 4
+
+
+class CellReport(msgspec.Struct, frozen=True, array_like=True):
+    """Cumulative counts of one cell of evidence on one member."""
+
+    route: int
+    new: bool
+    level: int
+    counts: tuple[int, int, int, int]
+
+
 class MoveReport(msgspec.Struct, frozen=True, array_like=True):
     """Where one member stands in one move.
 
@@ -68,11 +95,29 @@
     confirmed : bool
         Whether the member has confirmed the full share, which it then holds until
         it learns the verdict.
+    stage : int
+        A ``Stage``.
+    step : int
+        Index of the step in force, -1 before the start.
+    busy : float
+        Mean number of the member's requests that run at a time.
+    cells : tuple of CellReport
+        Its counts, cumulative in its incarnation.
+    latencies : dict of int to dict of int to int
+        Histogram of the old release's latencies by route, in some reports only.
+    late : bool
+        Whether the member joined so late that a driver may not have counted it.
     """
 
     move_id: str
     share: float
     confirmed: bool
+    stage: int = Stage.ROLLING
+    step: int = -1
+    busy: float = 0.0
+    cells: tuple[CellReport, ...] = ()
+    latencies: dict[int, dict[int, int]] = {}
+    late: bool = False
 
 
 class MemberReport(msgspec.Struct, frozen=True, array_like=True):
@@ -99,6 +144,98 @@
     moves: tuple[MoveReport, ...]
 
 
+class Stand(msgspec.Struct, frozen=True, array_like=True):
+    """Which members of a data centre have confirmed a move, as its collector knows.
+
+    Parameters
+    ----------
+    move_id : str
+        Move.
+    members : int
+        Digest of the names and incarnations of the data centre's members.
+    confirmed : int
+        Digest of those that have confirmed; equal when every member has.
+    count : int
+        Number of members that have confirmed.
+    """
+
+    move_id: str
+    members: int
+    confirmed: int
+    count: int
+
+
+class StreamReport(msgspec.Struct, frozen=True, array_like=True):
+    """E-process of one sequential test; logarithms in units of ``LOG_UNIT``."""
+
+    route: int
+    metric: int
+    level: int
+    logs: tuple[int, ...]
+
+
+class MoveSummary(msgspec.Struct, frozen=True, array_like=True):
+    """Evidence of one data centre about one move.
+
+    Parameters
+    ----------
+    move_id : str
+        Move.
+    answered : int
+        Answers of the new release so far.
+    busy : float
+        Mean number of requests that run at a time.
+    suspicious : bool
+        Whether the new release alone fails more than the old one did.
+    streams : tuple of StreamReport
+        E-processes.
+    p95_ms : dict of int to float
+        95th percentile of the old release's latency by route, in milliseconds.
+    """
+
+    move_id: str
+    answered: int
+    busy: float
+    suspicious: bool
+    streams: tuple[StreamReport, ...]
+    p95_ms: dict[int, float]
+
+
+class Guidance(msgspec.Struct, frozen=True, array_like=True):
+    """What a collector answers a member's report with, for one move.
+
+    Parameters
+    ----------
+    move_id : str
+        Move.
+    step : int
+        Lowest step in force among the data centre's members that are not late, -1 when
+        none has begun.
+    answered : int
+        Answers of the new release so far, all data centres that answer.
+    busy : float
+        Mean number of requests that run at a time, all data centres that answer.
+    wary : bool
+        Whether the evidence speaks against a further step for now.
+    suspicious : bool
+        Whether the new release alone fails more than the old one did.
+    confirmed, returned : int
+        Members of the data centre in those stages.
+    p95_ms : dict of int to float
+        95th percentile of the old release's latency by route, in milliseconds.
+    """
+
+    move_id: str
+    step: int = -1
+    answered: int = 0
+    busy: float = 0.0
+    wary: bool = False
+    suspicious: bool = False
+    confirmed: int = 0
+    returned: int = 0
+    p95_ms: dict[int, float] = {}
+
+
 @dataclasses.dataclass(frozen=True)
 class Split:
     """How the requests of a service divide between two releases now.
--- /dev/null
+++ b/marigoldchute/moves/reporter.py
@@ -0,0 +1,214 @@
+"""Carries reports, guidance and summaries between members and collectors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from marigoldchute.errors import AuthError, PeerError
+from marigoldchute.link.methods import Method
+from marigoldchute.moves.model import Guidance, MemberReport, MoveSummary, Stand
+from marigoldchute.overlay.duties import COLLECTOR
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from marigoldchute.bundle.inforce import InForce
+    from marigoldchute.link.pool import LinkPool
+    from marigoldchute.membership.service import Membership
+    from marigoldchute.moves.collector import Collector
+    from marigoldchute.moves.engine import MoveEngine
+    from marigoldchute.moves.model import MoveReport
+    from marigoldchute.util.clock import Clock
+
+REPORT_INTERVAL_S = 1.0
+REPORTS_PER_S = 40.0
+REFRESH_S = 10.0
+MERGE_INTERVAL_S = 0.5
+EXCHANGE_INTERVAL_S = 1.0
+CALL_TIMEOUT_S = 2.0
+RETRY_S = 0.1
+LATENCIES_EVERY = 8
+
+_REPORTS = msgspec.msgpack.Decoder(list[MemberReport])
+_GUIDANCE = msgspec.msgpack.Decoder(list[Guidance])
+_STANDS = msgspec.msgpack.Decoder(list[Stand])
+_SUMMARIES = msgspec.msgpack.Decoder(list[MoveSummary])
+
+
+class Reporter:
+    """Sends this node's reports to its collector and reads those of the others."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        in_force: InForce,
+        engine: MoveEngine,
+        collector: Collector,
+        control: LinkPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._in_force = in_force
+        self._engine = engine
+        self._collector = collector
+        self._control = control
+        self._clock = clock
+        self._rng = rng
+        self._changed = trio.Event()
+        self._sequence = 0
+        self._last: tuple[str, int, tuple[MoveReport, ...]] | None = None
+        self._last_at = 0.0
+        self._stands: dict[str, dict[str, Stand]] = {}
+        in_force.on_swap(lambda bundle: self.wake())
+
+    def wake(self) -> None:
+        """Report soon, because something changed."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Report and collect until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report_changes)
+            nursery.start_soon(self._merge_reports)
+            nursery.start_soon(self._exchange_summaries)
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between reports; grows with the data centre's size.
+
+        A collector takes ``REPORTS_PER_S`` at most, whatever the number of members.
+        """
+        home = self._membership.local.data_centre
+        size = sum(m.data_centre == home for m in self._membership.all())
+        return max(REPORT_INTERVAL_S, size / REPORTS_PER_S)
+
+    async def _report_changes(self) -> None:
+        while True:
+            self._changed = trio.Event()
+            await self._report()
+            interval_s = self.interval_s
+            with trio.move_on_after(interval_s * self._rng.uniform(0.8, 1.2)):
+                await self._changed.wait()
+                spread_s = interval_s - REPORT_INTERVAL_S
+                await trio.sleep(self._rng.uniform(0.0, spread_s))
+
+    async def _report(self) -> None:
+        local = self._membership.local
+        target = self._membership.duties.holder(COLLECTOR, local.data_centre)
+        if target is None:
+            return
+        full = self._sequence % LATENCIES_EVERY == 0
+        moves = self._engine.reports(full)
+        state = (target, self._in_force.version, moves)
+        now = trio.current_time()
+        undecided = any(s.verdict is None for s in self._engine.states())
+        if state == self._last and now - self._last_at < REFRESH_S and not undecided:
+            return
+        self._sequence += 1
+        report = MemberReport(
+            local.name, local.incarnation, self._sequence, state[1], moves
+        )
+        self._collector.take(report, self._clock.now_ms())
+        if target == local.name:
+            self._engine.guide(self._collector.guidance())
+        elif not await self._send(target, report):
+            return
+        self._last, self._last_at = state, now
+
+    async def _send(self, target: str, report: MemberReport) -> bool:
+        body = msgspec.msgpack.encode(report)
+        try:
+            link = await self._control.get(target)
+            reply = await link.call(Method.REPORT_EVIDENCE, body, CALL_TIMEOUT_S)
+        except (PeerError, AuthError):
+            await trio.sleep(RETRY_S)
+            return False
+        self._engine.guide(_GUIDANCE.decode(reply))
+        return True
+
+    @property
+    def _is_collector(self) -> bool:
+        local = self._membership.local
+        return self._membership.duties.is_held_here(COLLECTOR, local.data_centre)
+
+    async def _merge_reports(self) -> None:
+        while True:
+            await trio.sleep(MERGE_INTERVAL_S)
+            if self._is_collector:
+                self._collector.merge(self._clock.now_ms())
+
+    async def _exchange_summaries(self) -> None:
+        while True:
+            await trio.sleep(EXCHANGE_INTERVAL_S)
+            undecided = any(s.verdict is None for s in self._engine.states())
+            if undecided and self._is_collector:
+                await self._ask_collectors(self._read_summaries)
+
+    async def _ask_collectors(self, ask: Callable[..., object]) -> None:
+        members = self._membership.all()
+        async with trio.open_nursery() as nursery:
+            for centre in {member.data_centre for member in members}:
+                target = self._membership.duties.holder(COLLECTOR, centre)
+                if target is not None:
+                    nursery.start_soon(ask, centre, target)  # type: ignore[arg-type]
+
+    async def _call(self, target: str, method: Method) -> bytes | None:
+        try:
+            link = await self._control.get(target)
+            return await link.call(method, b"", CALL_TIMEOUT_S)
+        except (PeerError, AuthError):
+            return None
+
+    async def _read_summaries(self, centre: str, target: str) -> None:
+        if target == self._membership.local.name:
+            return
+        body = await self._call(target, Method.LIST_SUMMARIES)
+        if body is not None:
+            self._collector.take_summaries(centre, _SUMMARIES.decode(body))
+
+    async def gather_stands(self) -> dict[str, dict[str, Stand]]:
+        """Return the last stand of each data centre by move.
+
+        A confirmation is a promise, so the stand of a data centre that does not answer
+        any more still holds.
+        """
+        await self._ask_collectors(self._read_stands)
+        return self._stands
+
+    async def _read_stands(self, centre: str, target: str) -> None:
+        if target == self._membership.local.name:
+            stands = self._collector.stands()
+        else:
+            body = await self._call(target, Method.LIST_STANDS)
+            if body is None:
+                return
+            stands = _STANDS.decode(body)
+        for stand in stands:
+            self._stands.setdefault(stand.move_id, {})[centre] = stand
+
+    async def gather(self) -> dict[str, MemberReport]:
+        """Return the last reports of all data centres that answer, by member."""
+        gathered: dict[str, MemberReport] = {}
+
+        async def read(centre: str, target: str) -> None:
+            if target == self._membership.local.name:
+                reports = self._collector.reports()
+            else:
+                body = await self._call(target, Method.LIST_CONFIRMATIONS)
+                reports = [] if body is None else _REPORTS.decode(body)
+            for report in reports:
+                held = gathered.get(report.name)
+                if held is None or _order(held) < _order(report):
+                    gathered[report.name] = report
+
+        await self._ask_collectors(read)
+        return gathered
+
+
+def _order(report: MemberReport) -> tuple[int, int]:
+    return report.incarnation, report.sequence
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -12,7 +12,6 @@
 from marigoldchute.bundle.signing import SignatureVerifier
 from marigoldchute.distribution.service import Replicator
 from marigoldchute.errors import MarigoldchuteError
-from marigoldchute.events import EventLog, wall_clock_ms
 from marigoldchute.link.endpoint import LinkEndpoint
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Handlers, Link
@@ -20,9 +19,10 @@
 from marigoldchute.link.stats import collect_stats
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
 from marigoldchute.membership.service import Membership
-from marigoldchute.moves.collector import Collector, Reporter
-from marigoldchute.moves.driver import Driver
+from marigoldchute.moves.collector import Collector
+from marigoldchute.moves.driver import Driver, VerdictReader
 from marigoldchute.moves.engine import MoveEngine
+from marigoldchute.moves.reporter import Reporter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.client import HttpObjectStore
@@ -30,11 +30,13 @@
 from marigoldchute.routing.http_server import serve_connection
 from marigoldchute.routing.owner import Owner
 from marigoldchute.util.asgi import serve_app
+from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
     import random
 
     from marigoldchute.config import NodeSettings
+    from marigoldchute.events import EventLog
     from marigoldchute.link.stats import NodeStats
     from marigoldchute.routing.http_server import HttpRequest, HttpResponder
 
@@ -48,7 +50,8 @@
         self._cfg = cfg
         self._log = log
         self._started_at = 0.0
-        incarnation = wall_clock_ms()
+        self._clock = Clock(cfg.clock_offset_ms)
+        incarnation = self._clock.now_ms()
         handlers = Handlers()
         self._table = RecordTable()
         self._in_force = InForce()
@@ -79,16 +82,34 @@
             log,
             rng,
         )
-        self._engine = MoveEngine(self._in_force, self._table, log, cfg.clock_error_ms)
+        self._engine = MoveEngine(
+            self._in_force,
+            self._membership,
+            self._table,
+            log,
+            self._clock,
+            cfg.clock_error_ms,
+            cfg.move_evidence,
+        )
         self._reporter = Reporter(
             self._membership,
             self._in_force,
             self._engine,
-            Collector(handlers),
+            Collector(self._membership, self._engine, handlers, self._clock),
             self._control,
+            self._clock,
+            rng,
         )
         self._driver = Driver(
-            self._membership, self._engine, self._reporter, store, cfg.clock_error_ms
+            self._membership,
+            self._engine,
+            self._reporter,
+            store,
+            self._clock,
+            cfg.clock_error_ms,
+        )
+        self._verdict_reader = VerdictReader(
+            self._engine, store, lambda: self._replicator.is_reader
         )
         self._entry = Entry(
             self._in_force, self._engine, self._membership, self._traffic, rng
@@ -119,6 +140,7 @@
             nursery.start_soon(self._replicator.run)
             nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._driver.run)
+            nursery.start_soon(self._verdict_reader.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(serve_app, self._admin, cfg.address, cfg.admin_port)
             await nursery.start(self._serve_http, cfg.internal_port, self._internal)
@@ -140,7 +162,7 @@
             now = trio.current_time()
             self._membership.expire_announcements(now)
             self._membership.check_lost(now)
-            if self._engine.advance(wall_clock_ms()):
+            if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
             await trio.sleep(TICK_S)
 
@@ -164,7 +186,7 @@
         status, text = 204, b""
         try:
             take_announcement(
-                self._membership, body, wall_clock_ms(), trio.current_time()
+                self._membership, body, self._clock.now_ms(), trio.current_time()
             )
         except MarigoldchuteError as exc:
             status, text = 400, f"{exc}\n".encode()
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -250,10 +250,11 @@
             response = await pool.request("POST", url, content=body)
         return response.content
 
-    def start_node(self, name: str) -> None:
-        """Start the node of a VM."""
+    def start_node(self, name: str, **settings: object) -> None:
+        """Start the node of a VM; ``settings`` replace those of the mesh."""
         path = self.directory / f"{name}.json"
-        path.write_text(json.dumps(self._node_settings(self.vm(name)), indent=2))
+        merged = self._node_settings(self.vm(name)) | settings
+        path.write_text(json.dumps(merged, indent=2))
         seed = self._seed * 1000 + [vm.name for vm in self.plan.vms].index(name)
         self._start(name, "marigoldchute.cmd.node", [str(path), "--seed", str(seed)])
 
