Check a roll over the whole bundle and against the one that it follows

Cause: a roll took any version above the newest one known here, so a node that lagged could judge a bundle against the wrong predecessor; a bundle could drop a move that had no verdict, or send traffic back after one; no value had limits; a service's chunk could pass the store's value limit; author and token were outside the signature. Ruled out: one head object written under its revision (a lost reply cannot be told from a later roll over it); dropping chunks (a crossing roll may count on one).

--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -12,11 +12,7 @@
     RollResult,
     Status,
 )
-from marigoldchute.bundle.codec import assemble, chunk_digest, decode_manifest
-from marigoldchute.bundle.validation import validate_content
-from marigoldchute.distribution.service import CHUNK_PREFIX, bundle_key
 from marigoldchute.errors import (
-    BundleError,
     MoveError,
     NotFoundError,
     PlatformError,
@@ -24,14 +20,12 @@
 )
 from marigoldchute.moves.driver import decode_verdict, verdict_key, write_verdict
 from marigoldchute.moves.model import MemberReport, Verdict, VerdictKind
-from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from marigoldchute.bundle.inforce import InForce
-    from marigoldchute.bundle.model import Manifest
-    from marigoldchute.bundle.signing import SignatureVerifier
+    from marigoldchute.distribution.rollout import Rollout
     from marigoldchute.distribution.service import Replicator
     from marigoldchute.link.stats import NodeStats
     from marigoldchute.membership.service import Membership
@@ -52,7 +46,7 @@
         engine: MoveEngine,
         reporter: Reporter,
         store: ObjectStore,
-        verifier: SignatureVerifier,
+        rollout: Rollout,
         stats: Callable[[], NodeStats],
     ) -> None:
         self._membership = membership
@@ -61,7 +55,7 @@
         self._engine = engine
         self._reporter = reporter
         self._store = store
-        self._verifier = verifier
+        self._rollout = rollout
         self.stats = stats
 
     async def roll(self, order: RollOrder) -> RollResult:
@@ -74,38 +68,8 @@
         PlatformError
             The store did not take it, or it is not known whether it did.
         """
-        manifest = decode_manifest(order.manifest)
-        self._verifier.verify(manifest)
-        chunks = {chunk_digest(chunk): chunk for chunk in order.chunks}
-        validate_content(assemble(manifest, chunks))
-        newest = self._replicator.newest_version
-        if manifest.version <= newest:
-            raise BundleError(
-                f"version {manifest.version} is not above {newest}",
-                ResultCode.BUNDLE_VERSION_TAKEN,
-            )
-        for digest, chunk in self._replicator.chunks_to_write(chunks).items():
-            await self._write_chunk(digest, chunk)
-        await self._write_manifest(manifest, order.manifest)
-        self._replicator.publish(manifest, chunks)
-        return RollResult(manifest.version)
-
-    async def _write_chunk(self, digest: str, chunk: bytes) -> None:
-        # A chunk is named after its content, so whoever wrote it wrote the same.
-        await create_once(self._store, CHUNK_PREFIX + digest, chunk, chunk.__eq__)
-
-    async def _write_manifest(self, manifest: Manifest, body: bytes) -> None:
-        def is_mine(value: bytes) -> bool:
-            return decode_manifest(value).token == manifest.token
-
-        key = bundle_key(manifest.version)
-        created = await create_once(self._store, key, body, is_mine)
-        if not created.is_mine:
-            author = decode_manifest(created.value).author
-            raise BundleError(
-                f"version {manifest.version} was taken by {author!r}",
-                ResultCode.BUNDLE_VERSION_TAKEN,
-            )
+        version = await self._rollout.accept(order.manifest, order.chunks)
+        return RollResult(version)
 
     async def cancel(self, move_id: str, author: str, now_ms: int) -> Verdict:
         """Take a move back unless it is decided; return the verdict that stands."""
--- a/marigoldchute/bundle/codec.py
+++ b/marigoldchute/bundle/codec.py
@@ -1,7 +1,8 @@
 """Encoding of bundles as content-addressed chunks.
 
 A chunk holds one service with its routes and moves, so a change to one service moves
-one chunk.
+one chunk. The routes of a large service are divided by the hashes of their names, so a
+change to one route still moves one chunk.
 """
 
 from __future__ import annotations
@@ -11,12 +12,24 @@
 
 import msgspec
 
+from marigoldchute.bundle.limits import (
+    MAX_CHUNK_BYTES,
+    MAX_CHUNKS,
+    MAX_CONTENT_BYTES,
+    MAX_MANIFEST_BYTES,
+    check_count,
+    check_size,
+)
 from marigoldchute.bundle.model import BundleContent, Manifest
 from marigoldchute.errors import BundleError, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
+    from marigoldchute.bundle.model import Route
+
+HASH_BITS = 64
+
 _CONTENT = msgspec.msgpack.Decoder(BundleContent)
 _MANIFEST = msgspec.msgpack.Decoder(Manifest)
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
@@ -28,32 +41,65 @@
 
 
 def split_content(content: BundleContent) -> list[bytes]:
-    """Encode content as chunks, one for each service, in name order.
+    """Encode content as chunks of at most ``MAX_CHUNK_BYTES``, in service order.
 
-    Routes and moves of services that the content lacks travel in a last chunk, so
-    that validation can name them.
+    The chunks depend on what the content holds and not on the order of its items.
+    Routes and moves of services that the content lacks travel in last chunks, so that
+    validation can name them.
     """
     names = sorted({service.name for service in content.services})
     parts = [_part_of(content, name) for name in names]
     known = set(names)
     rest = BundleContent(
         services=(),
-        routes=tuple(r for r in content.routes if r.service not in known),
+        routes=_ordered(r for r in content.routes if r.service not in known),
         moves=tuple(m for m in content.moves if m.service not in known),
     )
     if rest.routes or rest.moves:
         parts.append(rest)
-    return [_ENCODER.encode(part) for part in parts]
+    return [chunk for part in parts for chunk in _encode_part(part)]
 
 
 def _part_of(content: BundleContent, name: str) -> BundleContent:
     return BundleContent(
         services=tuple(s for s in content.services if s.name == name),
-        routes=tuple(r for r in content.routes if r.service == name),
+        routes=_ordered(r for r in content.routes if r.service == name),
         moves=tuple(m for m in content.moves if m.service == name),
     )
 
 
+def _ordered(routes: Iterable[Route]) -> tuple[Route, ...]:
+    return tuple(sorted(routes, key=lambda route: (route.name, route.path_prefix)))
+
+
+def _encode_part(part: BundleContent) -> list[bytes]:
+    encoded = _ENCODER.encode(part)
+    if len(encoded) <= MAX_CHUNK_BYTES or len(part.routes) < 2:
+        return [encoded]
+    head = BundleContent(part.services, (), part.moves)
+    return [_ENCODER.encode(head), *_encode_routes(part.routes, 0)]
+
+
+def _encode_routes(routes: tuple[Route, ...], depth: int) -> list[bytes]:
+    encoded = _ENCODER.encode(BundleContent((), routes))
+    if len(encoded) <= MAX_CHUNK_BYTES or depth == HASH_BITS:
+        return [encoded]
+    halves: tuple[list[Route], list[Route]] = ([], [])
+    for route in routes:
+        halves[_name_hash(route.name) >> depth & 1].append(route)
+    return [
+        chunk
+        for half in halves
+        if half
+        for chunk in _encode_routes(tuple(half), depth + 1)
+    ]
+
+
+def _name_hash(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=HASH_BITS // 8).digest()
+    return int.from_bytes(digest, "big")
+
+
 def join_chunks(chunks: Iterable[bytes]) -> BundleContent:
     """Decode and join chunks.
 
@@ -64,7 +110,7 @@
     """
     try:
         parts = [_CONTENT.decode(chunk) for chunk in chunks]
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise BundleError(f"chunk is malformed: {exc}") from exc
     return BundleContent(
         services=tuple(item for part in parts for item in part.services),
@@ -91,8 +137,9 @@
     Raises
     ------
     BundleError
-        A chunk is missing, altered or malformed.
+        A chunk is missing, altered or malformed, or the content is too large.
     """
+    check_count("manifest's chunks", len(manifest.chunks), MAX_CHUNKS)
     ordered: list[bytes] = []
     for digest in manifest.chunks:
         chunk = chunks.get(digest)
@@ -104,14 +151,18 @@
             raise BundleError(
                 f"chunk {digest[:12]} is altered", ResultCode.BUNDLE_DIGEST_MISMATCH
             )
+        check_size(f"chunk {digest[:12]}", len(chunk), MAX_CHUNK_BYTES)
         ordered.append(chunk)
+    check_size("bundle", sum(map(len, ordered)), MAX_CONTENT_BYTES)
     return join_chunks(ordered)
 
 
-def manifest_digest(version: int, chunks: Sequence[str]) -> str:
-    """Return the SHA-256 of a version and its chunk digests in hexadecimal."""
-    text = "\n".join([f"marigoldchute bundle {version}", *chunks])
-    return hashlib.sha256(text.encode()).hexdigest()
+def manifest_digest(
+    version: int, chunks: Sequence[str], author: str, token: str
+) -> str:
+    """Return the SHA-256 of all that a signature covers, in hexadecimal."""
+    covered = ("marigoldchute bundle", version, tuple(chunks), author, token)
+    return hashlib.sha256(_ENCODER.encode(covered)).hexdigest()
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
@@ -127,6 +178,7 @@
     BundleError
         The bytes are not a manifest.
     """
+    check_size("manifest", len(body), MAX_MANIFEST_BYTES)
     try:
         return _MANIFEST.decode(body)
     except msgspec.DecodeError as exc:
--- a/marigoldchute/bundle/model.py
+++ b/marigoldchute/bundle/model.py
@@ -89,11 +89,14 @@
         Release that takes the traffic when no move is under way.
     internal : bool
         Whether only other backend servers may call it.
+    depends_on : tuple of str
+        Names of services of the same bundle that its backend servers call.
     """
 
     name: str
     release: str
     internal: bool = False
+    depends_on: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,7 +154,7 @@
         SHA-256 digests in hexadecimal, in order; the joined chunks decode to
         ``BundleContent``.
     digest : str
-        SHA-256 of the version and the chunk digests.
+        SHA-256 of the version, the author, the token and the chunk digests.
     key_id : str
         Name of the signing key.
     signature : bytes
--- a/marigoldchute/bundle/signing.py
+++ b/marigoldchute/bundle/signing.py
@@ -52,7 +52,7 @@
     token: str,
 ) -> Manifest:
     """Return a signed manifest for a version and its chunk digests."""
-    digest = manifest_digest(version, chunks)
+    digest = manifest_digest(version, chunks, author, token)
     key = Ed25519PrivateKey.from_private_bytes(_decode_key(private_key))
     signature = key.sign(digest.encode())
     return Manifest(version, tuple(chunks), digest, key_id, signature, author, token)
@@ -83,7 +83,10 @@
                 f"signing key {manifest.key_id!r} is not trusted",
                 ResultCode.BUNDLE_KEY_UNKNOWN,
             )
-        if manifest.digest != manifest_digest(manifest.version, manifest.chunks):
+        computed = manifest_digest(
+            manifest.version, manifest.chunks, manifest.author, manifest.token
+        )
+        if manifest.digest != computed:
             raise BundleError(
                 "manifest does not match its digest", ResultCode.BUNDLE_DIGEST_MISMATCH
             )
--- a/marigoldchute/distribution/audit.py
+++ b/marigoldchute/distribution/audit.py
@@ -21,7 +21,9 @@
     return {
         "version": manifest.version,
         "digest": manifest.digest,
-        "content_digest": manifest_digest(manifest.version, chunks),
+        "content_digest": manifest_digest(
+            manifest.version, chunks, manifest.author, manifest.token
+        ),
         "key_id": manifest.key_id,
         "signature": manifest.signature.hex(),
         "services": sorted(service.name for service in content.services),
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -15,6 +15,11 @@
 from marigoldchute.bundle.model import Bundle
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.distribution.audit import audit_fields
+from marigoldchute.distribution.keys import (
+    BUNDLE_PREFIX,
+    HEAD_KEY,
+    chunk_key,
+)
 from marigoldchute.errors import (
     BundleError,
     MarigoldchuteError,
@@ -39,19 +44,11 @@
     from marigoldchute.overlay.records import RecordTable
     from marigoldchute.platform.api import ObjectStore
 
-HEAD_KEY = "head"
-BUNDLE_PREFIX = "bundles/"
-CHUNK_PREFIX = "chunks/"
 CHUNK_TIMEOUT_S = 2.0
 RETRY_S = 0.25
 READER_CHECK_S = 0.5
 
 
-def bundle_key(version: int) -> str:
-    """Return the store key of a bundle version."""
-    return f"{BUNDLE_PREFIX}{version:010d}"
-
-
 class Replicator:
     """Follows the newest verified manifest and brings its bundle into force.
 
@@ -99,6 +96,18 @@
         record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
         return record.rank[0] if record is not None else 0
 
+    @property
+    def newest_manifest(self) -> Manifest | None:
+        """Verified manifest of the highest known version."""
+        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
+        return decode_manifest(record.body) if record is not None else None
+
+    @property
+    def newest_is_refused(self) -> bool:
+        """Whether the highest known version is signed but must not come into force."""
+        newest = self.newest_manifest
+        return newest is not None and newest.digest in self._refused
+
     async def run(self) -> None:
         """Follow manifests until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -110,8 +119,8 @@
 
         Those of an accepted manifest are there: they are written before it.
         """
-        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
-        held = set(decode_manifest(record.body).chunks) if record else set()
+        newest = self.newest_manifest
+        held = set(newest.chunks) if newest is not None else set()
         return {d: chunk for d, chunk in chunks.items() if d not in held}
 
     def publish(self, manifest: Manifest, chunks: dict[str, bytes]) -> None:
@@ -207,7 +216,7 @@
 
     async def _fetch_from_store(self, digest: str) -> None:
         try:
-            stored = await self._store.get(CHUNK_PREFIX + digest)
+            stored = await self._store.get(chunk_key(digest))
         except PlatformError:
             return
         self._keep_chunk(digest, stored.value)
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -10,6 +10,7 @@
 from marigoldchute.admin.service import AdminService
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.signing import SignatureVerifier
+from marigoldchute.distribution.rollout import Rollout
 from marigoldchute.distribution.service import Replicator
 from marigoldchute.errors import MarigoldchuteError
 from marigoldchute.link.endpoint import LinkEndpoint
@@ -123,7 +124,7 @@
             self._engine,
             self._reporter,
             store,
-            verifier,
+            Rollout(store, verifier, self._in_force, self._replicator),
             self._stats,
         )
         self._admin = AdminApp(service, cfg.admin_token)
--- /dev/null
+++ b/tests/test_bundle/test_validation.py
@@ -0,0 +1,144 @@
+"""Validation names the key path and the code of what is wrong."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from hypothesis import given, settings
+
+from marigoldchute.bundle.model import (
+    BundleContent,
+    Route,
+    Service,
+    Step,
+    Thresholds,
+)
+from marigoldchute.bundle.validation import validate_content
+from marigoldchute.errors import MarigoldchuteError, ResultCode
+from tests.test_bundle.bundles import content, contents, move
+
+NAN = float("nan")
+
+
+def _with_route(**changes: object) -> BundleContent:
+    route = Route("turnos", "/turnos", "turnos")
+    changed = dataclasses.replace(route, **changes)  # type: ignore[arg-type]
+    return BundleContent((Service("turnos", "r1"),), (changed,))
+
+
+def _with_services(*services: Service) -> BundleContent:
+    return BundleContent(services, ())
+
+
+class ValidationTest(unittest.TestCase):
+    def assert_refused(
+        self, bundle: BundleContent, code: ResultCode, path: str
+    ) -> None:
+        with self.assertRaises(MarigoldchuteError) as caught:
+            validate_content(bundle)
+        self.assertEqual(caught.exception.code, code, caught.exception)
+        self.assertIn(path, caught.exception.message)
+
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(contents())
+    def test_valid_content_passes(self, bundle: BundleContent) -> None:
+        validate_content(bundle)
+
+    def test_values_out_of_range(self) -> None:
+        cases: list[tuple[BundleContent, str]] = [
+            (_with_route(path_prefix="turnos"), "$.routes[0].path_prefix"),
+            (_with_route(path_prefix=""), "$.routes[0].path_prefix"),
+            (_with_route(path_prefix="/a b"), "$.routes[0].path_prefix"),
+            (_with_route(path_prefix="/a?x"), "$.routes[0].path_prefix"),
+            (_with_route(path_prefix="/a#x"), "$.routes[0].path_prefix"),
+            (_with_route(path_prefix="/" * 513), "$.routes[0].path_prefix"),
+            (_with_route(name=""), "$.routes[0].name"),
+            (_with_route(name="a\n"), "$.routes[0].name"),
+            (_with_route(timeout_ms=0), "$.routes[0].timeout_ms"),
+            (_with_route(timeout_ms=600_001), "$.routes[0].timeout_ms"),
+            (_with_route(priority=3), "$.routes[0].priority"),
+            (_with_route(max_attempts=0), "$.routes[0].max_attempts"),
+            (
+                _with_route(idempotent_methods=("GET", "A B")),
+                "$.routes[0].idempotent_methods[1]",
+            ),
+            (_with_route(sticky_header="x y"), "$.routes[0].sticky_header"),
+            (_with_services(Service("../x", "r1")), "$.services[0].name"),
+            (_with_services(Service("a", "r" * 64)), "$.services[0].release"),
+            (content("r1", move("a/b")), "$.moves[0].move_id"),
+            (content("r1", move(watch_ms=-1)), "$.moves[0].watch_ms"),
+            (content("r1", move(start_ms=-1)), "$.moves[0].start_ms"),
+            (
+                content("r1", move(steps=(Step(NAN, 0), Step(1.0, 0)))),
+                "$.moves[0].steps[0].share",
+            ),
+            (
+                content("r1", move(steps=(Step(0.1, -1), Step(1.0, 0)))),
+                "$.moves[0].steps[0].hold_ms",
+            ),
+            (
+                content("r1", move(thresholds=Thresholds(max_error_increase=NAN))),
+                "$.moves[0].thresholds.max_error_increase",
+            ),
+            (
+                content("r1", move(thresholds=Thresholds(false_alarm=0.0))),
+                "$.moves[0].thresholds.false_alarm",
+            ),
+        ]
+        for bundle, path in cases:
+            with self.subTest(path=path):
+                self.assert_refused(bundle, ResultCode.BUNDLE_VALUE_OUT_OF_RANGE, path)
+
+    def test_duplicates(self) -> None:
+        turnos = Service("turnos", "r1")
+        route = Route("a", "/a", "turnos")
+        cases = [
+            (_with_services(turnos, turnos), "$.services[1].name"),
+            (BundleContent((turnos,), (route, route)), "$.routes[1].name"),
+            (
+                BundleContent((turnos,), (route, Route("b", "/a", "turnos"))),
+                "$.routes[1].path_prefix",
+            ),
+        ]
+        for bundle, path in cases:
+            with self.subTest(path=path):
+                self.assert_refused(bundle, ResultCode.BUNDLE_DUPLICATE_NAME, path)
+
+    def test_references(self) -> None:
+        code = ResultCode.BUNDLE_REFERENCE_MISSING
+        self.assert_refused(_with_route(service="x"), code, "$.routes[0].service")
+        bundle = content("r1", move(service="x"))
+        self.assert_refused(bundle, code, "$.moves[0].service")
+        bundle = _with_services(Service("a", "r1", depends_on=("b",)))
+        self.assert_refused(bundle, code, "$.services[0].depends_on[0]")
+
+    def test_cycle_is_named(self) -> None:
+        bundle = _with_services(
+            Service("a", "r1", depends_on=("b",)),
+            Service("b", "r1", depends_on=("c",)),
+            Service("c", "r1", depends_on=("a",)),
+        )
+        self.assert_refused(bundle, ResultCode.BUNDLE_REFERENCE_CYCLE, " -> ")
+
+    def test_counts(self) -> None:
+        services = tuple(Service(f"s{i}", "r1") for i in range(1001))
+        code = ResultCode.BUNDLE_TOO_LARGE
+        self.assert_refused(_with_services(*services), code, "$.services")
+        steps = tuple(Step((i + 1) / 60, 0) for i in range(60))
+        bundle = content("r1", move(steps=steps))
+        self.assert_refused(bundle, code, "$.moves[0].steps")
+
+    def test_moves(self) -> None:
+        code = ResultCode.MOVE_INVALID
+        bundle = content("r1", move(new_release="r1"))
+        self.assert_refused(bundle, code, "$.moves[0].new_release")
+        bundle = content("r1", move(steps=(Step(0.5, 0),)))
+        self.assert_refused(bundle, code, "$.moves[0].steps")
+        bundle = content("r7", move())
+        self.assert_refused(bundle, code, "$.moves[0]")
+        bundle = content("r1", move("a"), move("b"))
+        self.assert_refused(bundle, ResultCode.MOVE_OVERLAP, "$.moves[1].service")
+        bundle = content("r1", move(deadline_ms=1_500))
+        code = ResultCode.MOVE_DEADLINE_TOO_SHORT
+        self.assert_refused(bundle, code, "$.moves[0].deadline_ms")
