--- a/marigoldchute/cmd/node.py
+++ b/marigoldchute/cmd/node.py
@@ -21,7 +21,8 @@
     name="marigoldchute-node",
     help="Run the node of one VM.",
     description="Example: marigoldchute-node settings.json\n\n"
-    "Serves until SIGTERM. Events go to standard output, one JSON object a line.",
+    "SIGTERM drains and stops, SIGINT stops at once. Events go to standard output, "
+    "one JSON object a line.",
 )
 @dataclasses.dataclass(frozen=True)
 class NodeCommand:
@@ -66,9 +67,19 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
                 nursery.cancel_scope.cancel()
                 return
+            nursery.start_soon(_drain, node, nursery.cancel_scope)
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+
+
+async def _drain(node: Node, scope: trio.CancelScope) -> None:
+    await node.drain()
+    scope.cancel()
 
 
 def main() -> None:
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -16,6 +17,7 @@
 )
 from marigoldchute.link.link import Handlers, Link
 from marigoldchute.link.stats import ByteTotals
+from marigoldchute.util.tcp import TcpConn
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +26,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 LISTEN_BACKLOG = 1024
+FLUSH_TIMEOUT_S = 2.0
+FLUSH_POLL_S = 0.01
 
 
 class LinkEndpoint:
@@ -144,8 +148,9 @@
         purpose: str,
         opened_here: bool,
     ) -> Link:
+        sock = socket.socket(fileno=stream.socket.detach())
         return Link(
-            stream,
+            TcpConn(sock),
             decoder,
             peer,
             purpose,
@@ -167,6 +172,12 @@
             sent, received = link.bytes_sent, link.bytes_received
             self._ended_totals[link.purpose] = held.plus(sent, received)
 
+    async def flush(self) -> None:
+        """Wait until what was sent on every link has been written."""
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
+            while any(link.pending_bytes for link in self.links):
+                await trio.sleep(FLUSH_POLL_S)
+
     async def serve(
         self, port: int, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -17,11 +17,12 @@
 
 from marigoldchute.errors import MarigoldchuteError, PeerError, ResultCode
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
-from marigoldchute.link.stream import Stream
+from marigoldchute.link.stream import MAX_DATA_BYTES, Stream, encode_whole
 
 if TYPE_CHECKING:
     from marigoldchute.events import HybridClock
     from marigoldchute.link.handshake import PeerIdentity
+    from marigoldchute.util.tcp import Transport
 
 RECEIVE_BYTES = 262_144
 SILENCE_FACTOR = 3
@@ -71,7 +72,7 @@
 
     Parameters
     ----------
-    stream : trio.abc.Stream
+    tcp : Transport
         Open connection after the handshake.
     peer : PeerIdentity
         Who is at the other end.
@@ -91,7 +92,7 @@
 
     def __init__(
         self,
-        stream: trio.abc.Stream,
+        tcp: Transport,
         decoder: FrameDecoder,
         peer: PeerIdentity,
         purpose: str,
@@ -107,7 +108,8 @@
         self.closed = trio.Event()
         self.bytes_sent = 0
         self.bytes_received = 0
-        self._stream = stream
+        self._tcp = tcp
+        self._writing = False
         self._decoder = decoder
         self._early_frames = early_frames
         self._handlers = handlers
@@ -132,6 +134,11 @@
         """Number of open streams."""
         return len(self._streams)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes that wait to be written."""
+        return len(self._out) + self._writing
+
     async def run(self) -> None:
         """Read, write and send heartbeats until the connection ends."""
         try:
@@ -141,7 +148,12 @@
                 nursery.start_soon(self._send_heartbeats)
                 await self._read_frames()
                 nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError, PeerError):
+        except* (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            PeerError,
+        ):
             pass
         finally:
             self.close()
@@ -157,9 +169,7 @@
             pending.fail(ResultCode.PEER_UNREACHABLE, "connection to the peer ended")
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
-        socket = getattr(self._stream, "socket", None)
-        if socket is not None:
-            socket.close()
+        self._tcp.close()
 
     async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
         """Call a method of the peer and wait for its reply.
@@ -204,11 +214,37 @@
         """
         self.send_frame(FrameKind.NOTIFY, 0, _CALL_HEADER.pack(method) + body)
 
-    def open_stream(self, head: bytes) -> Stream:
-        """Open a stream to the peer with a head."""
+    def open_stream(self, head: bytes, data: bytes | None = None) -> Stream:
+        """Open a stream to the peer.
+
+        Parameters
+        ----------
+        head : bytes
+            Head of the stream.
+        data : bytes, optional
+            All data that will be sent, with which the sending direction ends; at most
+            ``MAX_DATA_BYTES``.
+
+        Raises
+        ------
+        PeerError
+            The link has ended, or the peer has not read for too long.
+        """
         stream = Stream(self, next(self._numbers), head)
-        self._streams[stream.number] = stream
-        self.send_frame(FrameKind.OPEN, stream.number, head)
+        number = stream.number
+        if data is None:
+            frames = encode_frame(FrameKind.OPEN, number, head)
+        else:
+            if len(data) > MAX_DATA_BYTES:
+                raise ValueError(f"{len(data)} bytes do not fit one frame")
+            frames = encode_whole(number, head, data)
+            stream.finished_sending = True
+        self._streams[number] = stream
+        try:
+            self.send_now(frames)
+        except PeerError:
+            self._streams.pop(number, None)
+            raise
         return stream
 
     def forget_stream(self, stream: Stream) -> None:
@@ -223,9 +259,32 @@
         PeerError
             The link has ended, or the peer has not read for too long.
         """
+        self._queue(encode_frame(kind, stream, body))
+
+    def send_now(self, frames: bytes) -> None:
+        """Write encoded frames at once; queue what the kernel does not take.
+
+        Raises
+        ------
+        PeerError
+            The link has ended, or the peer has not read for too long.
+        """
+        if self._out or self._writing or self.closed.is_set():
+            self._queue(frames)
+            return
+        try:
+            sent = self._tcp.send_now(frames)
+        except (OSError, trio.BrokenResourceError) as exc:
+            self.close()
+            raise PeerError(f"connection to the peer broke: {exc}") from exc
+        self.bytes_sent += sent
+        if sent < len(frames):
+            self._queue(frames[sent:])
+
+    def _queue(self, frames: bytes) -> None:
         if self.closed.is_set():
             raise PeerError("connection to the peer ended")
-        self._out += encode_frame(kind, stream, body)
+        self._out += frames
         if len(self._out) > MAX_PENDING_WRITE_BYTES:
             self.close()
             raise PeerError("peer does not read")
@@ -239,7 +298,9 @@
             data, self._out = self._out, bytearray()
             self.bytes_sent += len(data)
             self._sent_at = trio.current_time()
-            await self._stream.send_all(data)
+            self._writing = True
+            await self._tcp.send(data)
+            self._writing = False
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -254,7 +315,7 @@
         for frame in self._early_frames:
             self._take_frame(*frame)
         while True:
-            data = await self._stream.receive_some(RECEIVE_BYTES)
+            data = await self._tcp.receive(RECEIVE_BYTES)
             if not data:
                 return
             self._heard_at = trio.current_time()
--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -9,9 +9,11 @@
 import trio
 
 from marigoldchute.errors import PeerError, ResultCode
-from marigoldchute.link.frames import FrameKind
+from marigoldchute.link.frames import FrameKind, encode_frame
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.link.link import Link
 
 WINDOW_BYTES = 262_144
@@ -53,7 +55,7 @@
         self._readable = trio.Event()
         self._writable = trio.Event()
         self.finished_sending = False
-        self.cancelled = trio.Event()
+        self._on_cancel: Callable[[], None] | None = None
 
     async def receive_head(self) -> bytes:
         """Wait for the head of the answer."""
@@ -79,14 +81,41 @@
         self._consumed += len(chunk)
         if self._consumed >= CREDIT_BYTES and not self._ended:
             credit = _U32.pack(self._consumed)
-            self.link.send_frame(FrameKind.CREDIT, self.number, credit)
+            self.link.send_now(encode_frame(FrameKind.CREDIT, self.number, credit))
             self._consumed = 0
         return chunk
 
+    def take_whole(self) -> bytes | None:
+        """Return all data if its whole end has arrived, else None."""
+        if not self._ended or self._error is not None:
+            return None
+        if len(self._chunks) == 1:
+            return self._chunks.popleft()
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        return data
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when the stream ends early, now if it has."""
+        self._on_cancel = callback
+        if self._error is not None:
+            callback()
+
     def send_head(self, head: bytes) -> None:
         """Send the head of the answer."""
         self._raise_error()
-        self.link.send_frame(FrameKind.OPEN, self.number, head)
+        self.link.send_now(encode_frame(FrameKind.OPEN, self.number, head))
+
+    async def send_whole(self, head: bytes, data: bytes) -> None:
+        """Send the head of the answer, all data and the whole end."""
+        if len(data) > MAX_DATA_BYTES or len(data) > self._credit:
+            self.send_head(head)
+            await self.send(data)
+            self.send_end()
+            return
+        self._raise_error()
+        self.finished_sending = True
+        self.link.send_now(encode_whole(self.number, head, data))
 
     async def send(self, data: bytes) -> None:
         """Send data, waiting for credit."""
@@ -98,27 +127,31 @@
                 await self._writable.wait()
             self._raise_error()
             self._credit -= len(piece)
-            self.link.send_frame(FrameKind.DATA, self.number, piece)
+            self.link.send_now(encode_frame(FrameKind.DATA, self.number, piece))
 
     def send_end(self) -> None:
         """Say that the data sent is whole."""
         if not self.finished_sending:
             self.finished_sending = True
-            self.link.send_frame(FrameKind.END, self.number, b"")
+            self.link.send_now(encode_frame(FrameKind.END, self.number, b""))
 
     def reset(self, code: ResultCode) -> None:
         """End the stream early in both directions."""
-        if self._error is None:
-            self.link.send_frame(FrameKind.RESET, self.number, _U32.pack(code))
-            self.fail(code, "stream was reset here")
+        if self._error is not None:
+            return
+        self.fail(code, "stream was reset here")
+        if self.link.alive:
+            body = _U32.pack(code)
+            self.link.send_now(encode_frame(FrameKind.RESET, self.number, body))
 
     def fail(self, code: ResultCode, message: str) -> None:
         """Take note that the stream ended early."""
         if self._error is None:
             self._error = StreamResetError(message, code)
-        self.cancelled.set()
         self._readable.set()
         self._writable.set()
+        if self._on_cancel is not None:
+            self._on_cancel()
 
     def take_frame(self, kind: int, body: bytes) -> None:
         """Take one frame of this stream from the link's reader."""
@@ -145,6 +178,14 @@
         await self._readable.wait()
 
 
+def encode_whole(number: int, head: bytes, data: bytes) -> bytes:
+    """Return the frames of a head, all data and the whole end."""
+    frames = encode_frame(FrameKind.OPEN, number, head)
+    if data:
+        frames += encode_frame(FrameKind.DATA, number, data)
+    return frames + encode_frame(FrameKind.END, number, b"")
+
+
 def _decode_code(body: bytes) -> ResultCode:
     try:
         return ResultCode(_U32.unpack(body)[0])
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -12,13 +12,11 @@
 from marigoldchute.bundle.signing import SignatureVerifier
 from marigoldchute.distribution.rollout import Rollout
 from marigoldchute.distribution.service import Replicator
-from marigoldchute.errors import MarigoldchuteError
 from marigoldchute.link.endpoint import LinkEndpoint
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Handlers, Link
 from marigoldchute.link.pool import LinkPool
 from marigoldchute.link.stats import collect_stats
-from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
 from marigoldchute.membership.service import Membership
 from marigoldchute.moves.collector import Collector
 from marigoldchute.moves.driver import Driver, VerdictReader
@@ -27,9 +25,8 @@
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.client import HttpObjectStore
-from marigoldchute.routing.entry import Entry
-from marigoldchute.routing.http_server import serve_connection
-from marigoldchute.routing.owner import Owner
+from marigoldchute.routing.outcomes import NullOutcomeSink
+from marigoldchute.routing.path import RequestPath
 from marigoldchute.util.asgi import serve_app
 from marigoldchute.util.clock import Clock
 
@@ -39,7 +36,6 @@
     from marigoldchute.config import NodeSettings
     from marigoldchute.events import EventLog
     from marigoldchute.link.stats import NodeStats
-    from marigoldchute.routing.http_server import HttpRequest, HttpResponder
 
 TICK_S = 0.05
 
@@ -112,11 +108,19 @@
         self._verdict_reader = VerdictReader(
             self._engine, store, lambda: self._replicator.is_reader
         )
-        self._entry = Entry(
-            self._in_force, self._engine, self._membership, self._traffic, rng
+        self._path = RequestPath(
+            cfg,
+            self._in_force,
+            self._engine,
+            self._membership,
+            self._table,
+            self._traffic,
+            NullOutcomeSink(),
+            log,
+            self._clock,
+            rng,
         )
-        owner = Owner(self._membership, cfg.address)
-        handlers.stream = owner.serve
+        handlers.stream = self._path.owner.serve
         service = AdminService(
             self._membership,
             self._in_force,
@@ -144,12 +148,17 @@
             nursery.start_soon(self._verdict_reader.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(serve_app, self._admin, cfg.address, cfg.admin_port)
-            await nursery.start(self._serve_http, cfg.internal_port, self._internal)
-            await nursery.start(
-                self._serve_http, cfg.caller_port, self._entry.handle_external
-            )
+            await nursery.start(self._path.run)
             self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
 
+    async def drain(self) -> None:
+        """Leave the mesh without cutting a request; returns when it may stop."""
+        self._log.emit("node", "draining", f"{self._cfg.name} drains.")
+        self._membership.drain()
+        await self._path.drain()
+        await self._endpoint.flush()
+        self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
+
     def _stats(self) -> NodeStats:
         uptime_s = trio.current_time() - self._started_at
         return collect_stats(self._endpoint, len(self._membership.all()), uptime_s)
@@ -166,32 +175,3 @@
             if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
             await trio.sleep(TICK_S)
-
-    async def _serve_http(  # type: ignore[no-untyped-def]
-        self, port: int, handler, task_status=trio.TASK_STATUS_IGNORED
-    ) -> None:
-        async def serve(stream: trio.SocketStream) -> None:
-            await serve_connection(stream, handler)
-
-        await trio.serve_tcp(
-            serve, port, host=self._cfg.address, task_status=task_status
-        )
-
-    async def _internal(self, req: HttpRequest, responder: HttpResponder) -> None:
-        if req.target != ANNOUNCE_TARGET:
-            await self._entry.handle_internal(req, responder)
-            return
-        body = b""
-        while (data := await req.receive()) is not None:
-            body += data
-        status, text = 204, b""
-        try:
-            take_announcement(
-                self._membership, body, self._clock.now_ms(), trio.current_time()
-            )
-        except MarigoldchuteError as exc:
-            status, text = 400, f"{exc}\n".encode()
-        await responder.start(
-            status, [(b"content-length", str(len(text)).encode())], text
-        )
-        await responder.finish()
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -1,97 +1,71 @@
-"""Connections from a node to a backend server on its VM."""
+"""Connections from a node to the backend servers on its VM."""
 
 from __future__ import annotations
 
 import collections
 from typing import TYPE_CHECKING
 
-import httptools
 import trio
 
 from marigoldchute.errors import NotRunError, RequestError, ResultCode
+from marigoldchute.util.tcp import open_tcp
 
 if TYPE_CHECKING:
-    from marigoldchute.routing.messages import HeaderList, RequestHead
+    from marigoldchute.routing.backend_response import BackendResponse
+    from marigoldchute.util.tcp import TcpConn
 
 RECEIVE_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
-HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"transfer-encoding",
-        b"te",
-        b"trailer",
-        b"upgrade",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-    }
-)
-
-
-class BackendResponse:
-    """An answer as it arrives from a backend server."""
-
-    def __init__(self, head_request: bool) -> None:
-        self.status = 0
-        self.headers: HeaderList = []
-        self.has_head = False
-        self.complete = False
-        self.chunks: collections.deque[bytes] = collections.deque()
-        self.keep_alive = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._head_request = head_request
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        name = name.lower()
-        if name not in HOP_HEADERS:
-            self.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Take note that the head is whole."""
-        self.status = self._parser.get_status_code()
-        self.has_head = True
-        if self._head_request:
-            self.complete = True
-            self.keep_alive = self._parser.should_keep_alive()
-
-    def on_body(self, data: bytes) -> None:
-        """Take a piece of the body."""
-        self.chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        """Take note that the answer is whole."""
-        self.complete = True
-        self.keep_alive = self._parser.should_keep_alive()
-
-    def feed(self, data: bytes) -> None:
-        """Parse received bytes."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            raise RequestError(f"backend server's answer is malformed: {exc}") from exc
+IDLE_CLOSE_S = 4.0
+IDLE_REUSE_NON_IDEMPOTENT_S = 1.0
+ABANDON_HOLD_S = 2.0
 
 
 class BackendConn:
     """One connection to a backend server; used for one request at a time."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self.reusable = False
+    __slots__ = ("idle_since", "peer_ended", "tcp")
+
+    def __init__(self, tcp: TcpConn) -> None:
+        self.tcp = tcp
+        self.peer_ended = False
+        self.idle_since = 0.0
+
+    async def send_first(self, data: bytes) -> None:
+        """Write the beginning of a request.
 
-    async def send_request(
-        self, head: RequestHead, body: trio.abc.ReceiveChannel[bytes] | None
-    ) -> None:
-        """Write a request without its body."""
-        lines = [b"%s %s HTTP/1.1\r\n" % (head.method, head.target)]
-        lines += [b"%s: %s\r\n" % pair for pair in head.headers]
-        lines.append(b"marigoldchute-deadline-ms: %d\r\n\r\n" % head.remaining_ms)
-        await self._stream.send_all(b"".join(lines))
+        Raises
+        ------
+        NotRunError
+            The connection broke before a byte was written.
+        RequestError
+            It broke later.
+        """
+        written = self.tcp.bytes_written
+        try:
+            await self.tcp.send(data)
+        except OSError as exc:
+            self.peer_ended = True
+            if self.tcp.bytes_written == written:
+                raise NotRunError(
+                    f"backend server broke the connection: {exc}",
+                    ResultCode.REQUEST_NOT_RUN_NO_BACKEND,
+                ) from exc
+            raise RequestError(f"backend server broke the connection: {exc}") from exc
+
+    async def send(self, data: bytes) -> None:
+        """Write more of a request.
 
-    async def send_body(self, data: bytes) -> None:
-        """Write a piece of the body as framed by the caller's headers."""
-        await self._stream.send_all(data)
+        Raises
+        ------
+        RequestError
+            The connection broke.
+        """
+        try:
+            await self.tcp.send(data)
+        except OSError as exc:
+            self.peer_ended = True
+            raise RequestError(f"backend server broke the connection: {exc}") from exc
 
     async def read_more(self, response: BackendResponse) -> None:
         """Read once and parse.
@@ -102,59 +76,132 @@
             The connection ended before the answer was whole.
         """
         try:
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-        except trio.BrokenResourceError as exc:
-            raise RequestError("backend server broke the connection") from exc
+            data = await self.tcp.receive(RECEIVE_BYTES)
+        except OSError as exc:
+            self.peer_ended = True
+            raise RequestError(f"backend server broke the connection: {exc}") from exc
         if not data:
+            self.peer_ended = True
             raise RequestError("backend server closed the connection")
         response.feed(data)
 
-    def close(self) -> None:
-        """Close the connection at once."""
-        self._stream.socket.close()
+    async def wait_abandoned(self) -> None:
+        """Give up the answer and wait until the backend server has let go of it.
+
+        The half-closed connection tells the backend server to cancel; its own close
+        says that the slot is free. One that does not close is reset in the end.
+        """
+        self.tcp.shut_down_sending()
+        try:
+            with trio.move_on_after(ABANDON_HOLD_S):
+                while await self.tcp.receive(RECEIVE_BYTES):
+                    pass
+        except (OSError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.tcp.abort()
 
 
 class BackendConnPool:
-    """Idle connections to the backend servers of one VM.
+    """Connections to one backend server.
+
+    An idle connection that the backend server has closed or written to is dropped.
+    The backend server may still close one in the moment of its reuse, which leaves a
+    written request with an unknown outcome, so a request that must not run twice gets
+    a connection that was used a short time ago, or a new one.
 
     Parameters
     ----------
     address : str
         IP number of the VM.
+    port : int
+        TCP port of the backend server.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, port: int) -> None:
         self._address = address
-        self._idle: dict[int, list[BackendConn]] = {}
+        self._port = port
+        self._idle: collections.deque[BackendConn] = collections.deque()
+        self.open_count = 0
+        self.max_open_count = 0
 
-    async def take(self, port: int) -> BackendConn:
+    async def take(self, idempotent: bool, limit: int) -> BackendConn:
         """Return an idle connection, or a new one.
 
+        Parameters
+        ----------
+        idempotent : bool
+            Whether the request may run more than once.
+        limit : int
+            Connections that the backend server accepts.
+
         Raises
         ------
         NotRunError
-            The backend server does not accept connections.
+            The backend server does not accept a connection.
         """
-        idle = self._idle.get(port)
-        if idle:
-            return idle.pop()
-        sock = trio.socket.socket()
+        conn = self._take_idle(idempotent, trio.current_time())
+        if conn is not None:
+            return conn
+        if self.open_count >= limit and not self._drop_oldest_idle():
+            raise NotRunError(
+                "no connection left", ResultCode.REQUEST_NOT_RUN_OVERLOADED
+            )
+        return await self._connect()
+
+    def _take_idle(self, idempotent: bool, now: float) -> BackendConn | None:
+        idle_limit_s = IDLE_CLOSE_S if idempotent else IDLE_REUSE_NON_IDEMPOTENT_S
+        while self._idle:
+            conn = self._idle.pop()
+            if now - conn.idle_since >= IDLE_CLOSE_S or not conn.tcp.is_quiet():
+                self.discard(conn)
+            elif now - conn.idle_since >= idle_limit_s:
+                self._idle.append(conn)
+                return None
+            else:
+                return conn
+        return None
+
+    def _drop_oldest_idle(self) -> bool:
+        if not self._idle:
+            return False
+        self.discard(self._idle.popleft())
+        return True
+
+    async def _connect(self) -> BackendConn:
+        self.open_count += 1
+        self.max_open_count = max(self.max_open_count, self.open_count)
         try:
-            await sock.bind((self._address, 0))
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                await sock.connect((self._address, port))
+                return BackendConn(
+                    await open_tcp(self._address, self._port, self._address)
+                )
         except (OSError, trio.TooSlowError) as exc:
-            sock.close()
+            self.open_count -= 1
             raise NotRunError(
                 f"backend server does not accept connections: {exc}",
-                ResultCode.REQUEST_NOT_RUN_REFUSED,
+                ResultCode.REQUEST_NOT_RUN_NO_BACKEND,
             ) from exc
-        return BackendConn(trio.SocketStream(sock))
-
-    def give_back(self, port: int, conn: BackendConn) -> None:
-        """Keep a connection whose answer was read whole, or close it."""
-        if conn.reusable:
-            conn.reusable = False
-            self._idle.setdefault(port, []).append(conn)
-        else:
-            conn.close()
+        except BaseException:
+            self.open_count -= 1
+            raise
+
+    def give_back(self, conn: BackendConn, now: float) -> None:
+        """Keep a connection whose answer was read whole."""
+        conn.idle_since = now
+        self._idle.append(conn)
+
+    def discard(self, conn: BackendConn) -> None:
+        """Close a connection."""
+        conn.tcp.close()
+        self.open_count -= 1
+
+    def close_idle(self, now: float) -> None:
+        """Close the connections that have been idle for ``IDLE_CLOSE_S``."""
+        while self._idle and now - self._idle[0].idle_since >= IDLE_CLOSE_S:
+            self.discard(self._idle.popleft())
+
+    def close_all_idle(self) -> None:
+        """Close every idle connection."""
+        while self._idle:
+            self.discard(self._idle.popleft())
--- /dev/null
+++ b/marigoldchute/routing/call.py
@@ -0,0 +1,167 @@
+"""State of one caller's request over all its tries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from marigoldchute.errors import NotRunError, PeerError, ResultCode
+from marigoldchute.routing.http_request import CallerGoneError
+from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
+from marigoldchute.routing.request_body import RequestBody
+
+if TYPE_CHECKING:
+    from marigoldchute.link.stream import Stream
+    from marigoldchute.moves.model import Split
+    from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+    from marigoldchute.routing.route_table import RouteEntry
+    from marigoldchute.routing.target import Target
+
+
+class Call:
+    """One caller's request; also the exchange of its tries on this VM.
+
+    Attributes
+    ----------
+    maybe_run : bool
+        Whether some try may have run the request.
+    answer : ResponseHead or None
+        Head of the answer passed to the caller.
+    """
+
+    def __init__(
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        entry: RouteEntry,
+        split: Split,
+        release: str,
+        request_id: str,
+        header_block: bytes,
+        deadline: float,
+    ) -> None:
+        self.req = req
+        self.responder = responder
+        self.entry = entry
+        self.split = split
+        self.release = release
+        self.request_id = request_id
+        self.deadline = deadline
+        self.idempotent = req.method in entry.idempotent_methods
+        self.body = RequestBody(req)
+        self.tried: set[Target] = set()
+        self.tries = 0
+        self.maybe_run = False
+        self.answer: ResponseHead | None = None
+        self._header_block = header_block
+        self._chunked = req.has_body and req.header(b"content-length") is None
+
+    def head_for(self, target: Target, now: float) -> RequestHead:
+        """Return the request's head for a try at a target."""
+        route = self.entry.route
+        req = self.req
+        return RequestHead(
+            self.request_id,
+            route.name,
+            route.service,
+            self.release,
+            target.server.server_id,
+            req.method,
+            req.target,
+            self._header_block,
+            max(1, int((self.deadline - now) * 1000)),
+            route.priority,
+            self.idempotent,
+            req.has_body,
+            self._chunked,
+        )
+
+    def take_whole_body(self) -> bytes | None:
+        """Return the whole body if all of it has arrived, else None."""
+        return self.body.take_whole()
+
+    async def receive(self) -> bytes | None:
+        """Return the next piece of the body, or None at its whole end."""
+        return await self.body.receive()
+
+    async def send_whole(self, head: ResponseHead, body: bytes) -> None:
+        """Send a whole answer to the caller."""
+        self.answer = head
+        try:
+            await self.responder.send_whole(
+                head.status, head.header_block, head.has_length, body
+            )
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError("caller's connection broke") from exc
+
+    async def send_head(self, head: ResponseHead, body: bytes) -> None:
+        """Send the head of an answer and the first piece of its body."""
+        self.answer = head
+        try:
+            await self.responder.start_block(
+                head.status, head.header_block, head.has_length, body
+            )
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError("caller's connection broke") from exc
+
+    async def send(self, data: bytes) -> None:
+        """Send a further piece of the answer's body."""
+        try:
+            await self.responder.send(data)
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError("caller's connection broke") from exc
+
+    async def finish(self) -> None:
+        """Say that the answer is whole."""
+        try:
+            await self.responder.finish()
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError("caller's connection broke") from exc
+
+    async def send_body(self, stream: Stream) -> None:
+        """Send the body to the owner."""
+        while (data := await self.body.receive()) is not None:
+            await stream.send(data)
+        stream.send_end()
+
+    async def pass_answer(self, stream: Stream) -> None:
+        """Pass the owner's answer on to the caller.
+
+        Raises
+        ------
+        NotRunError
+            The owner says that the request did not run.
+        PeerError
+            The stream ended before the whole answer.
+        """
+        head = _decode_head(await stream.receive_head())
+        if head.code:
+            raise NotRunError("refused by the owner", _refusal_code(head.code))
+        body = stream.take_whole()
+        if body is not None:
+            await self.send_whole(head, body)
+            return
+        first = await stream.receive()
+        if first is None:
+            await self.send_whole(head, b"")
+            return
+        await self.send_head(head, first)
+        while (data := await stream.receive()) is not None:
+            await self.send(data)
+        await self.finish()
+
+
+def _decode_head(data: bytes) -> ResponseHead:
+    try:
+        return RESPONSE_DECODER.decode(data)
+    except msgspec.DecodeError as exc:
+        raise PeerError(f"bad head: {exc}", ResultCode.PEER_PROTOCOL) from exc
+
+
+def _refusal_code(code: int) -> ResultCode:
+    try:
+        return ResultCode(code)
+    except ValueError:  # A newer peer's code; the refusal itself is certain.
+        return ResultCode.REQUEST_NOT_RUN_NO_BACKEND
--- /dev/null
+++ b/marigoldchute/routing/candidates.py
@@ -0,0 +1,123 @@
+"""Candidates for each release, in tiers by distance, kept over member changes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from marigoldchute.routing.target import Target
+
+if TYPE_CHECKING:
+    from marigoldchute.membership.model import Member, Members
+
+REBUILD_INTERVAL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidates:
+    """Targets of one release.
+
+    Parameters
+    ----------
+    own : tuple of Target
+        On this node's VM.
+    centre, region, remote : tuple of Target
+        In the data centre (own ones included), elsewhere in the region, and across
+        the link.
+    """
+
+    own: tuple[Target, ...] = ()
+    centre: tuple[Target, ...] = ()
+    region: tuple[Target, ...] = ()
+    remote: tuple[Target, ...] = ()
+
+
+NO_CANDIDATES = Candidates()
+
+
+class CandidateTables:
+    """Candidates by service and release.
+
+    The tables are rebuilt at the first request after a change of the members, at most
+    once in ``REBUILD_INTERVAL_S``, so that a herd of changes costs little. What was
+    observed of a backend server outlives a rebuild while its member's incarnation and
+    its release stay the same.
+
+    Parameters
+    ----------
+    members : Members
+        Members of the mesh.
+    """
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self._tables: dict[tuple[str, str], Candidates] = {}
+        self._targets: dict[tuple[str, int, str, str], Target] = {}
+        self._stale = True
+        self._built_at = float("-inf")
+
+    def mark_stale(self) -> None:
+        """Take note that a member changed."""
+        self._stale = True
+
+    def find(self, service: str, release: str, now: float) -> Candidates:
+        """Return the candidates of a release.
+
+        Parameters
+        ----------
+        service, release : str
+            What to look for.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._stale and now - self._built_at >= REBUILD_INTERVAL_S:
+            self._rebuild(now)
+        found = self._tables.get((service, release))
+        if found is None and self._stale:
+            self._rebuild(now)
+            found = self._tables.get((service, release))
+        return found or NO_CANDIDATES
+
+    def _rebuild(self, now: float) -> None:
+        self._stale = False
+        self._built_at = now
+        targets: dict[tuple[str, int, str, str], Target] = {}
+        by_release: dict[tuple[str, str], list[Target]] = {}
+        for member in self._members.all():
+            if not member.usable:
+                continue
+            for server in member.servers:
+                if server.draining:
+                    continue
+                key = (
+                    member.name,
+                    member.incarnation,
+                    server.server_id,
+                    server.release,
+                )
+                target = self._targets.get(key) or Target(member, server)
+                target.member = member
+                target.server = server
+                targets[key] = target
+                release = (server.service, server.release)
+                by_release.setdefault(release, []).append(target)
+        self._targets = targets
+        local = self._members.local
+        self._tables = {
+            key: _split_by_distance(local, found) for key, found in by_release.items()
+        }
+
+
+def _split_by_distance(local: Member, targets: list[Target]) -> Candidates:
+    own, centre, region, remote = [], [], [], []
+    for target in targets:
+        member = target.member
+        if member.name == local.name:
+            own.append(target)
+        if member.data_centre == local.data_centre:
+            centre.append(target)
+        elif member.region == local.region:
+            region.append(target)
+        else:
+            remote.append(target)
+    return Candidates(tuple(own), tuple(centre), tuple(region), tuple(remote))
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -2,59 +2,132 @@
 
 from __future__ import annotations
 
-import secrets
+import hashlib
+import time
 from typing import TYPE_CHECKING
 
 import trio
 
 from marigoldchute.errors import (
     AuthError,
+    MarigoldchuteError,
     NotRunError,
     PeerError,
     RequestError,
     ResultCode,
 )
-from marigoldchute.routing.backend_conn import HOP_HEADERS
-from marigoldchute.routing.messages import (
-    ENCODER,
-    RESPONSE_DECODER,
-    RequestHead,
-    ResponseHead,
+from marigoldchute.routing.budget import RetryBudget, TokenBucket
+from marigoldchute.routing.call import Call
+from marigoldchute.routing.candidates import CandidateTables
+from marigoldchute.routing.duplex import send_and_receive
+from marigoldchute.routing.headers import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    parse_deadline_ms,
+    request_block,
 )
+from marigoldchute.routing.http_request import CallerGoneError
+from marigoldchute.routing.messages import ENCODER
+from marigoldchute.routing.metrics import RouteMetrics
+from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
+from marigoldchute.routing.route_table import RouteTable
 
 if TYPE_CHECKING:
     import random
 
     from marigoldchute.bundle.inforce import InForce
-    from marigoldchute.bundle.model import Bundle, Route, Service
+    from marigoldchute.bundle.model import Bundle
+    from marigoldchute.events import EventLog
+    from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
-    from marigoldchute.link.stream import Stream
-    from marigoldchute.membership.model import BackendServer, Member
-    from marigoldchute.membership.service import Membership
+    from marigoldchute.membership.model import Members
     from marigoldchute.moves.engine import MoveEngine
-    from marigoldchute.routing.http_server import HttpRequest, HttpResponder
+    from marigoldchute.moves.model import Split
+    from marigoldchute.routing.candidates import Candidates
+    from marigoldchute.routing.choice import Chooser
+    from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+    from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.outcomes import OutcomeSink
+    from marigoldchute.routing.owner import Owner
+    from marigoldchute.routing.route_table import RouteEntry
+    from marigoldchute.routing.target import Target
+    from marigoldchute.util.clock import Clock
 
-DEADLINE_HEADER = b"marigoldchute-deadline-ms"
-CODE_HEADER = b"marigoldchute-code"
-OUTCOME_HEADER = b"marigoldchute-outcome"
+RETRY_SHARE = 0.2
+RETRY_FLOOR_PER_S = 5.0
+RETRY_BURST = 20.0
+LINK_WAIT_S = 1.0
+UNREACHABLE_BACKOFF_S = 1.0
+LOGGED_PER_S = 20.0
+ERROR_STATUS = 500
+_SHED_CODES = frozenset(
+    {
+        ResultCode.REQUEST_NOT_RUN_OVERLOADED,
+        ResultCode.REQUEST_NOT_RUN_DEADLINE,
+        ResultCode.REQUEST_NOT_RUN_REFUSED,
+    }
+)
 
 
 class Entry:
-    """Routes callers' requests by the bundle in force."""
+    """Routes callers' requests by the bundle in force.
+
+    Parameters
+    ----------
+    in_force : InForce
+        Bundle in force.
+    engine : MoveEngine
+        Split of each service between releases.
+    members : Members
+        Members of the mesh.
+    traffic : LinkPool
+        Links to the owners.
+    owner : Owner
+        Owner side of this node.
+    chooser : Chooser
+        Policy of the choice.
+    sink : OutcomeSink
+        Receives the outcome of every try.
+    log : EventLog
+        Event log of the process.
+    clock : Clock
+        Wall clock of the process.
+    rng : random.Random
+        Random choices.
+    """
 
     def __init__(
         self,
         in_force: InForce,
         engine: MoveEngine,
-        membership: Membership,
+        members: Members,
         traffic: LinkPool,
+        owner: Owner,
+        chooser: Chooser,
+        sink: OutcomeSink,
+        log: EventLog,
+        clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._in_force = in_force
+        self.metrics = RouteMetrics()
+        self.tables = CandidateTables(members)
+        self._routes: RouteTable | None = None
         self._engine = engine
-        self._membership = membership
+        self._members = members
         self._traffic = traffic
+        self._owner = owner
+        self._chooser = chooser
+        self._sink = sink
+        self._log = log
+        self._clock = clock
         self._rng = rng
+        self._retries = RetryBudget(RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST)
+        self._log_budget = TokenBucket(LOGGED_PER_S, LOGGED_PER_S)
+        in_force.on_swap(self._take_bundle)
+
+    def _take_bundle(self, bundle: Bundle) -> None:
+        self._routes = RouteTable(bundle)
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
         """Answer a request from a caller outside the mesh."""
@@ -67,145 +140,314 @@
     async def _handle(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
     ) -> None:
+        started = time.perf_counter()
+        call = None
+        outcome = Outcome.OK
         try:
-            await self._forward(req, responder, internal)
-        except (RequestError, PeerError) as exc:
+            call = self._make_call(req, responder, internal)
+            await self._run_call(call)
+        except CallerGoneError:
+            outcome = Outcome.CANCELLED
+        except (RequestError, PeerError, AuthError) as exc:
+            outcome = _outcome_of(exc)
+            self._log_failure(req, call, outcome, exc)
             if not responder.started:
-                await _refuse(responder, exc)
+                await send_refusal(responder, exc)
+        if call is not None:
+            self._measure(call, outcome, started)
 
-    async def _forward(
+    def _make_call(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
+    ) -> Call:
+        entry = self._find_route(req.target, internal)
+        split = self._engine.split(entry.service.name, entry.service.release)
+        timeout_ms = entry.route.timeout_ms
+        given_ms = parse_deadline_ms(req.header(DEADLINE_HEADER))
+        if given_ms is not None:
+            timeout_ms = min(timeout_ms, given_ms)
+        if timeout_ms <= 0:
+            raise NotRunError(
+                "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
+            )
+        return Call(
+            req,
+            responder,
+            entry,
+            split,
+            self._pick_release(req, entry, split),
+            self._request_id(req, internal),
+            request_block(req.headers),
+            trio.current_time() + timeout_ms / 1000,
+        )
+
+    def _find_route(self, target: bytes, internal: bool) -> RouteEntry:
+        if self._routes is None:
+            raise NotRunError(
+                "no bundle in force", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
+            )
+        entry = self._routes.find(target)
+        if entry is None:
+            raise NotRunError("no route", ResultCode.REQUEST_NOT_RUN_NO_ROUTE)
+        if entry.service.internal and not internal:
+            raise NotRunError(
+                f"service {entry.service.name!r} is internal",
+                ResultCode.REQUEST_NOT_RUN_INTERNAL_ONLY,
+            )
+        return entry
+
+    def _pick_release(self, req: HttpRequest, entry: RouteEntry, split: Split) -> str:
+        if split.share <= 0.0:
+            return split.old_release
+        if split.share >= 1.0:
+            return split.new_release
+        point = None
+        if entry.sticky_header:
+            value = req.header(entry.sticky_header)
+            if value is not None:
+                point = sticky_point(split.move_id, value)
+        if point is None:
+            point = self._rng.random()
+        return split.new_release if point < split.share else split.old_release
+
+    def _request_id(self, req: HttpRequest, internal: bool) -> str:
+        given = req.header(REQUEST_ID_HEADER) if internal else None
+        if given:
+            return given.decode("latin-1")
+        return f"{self._rng.getrandbits(64):016x}"
+
+    async def _run_call(self, call: Call) -> None:
+        with trio.CancelScope(deadline=call.deadline) as scope:
+            call.req.scope = scope
+            await self._try_until_done(call)
+        if not scope.cancelled_caught:
+            return
+        if call.req.caller_gone:
+            raise CallerGoneError("caller closed the connection")
+        if call.maybe_run:
+            raise RequestError(
+                "no whole answer before the deadline",
+                ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE,
+            )
+        raise NotRunError(
+            "not run before the deadline", ResultCode.REQUEST_NOT_RUN_DEADLINE
+        )
+
+    async def _try_until_done(self, call: Call) -> None:
+        self._retries.add_request()
+        while True:
+            target, candidates = self._choose(call)
+            call.tries += 1
+            try:
+                await self._try_once(call, target, candidates)
+                return
+            except (RequestError, PeerError, AuthError) as exc:
+                if not isinstance(exc, NotRunError):
+                    call.maybe_run = True
+                if not self._may_retry(call, exc, trio.current_time()):
+                    raise _truthful(call, exc) from exc
+            call.body.rewind()
+
+    def _choose(self, call: Call) -> tuple[Target, Candidates]:
+        now = trio.current_time()
+        now_ms = self._clock.now_ms()
+        service = call.entry.service.name
+        candidates = self.tables.find(service, call.release, now)
+        target = self._chooser.choose(candidates, call.tried, now, now_ms)
+        if target is None and self._fall_back(call, now_ms):
+            candidates = self.tables.find(service, call.release, now)
+            target = self._chooser.choose(candidates, call.tried, now, now_ms)
+        if target is None:
+            raise _truthful(
+                call,
+                NotRunError(f"no backend server of {service!r} {call.release!r}"),
+            )
+        call.tried.add(target)
+        return target, candidates
+
+    def _fall_back(self, call: Call, now_ms: int) -> bool:
+        """Use the old release while the new one has no backend server at all."""
+        split = call.split
+        if call.tried or split.share >= 1.0 or call.release == split.old_release:
+            return False
+        self._record(call, Outcome.NOT_RUN, 0.0, False, now_ms)
+        call.release = split.old_release
+        return True
+
+    async def _try_once(
+        self, call: Call, target: Target, candidates: Candidates
     ) -> None:
-        route, service = self._find_route(req.target, internal)
-        split = self._engine.split(service.name, service.release)
-        new = self._rng.random() < split.share
-        release = split.new_release if new else split.old_release
-        member, server = self._choose(service.name, release)
-        head = _request_head(req, route, service, release, server)
+        started = time.perf_counter()
+        outcome = Outcome.UNKNOWN
+        target.in_flight += 1
+        try:
+            head = call.head_for(target, trio.current_time())
+            if target.member.name == self._members.local.name:
+                call.maybe_run, before = True, call.maybe_run
+                try:
+                    await self._owner.execute(head, call)
+                except NotRunError:
+                    call.maybe_run = before
+                    raise
+            else:
+                await self._try_remote(call, target, head)
+            assert call.answer is not None
+            error = call.answer.status >= ERROR_STATUS
+            outcome = Outcome.ERROR if error else Outcome.OK
+        except trio.Cancelled:
+            if call.req.caller_gone:
+                outcome = Outcome.CANCELLED
+            raise
+        except (RequestError, PeerError, AuthError) as exc:
+            outcome = _outcome_of(exc)
+            if isinstance(exc, NotRunError):
+                self._take_refusal(target, exc)
+            raise
+        finally:
+            target.in_flight -= 1
+            latency_ms = (time.perf_counter() - started) * 1000
+            self._observe(call, target, candidates, outcome, latency_ms)
+
+    async def _try_remote(self, call: Call, target: Target, head: RequestHead) -> None:
+        link = self._traffic.live(target.member.name)
+        if link is None:
+            link = await self._open_link(target)
+        body = call.body.take_whole()
+        encoded = ENCODER.encode(head)
         try:
-            link = await self._traffic.get(member.name)
-        except (PeerError, AuthError) as exc:
-            raise NotRunError(f"{member.name} cannot be reached") from exc
-        stream = link.open_stream(ENCODER.encode(head))
+            stream = link.open_stream(encoded, body)
+        except PeerError as exc:
+            raise self._unreachable(target) from exc
+        call.maybe_run, before = True, call.maybe_run
         try:
-            with trio.fail_after(head.remaining_ms / 1000):
-                await self._exchange(req, responder, stream)
-        except trio.TooSlowError as exc:
-            stream.reset(ResultCode.REQUEST_NOT_RUN_DEADLINE)
-            raise RequestError("no answer before the deadline") from exc
+            if body is not None:
+                await call.pass_answer(stream)
+            else:
+                await send_and_receive(
+                    lambda: call.send_body(stream), lambda: call.pass_answer(stream)
+                )
+        except NotRunError:
+            call.maybe_run = before
+            stream.reset(ResultCode.REQUEST_CANCELLED)
+            raise
         except BaseException:
-            stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN)
+            stream.reset(ResultCode.REQUEST_CANCELLED)
             raise
         finally:
             link.forget_stream(stream)
 
-    async def _exchange(
-        self, req: HttpRequest, responder: HttpResponder, stream: Stream
+    async def _open_link(self, target: Target) -> Link:
+        with trio.move_on_after(LINK_WAIT_S):
+            try:
+                return await self._traffic.get(target.member.name)
+            except (PeerError, AuthError) as exc:
+                raise self._unreachable(target) from exc
+        raise self._unreachable(target)
+
+    def _unreachable(self, target: Target) -> NotRunError:
+        target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+        return NotRunError(f"{target.member.name} cannot be reached")
+
+    def _take_refusal(self, target: Target, exc: NotRunError) -> None:
+        if exc.code in _SHED_CODES:
+            target.take_busy(trio.current_time())
+        elif exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+            target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+
+    def _may_retry(self, call: Call, exc: MarigoldchuteError, now: float) -> bool:
+        if call.responder.started or not call.body.rewindable:
+            return False
+        if exc.code in CALLER_FAULTS or isinstance(exc, CallerGoneError):
+            return False
+        if call.maybe_run and not call.idempotent:
+            return False
+        if call.tries >= call.entry.route.max_attempts or now >= call.deadline:
+            return False
+        if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+            return True  # A planned stop is no sign of overload.
+        return self._retries.take_retry(now)
+
+    def _observe(
+        self,
+        call: Call,
+        target: Target,
+        candidates: Candidates,
+        outcome: Outcome,
+        latency_ms: float,
     ) -> None:
-        while req.has_body and (data := await req.receive()) is not None:
-            await stream.send(data)
-        stream.send_end()
-        answer = RESPONSE_DECODER.decode(await stream.receive_head())
-        if answer.code:
-            raise NotRunError("refused by the owner", ResultCode(answer.code))
-        await _copy_answer(responder, stream, answer)
-
-    def _find_route(self, target: bytes, internal: bool) -> tuple[Route, Service]:
-        bundle = self._in_force.bundle
-        if bundle is None:
-            raise NotRunError(
-                "no bundle in force", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
-            )
-        route = _longest_match(bundle, target.decode("latin-1"))
-        service = next(s for s in bundle.content.services if s.name == route.service)
-        if service.internal and not internal:
-            raise NotRunError(
-                f"service {service.name!r} is internal",
-                ResultCode.REQUEST_NOT_RUN_INTERNAL_ONLY,
-            )
-        return route, service
-
-    def _choose(self, service: str, release: str) -> tuple[Member, BackendServer]:
-        candidates = [
-            (member, server)
-            for member in self._membership.all()
-            if member.usable
-            for server in member.servers
-            if server.service == service
-            and server.release == release
-            and not server.draining
-        ]
-        if not candidates:
-            raise NotRunError(f"no backend server of {service!r} release {release!r}")
-        local = self._membership.local.data_centre
-        near = [pair for pair in candidates if pair[0].data_centre == local]
-        return self._rng.choice(near or candidates)
-
-
-def _longest_match(bundle: Bundle, path: str) -> Route:
-    matches = [r for r in bundle.content.routes if path.startswith(r.path_prefix)]
-    if not matches:
-        raise NotRunError("no route", ResultCode.REQUEST_NOT_RUN_NO_ROUTE)
-    return max(matches, key=lambda route: len(route.path_prefix))
-
-
-def _request_head(
-    req: HttpRequest,
-    route: Route,
-    service: Service,
-    release: str,
-    server: BackendServer,
-) -> RequestHead:
-    given = req.header(DEADLINE_HEADER)
-    remaining_ms = route.timeout_ms
-    if given is not None and given.isdigit():
-        remaining_ms = min(remaining_ms, int(given))
-    keep = [
-        (name, value)
-        for name, value in req.headers
-        if name not in HOP_HEADERS and name != DEADLINE_HEADER
-    ]
-    if req.has_body and req.header(b"content-length") is None:
-        keep.append((b"transfer-encoding", b"chunked"))
-    return RequestHead(
-        request_id=secrets.token_hex(8),
-        route=route.name,
-        service=service.name,
-        release=release,
-        server_id=server.server_id,
-        method=req.method,
-        target=req.target,
-        headers=keep,
-        remaining_ms=remaining_ms,
-        priority=route.priority,
-        has_body=req.has_body,
-    )
-
-
-async def _copy_answer(
-    responder: HttpResponder, stream: Stream, answer: ResponseHead
-) -> None:
-    first = await stream.receive()
-    await responder.start(answer.status, answer.headers, first or b"")
-    if first is not None:
-        while (data := await stream.receive()) is not None:
-            await responder.send(data)
-    await responder.finish()
-
-
-async def _refuse(responder: HttpResponder, exc: RequestError | PeerError) -> None:
-    not_run = isinstance(exc, NotRunError)
-    status = 503 if not_run else 502
-    if exc.code is ResultCode.REQUEST_NOT_RUN_NO_ROUTE:
-        status = 404
-    elif exc.code is ResultCode.REQUEST_NOT_RUN_INTERNAL_ONLY:
-        status = 403
-    body = f"{exc}\n".encode()
-    headers = [
-        (b"content-type", b"text/plain"),
-        (b"content-length", str(len(body)).encode()),
-        (CODE_HEADER, str(exc.code.value).encode()),
-        (OUTCOME_HEADER, b"not-run" if not_run else b"unknown"),
-    ]
-    await responder.start(status, headers, body)
-    await responder.finish()
+        now_ms = self._clock.now_ms()
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            target.take_answer(latency_ms, outcome is Outcome.ERROR)
+        if outcome in (Outcome.UNKNOWN, Outcome.NOT_RUN):
+            target.take_failure()
+        if outcome is not Outcome.OK:
+            self._chooser.take_failure(target, candidates, trio.current_time())
+        self._record(call, outcome, latency_ms, target.is_cold(now_ms), now_ms)
+
+    def _record(
+        self, call: Call, outcome: Outcome, latency_ms: float, cold: bool, now_ms: int
+    ) -> None:
+        self._sink.record(
+            call.entry.route.name,
+            call.entry.service.name,
+            call.release,
+            call.split.move_id,
+            outcome,
+            latency_ms,
+            call.answer.load_level if call.answer is not None else 0,
+            cold,
+            now_ms,
+        )
+
+    def _measure(self, call: Call, outcome: Outcome, started: float) -> None:
+        total_us = int((time.perf_counter() - started) * 1_000_000)
+        if call.answer is not None:
+            total_us -= call.answer.backend_us
+            if outcome is Outcome.OK and call.answer.status >= ERROR_STATUS:
+                outcome = Outcome.ERROR
+        self.metrics.record(call.entry.route.name, outcome.value, total_us)
+
+    def _log_failure(
+        self,
+        req: HttpRequest,
+        call: Call | None,
+        outcome: Outcome,
+        exc: MarigoldchuteError,
+    ) -> None:
+        if not self._log_budget.take(1.0, trio.current_time()):
+            return
+        self._log.emit(
+            "routing",
+            outcome.value,
+            f"{req.target.decode('latin-1')} is not answered: {exc.message}.",
+            code=exc.code.value,
+            request=call.request_id if call is not None else "",
+            tries=call.tries if call is not None else 0,
+        )
+
+
+def sticky_point(move_id: str, value: bytes) -> float:
+    """Return the fixed point in [0, 1) of a sticky header's value.
+
+    A request takes the new release while its point is below the share, so a value
+    that has moved stays moved as the share grows.
+    """
+    digest = hashlib.blake2b(value, digest_size=8, key=move_id.encode()[:64]).digest()
+    return int.from_bytes(digest, "big") / 2**64
+
+
+def _outcome_of(exc: MarigoldchuteError) -> Outcome:
+    if isinstance(exc, CallerGoneError) or exc.code in CALLER_FAULTS:
+        return Outcome.CANCELLED
+    if isinstance(exc, NotRunError):
+        return Outcome.SHED if exc.code in _SHED_CODES else Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def _truthful(call: Call, exc: MarigoldchuteError) -> MarigoldchuteError:
+    """Return the error to answer with: an earlier try may have run the request."""
+    if call.maybe_run and isinstance(exc, NotRunError):
+        return RequestError(
+            f"an earlier try may have run; the last one: {exc.message}",
+            ResultCode.REQUEST_OUTCOME_UNKNOWN,
+        )
+    return exc
--- /dev/null
+++ b/marigoldchute/routing/http_checks.py
@@ -0,0 +1,106 @@
+"""Checks of a request's head that go beyond the parser's own.
+
+The parser already refuses conflicting lengths, folded headers and bare line feeds.
+What it lets through and could still be read differently by a backend server, or is
+not supported by the path, is refused here.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from marigoldchute.errors import RequestError, ResultCode
+
+if TYPE_CHECKING:
+    from marigoldchute.routing.messages import HeaderList
+
+MAX_HEADERS = 200
+_ABSOLUTE_PREFIXES = (b"http://", b"https://")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Framing:
+    """How the body of a request is framed.
+
+    Parameters
+    ----------
+    has_body : bool
+        Whether body data may follow.
+    expects_continue : bool
+        Whether the caller waits for ``100 Continue`` before it sends its body.
+    """
+
+    has_body: bool
+    expects_continue: bool
+
+
+NO_BODY = Framing(False, False)
+
+
+def check_head(http_version: str, headers: HeaderList) -> Framing:
+    """Check the headers of a request.
+
+    Parameters
+    ----------
+    http_version : str
+        ``1.0`` or ``1.1``.
+    headers : list of (bytes, bytes)
+        Lower-case names and values.
+
+    Returns
+    -------
+    Framing
+        Framing of the body.
+
+    Raises
+    ------
+    RequestError
+        The headers are not allowed.
+    """
+    if http_version not in ("1.0", "1.1"):
+        raise _malformed(f"HTTP version {http_version} is not supported")
+    if len(headers) > MAX_HEADERS:
+        raise RequestError("too many headers", ResultCode.REQUEST_TOO_LARGE)
+    hosts = 0
+    length = None
+    chunked = False
+    expects_continue = False
+    for name, value in headers:
+        if name == b"host":
+            hosts += 1
+        elif name == b"content-length":
+            length = value
+        elif name == b"transfer-encoding":
+            if value.lower() != b"chunked" or chunked or http_version == "1.0":
+                raise _malformed("transfer encoding is not supported")
+            chunked = True
+        elif name == b"expect":
+            expects_continue = value.lower() == b"100-continue"
+    if hosts != 1 and not (hosts == 0 and http_version == "1.0"):
+        raise _malformed("exactly one host header is needed")
+    has_body = chunked or (length is not None and length.strip(b"0") != b"")
+    return Framing(has_body, expects_continue) if has_body else NO_BODY
+
+
+def parse_target(target: bytes) -> bytes:
+    """Return the origin form of a request target.
+
+    Raises
+    ------
+    RequestError
+        The target is neither in origin nor in absolute form.
+    """
+    if target.startswith(b"/"):
+        return target
+    if target.lower().startswith(_ABSOLUTE_PREFIXES):
+        _, _, rest = target.partition(b"://")
+        _, slash, path = rest.partition(b"/")
+        return slash + path if slash else b"/"
+    if target == b"*":
+        return target
+    raise _malformed("request target is not supported")
+
+
+def _malformed(message: str) -> RequestError:
+    return RequestError(message, ResultCode.REQUEST_MALFORMED)
--- /dev/null
+++ b/marigoldchute/routing/http_request.py
@@ -0,0 +1,314 @@
+"""One request and its answer on a caller's connection."""
+
+from __future__ import annotations
+
+import collections
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import httptools
+import trio
+
+from marigoldchute.errors import RequestError, ResultCode
+from marigoldchute.routing.http_checks import check_head, parse_target
+
+if TYPE_CHECKING:
+    from marigoldchute.routing.messages import HeaderList
+    from marigoldchute.util.tcp import TcpConn
+
+RECEIVE_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+MAX_PIPELINED = 16
+BODY_PROGRESS_TIMEOUT_S = 10.0
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class CallerGoneError(RequestError):
+    """The caller closed its connection before its request was answered."""
+
+
+class HttpRequest:
+    """One request as read from a caller's connection.
+
+    Attributes
+    ----------
+    scope : trio.CancelScope or None
+        Set by the handler; cancelled when the caller goes away.
+    caller_gone : bool
+        Whether the caller went away.
+    """
+
+    __slots__ = (
+        "_conn",
+        "_expects_continue",
+        "caller_gone",
+        "chunks",
+        "complete",
+        "has_body",
+        "headers",
+        "http_version",
+        "keep_alive",
+        "method",
+        "scope",
+        "target",
+    )
+
+    def __init__(self, conn: HttpParserState) -> None:
+        self._conn = conn
+        self.method = b""
+        self.target = b""
+        self.headers: HeaderList = []
+        self.http_version = "1.1"
+        self.keep_alive = True
+        self.has_body = False
+        self.complete = False
+        self.chunks: collections.deque[bytes] = collections.deque()
+        self.scope: trio.CancelScope | None = None
+        self.caller_gone = False
+        self._expects_continue = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of a lower-case name."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    def finish_head(self, parser: httptools.HttpRequestParser) -> None:
+        """Check the head now that it is whole.
+
+        Raises
+        ------
+        RequestError
+            The head is not allowed.
+        """
+        self.method = parser.get_method()
+        self.http_version = parser.get_http_version()
+        self.keep_alive = parser.should_keep_alive()
+        framing = check_head(self.http_version, self.headers)
+        self.target = parse_target(self.target)
+        self.has_body = framing.has_body
+        self._expects_continue = framing.expects_continue
+
+    async def receive(self) -> bytes | None:
+        """Return the next piece of the body, or None at its whole end.
+
+        Raises
+        ------
+        RequestError
+            The caller closed the connection, sent a malformed body or nothing for
+            ``BODY_PROGRESS_TIMEOUT_S``.
+        """
+        while not self.chunks:
+            if self.complete:
+                return None
+            await self._read_body()
+        return self.chunks.popleft()
+
+    async def _read_body(self) -> None:
+        if self._expects_continue:
+            self._expects_continue = False
+            await self._conn.tcp.send(_CONTINUE)
+        with trio.move_on_after(BODY_PROGRESS_TIMEOUT_S):
+            await self._conn.read_more()
+            return
+        raise RequestError(
+            "caller stopped sending its body", ResultCode.REQUEST_SENDER_TIMEOUT
+        )
+
+
+class HttpResponder:
+    """Writes the answer of one request."""
+
+    __slots__ = (
+        "_bodiless",
+        "_chunked",
+        "_close_delimited",
+        "_tcp",
+        "finished",
+        "keep_alive",
+        "started",
+    )
+
+    def __init__(self, tcp: TcpConn, req: HttpRequest | None) -> None:
+        self._tcp = tcp
+        self._bodiless = req is not None and req.method == b"HEAD"
+        self._close_delimited = req is not None and req.http_version == "1.0"
+        self._chunked = False
+        self.keep_alive = req is not None and req.keep_alive
+        self.started = False
+        self.finished = False
+
+    async def start(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
+        """Send status and headers, and with them the first piece of the body."""
+        block = b"".join([b"%s: %s\r\n" % pair for pair in headers])
+        has_length = any(name == b"content-length" for name, _ in headers)
+        await self.start_block(status, block, has_length, body)
+
+    async def start_block(
+        self, status: int, block: bytes, has_length: bool, body: bytes
+    ) -> None:
+        """Send the status, encoded headers and the first piece of the body."""
+        head = self._head(status, block, has_length)
+        await self._tcp.send(head + self._frame(body))
+
+    async def send_whole(
+        self, status: int, block: bytes, has_length: bool, body: bytes
+    ) -> None:
+        """Send a whole answer with one write where the kernel takes it."""
+        head = self._head(status, block, has_length)
+        end = b"0\r\n\r\n" if self._chunked else b""
+        await self._tcp.send(head + self._frame(body) + end)
+        self.finished = True
+
+    async def send(self, data: bytes) -> None:
+        """Send a further piece of the body."""
+        if data:
+            await self._tcp.send(self._frame(data))
+
+    async def finish(self) -> None:
+        """Say that the body is whole."""
+        if self._chunked:
+            await self._tcp.send(b"0\r\n\r\n")
+        self.finished = True
+
+    def abort(self) -> None:
+        """Reset the connection, so that the caller sees a cut answer as an error."""
+        self._tcp.abort()
+
+    def _head(self, status: int, block: bytes, has_length: bool) -> bytes:
+        self.started = True
+        bodiless = self._bodiless or status in (204, 304) or status < 200
+        extra = b""
+        if not has_length and not bodiless:
+            if self._close_delimited:
+                self.keep_alive = False
+            else:
+                self._chunked = True
+                extra = b"transfer-encoding: chunked\r\n"
+        if not self.keep_alive:
+            extra += b"connection: close\r\n"
+        elif self._close_delimited:
+            extra += b"connection: keep-alive\r\n"
+        return b"%s%s%s\r\n" % (_status_line(status), block, extra)
+
+    def _frame(self, data: bytes) -> bytes:
+        if self._bodiless or not data:
+            return b""
+        return b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data
+
+
+_STATUS_LINES: dict[int, bytes] = {
+    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
+def _status_line(status: int) -> bytes:
+    return _STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
+
+
+class HttpParserState:
+    """Parser of one caller's connection."""
+
+    def __init__(self, tcp: TcpConn) -> None:
+        self.tcp = tcp
+        self.requests: collections.deque[HttpRequest] = collections.deque()
+        self._parser = httptools.HttpRequestParser(self)
+        self._reading = HttpRequest(self)
+        self._head_bytes = 0
+        self._in_head = True
+        self._head_error: RequestError | None = None
+        self._error: RequestError | None = None
+
+    @property
+    def between_requests(self) -> bool:
+        """Whether no byte of a further request has arrived."""
+        return self._in_head and self._head_bytes == 0
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reading = HttpRequest(self)
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the request target."""
+        self._reading.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if self._in_head:
+            self._reading.headers.append((name.lower(), value.rstrip()))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the request; its body may still follow."""
+        self._head_bytes = 0
+        self._in_head = False
+        try:
+            self._reading.finish_head(self._parser)
+        except RequestError as exc:
+            self._head_error = self._head_error or exc
+            return
+        if self._head_error is None:
+            self.requests.append(self._reading)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self._reading.chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        self._reading.complete = True
+        self._in_head = True
+        self._head_bytes = 0
+
+    async def read_more(self) -> None:
+        """Read once from the caller and parse.
+
+        Raises
+        ------
+        RequestError
+            The caller closed the connection or sent what is not allowed. An error
+            behind a whole request is raised when the next one is read.
+        """
+        if self._error is not None:
+            raise self._error
+        try:
+            data = await self.tcp.receive(RECEIVE_BYTES)
+        except OSError as exc:
+            raise CallerGoneError(f"caller's connection broke: {exc}") from exc
+        if not data:
+            raise CallerGoneError("caller closed the connection")
+        self.feed(data)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        RequestError
+            The bytes are not an allowed request.
+        """
+        held = len(self.requests)
+        was_reading = self._reading
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._error = RequestError(
+                f"request is malformed: {exc}", ResultCode.REQUEST_MALFORMED
+            )
+        if self._head_error is not None:
+            self._error = self._head_error
+        elif self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._error = RequestError(
+                "head is too large", ResultCode.REQUEST_TOO_LARGE
+            )
+        elif len(self.requests) > MAX_PIPELINED:
+            self._error = RequestError(
+                "too many pipelined requests", ResultCode.REQUEST_MALFORMED
+            )
+        progressed = len(self.requests) > held or was_reading.complete
+        if self._error is not None and not progressed:
+            raise self._error
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -1,213 +1,260 @@
-"""HTTP/1.1 edge towards callers, on httptools over trio streams."""
+"""HTTP/1.1 edge towards callers, on httptools over non-blocking sockets."""
 
 from __future__ import annotations
 
-import collections
-import contextlib
+import select
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Any
 
-import httptools
 import trio
 
 from marigoldchute.errors import RequestError, ResultCode
+from marigoldchute.routing.http_request import (
+    CallerGoneError,
+    HttpParserState,
+    HttpRequest,
+    HttpResponder,
+)
+from marigoldchute.util.tcp import TcpConn, serve_tcp
 
-if TYPE_CHECKING:
-    from marigoldchute.routing.messages import HeaderList
-
-RECEIVE_BYTES = 65_536
-MAX_HEAD_BYTES = 65_536
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
-
-RequestHandler = Callable[["HttpRequest", "HttpResponder"], Awaitable[None]]
-
-
-class HttpRequest:
-    """One request as read from a caller's connection."""
-
-    def __init__(self, conn: _Connection) -> None:
-        self._conn = conn
-        self.method = b""
-        self.target = b""
-        self.headers: HeaderList = []
-        self.has_body = False
-        self.complete = False
-        self.chunks: collections.deque[bytes] = collections.deque()
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first header of a lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    async def receive(self) -> bytes | None:
-        """Return the next piece of the body, or None at its whole end.
-
-        Raises
-        ------
-        RequestError
-            The caller closed the connection or sent a malformed body.
-        """
-        while not self.chunks:
-            if self.complete:
-                return None
-            await self._conn.read_more()
-        return self.chunks.popleft()
-
-
-class HttpResponder:
-    """Writes the answer of one request."""
-
-    def __init__(self, stream: trio.SocketStream, keep_alive: bool, head: bool) -> None:
-        self._stream = stream
-        self._is_head = head
-        self._chunked = False
-        self.keep_alive = keep_alive
-        self.started = False
-        self.finished = False
-
-    async def start(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
-        """Send status and headers, and with them the first piece of the body."""
-        self.started = True
-        names = {name for name, _ in headers}
-        bodiless = self._is_head or status in (204, 304) or status < 200
-        self._chunked = b"content-length" not in names and not bodiless
-        lines = [b"HTTP/1.1 %d %s\r\n" % (status, _phrase(status))]
-        lines += [b"%s: %s\r\n" % pair for pair in headers]
-        if self._chunked:
-            lines.append(b"transfer-encoding: chunked\r\n")
-        if not self.keep_alive:
-            lines.append(b"connection: close\r\n")
-        lines.append(b"\r\n")
-        if body:
-            lines.append(self._frame(body))
-        await self._stream.send_all(b"".join(lines))
-
-    async def send(self, data: bytes) -> None:
-        """Send a further piece of the body."""
-        if data:
-            await self._stream.send_all(self._frame(data))
-
-    async def finish(self) -> None:
-        """Say that the body is whole."""
-        if self._chunked:
-            await self._stream.send_all(b"0\r\n\r\n")
-        self.finished = True
-
-    def _frame(self, data: bytes) -> bytes:
-        return b"%x\r\n%s\r\n" % (len(data), data) if self._chunked else data
-
-
-def _phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Unknown"
-
-
-class _Connection:
-    """Parser state of one caller's connection."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.parser = httptools.HttpRequestParser(self)
-        self.requests: collections.deque[HttpRequest] = collections.deque()
-        self._reading: HttpRequest | None = None
-        self._head_bytes = 0
-        self._in_head = True
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._reading = HttpRequest(self)
-        self._in_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Take a piece of the request target."""
-        assert self._reading is not None
-        self._reading.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        assert self._reading is not None
-        self._reading.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Hand over the request; its body may still follow."""
-        req = self._reading
-        assert req is not None
-        req.method = self.parser.get_method()
-        self._head_bytes = 0
-        self._in_head = False
-        length = req.header(b"content-length")
-        chunked = req.header(b"transfer-encoding") is not None
-        req.has_body = chunked or (length is not None and length != b"0")
-        self.requests.append(req)
-
-    def on_body(self, data: bytes) -> None:
-        """Take a piece of the body."""
-        assert self._reading is not None
-        self._reading.chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        """End a request."""
-        assert self._reading is not None
-        self._reading.complete = True
-
-    async def read_more(self) -> None:
-        """Read once from the caller and parse."""
-        data = await self.stream.receive_some(RECEIVE_BYTES)
-        if not data:
-            raise RequestError("caller closed the connection")
-        if self._in_head:
-            self._head_bytes += len(data)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise RequestError("head is too large", ResultCode.REQUEST_TOO_LARGE)
+LINGER_S = 1.0
+LINGER_BYTES = 262_144
+WATCH_INTERVAL_S = 0.05
+EXPIRE_INTERVAL_S = 0.5
+MAX_CALLER_CONNS = 4096
+
+RequestHandler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
+
+_REFUSAL_STATUSES = {
+    ResultCode.REQUEST_MALFORMED: 400,
+    ResultCode.REQUEST_SENDER_TIMEOUT: 408,
+    ResultCode.REQUEST_TOO_LARGE: 431,
+}
+
+
+def raise_failure(exc: Exception) -> None:
+    """Let an unexpected exception end the process."""
+    raise exc
+
+
+class _CallerConn:
+    """One caller's connection as the edge watches it."""
+
+    __slots__ = ("expires_at", "parser", "request", "seen", "tcp")
+
+    def __init__(self, tcp: TcpConn) -> None:
+        self.tcp = tcp
+        self.parser = HttpParserState(tcp)
+        self.request: HttpRequest | None = None
+        self.seen: HttpRequest | None = None
+        self.expires_at = 0.0
+
+
+class HttpEdge:
+    """Serves callers' connections and notices callers that go away.
+
+    One task watches all connections: it cancels the requests of callers that closed
+    their connection and drops connections that stay idle or send their head too
+    slowly. That costs a request nothing, where a task or a timer of its own would.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers one request.
+    on_failure : callable
+        Called with an unexpected exception of the handler; only the connection of
+        its request is lost.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        on_failure: Callable[[Exception], None] = raise_failure,
+    ) -> None:
+        self._handler = handler
+        self._on_failure = on_failure
+        self._conns: set[_CallerConn] = set()
+        self._close_listener: Callable[[], None] | None = None
+        self._draining = False
+        self.last_request_at = 0.0
+        self.max_connections = 0
+
+    @property
+    def running(self) -> int:
+        """Number of requests that are being answered."""
+        return sum(conn.request is not None for conn in self._conns)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._conns)
+
+    async def serve(
+        self,
+        address: str,
+        port: int,
+        task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept and serve connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._close_listener = await nursery.start(
+                serve_tcp, self.serve_connection, address, port
+            )
+            nursery.start_soon(self._watch)
+            task_status.started()
+
+    def drain(self) -> None:
+        """Close each connection after its present request."""
+        self._draining = True
+
+    def stop_accepting(self) -> None:
+        """Close the listener and the connections that wait for a request."""
+        self._draining = True
+        if self._close_listener is not None:
+            self._close_listener()
+        for conn in tuple(self._conns):
+            if conn.request is None and conn.parser.between_requests:
+                self._close_idle(conn)
+
+    def _close_idle(self, conn: _CallerConn) -> None:
+        if conn.tcp.is_quiet():
+            conn.tcp.close()
+
+    async def serve_connection(self, tcp: TcpConn) -> None:
+        """Serve the requests of one connection, one after another."""
+        if len(self._conns) >= MAX_CALLER_CONNS:
+            tcp.close()
+            return
+        conn = _CallerConn(tcp)
+        self._conns.add(conn)
+        self.max_connections = max(self.max_connections, len(self._conns))
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            raise RequestError(
-                f"request is malformed: {exc}", ResultCode.REQUEST_MALFORMED
-            ) from exc
-
-
-async def serve_connection(stream: trio.SocketStream, handler: RequestHandler) -> None:
-    """Serve the requests of one connection, one after another."""
-    conn = _Connection(stream)
-    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        await _serve_requests(conn, handler)
-    await trio.aclose_forcefully(stream)
-
-
-async def _serve_requests(conn: _Connection, handler: RequestHandler) -> None:
-    while True:
+            await self._serve_requests(conn)
+        except (OSError, trio.ClosedResourceError):
+            pass
+        except Exception as exc:
+            self._on_failure(exc)
+        finally:
+            self._conns.discard(conn)
+            tcp.close()
+
+    async def _serve_requests(self, conn: _CallerConn) -> None:
+        requests = conn.parser.requests
+        while True:
+            if not requests:
+                try:
+                    await self._read_head(conn)
+                except CallerGoneError:
+                    return
+                except RequestError as exc:
+                    await _refuse(conn.tcp, exc)
+                    return
+            req = requests.popleft()
+            if not await self._answer(conn, req):
+                return
+
+    async def _read_head(self, conn: _CallerConn) -> None:
+        now = trio.current_time()
+        conn.expires_at = now + IDLE_TIMEOUT_S
+        while not conn.parser.requests:
+            await conn.parser.read_more()
+            conn.expires_at = min(conn.expires_at, trio.current_time() + HEAD_TIMEOUT_S)
+
+    async def _answer(self, conn: _CallerConn, req: HttpRequest) -> bool:
+        """Answer a request; return whether the connection can serve another."""
+        responder = HttpResponder(conn.tcp, req)
+        if self._draining:
+            responder.keep_alive = False
+        conn.request = req
+        self.last_request_at = trio.current_time()
         try:
-            with trio.move_on_after(IDLE_TIMEOUT_S) as scope:
-                while not conn.requests:
-                    await conn.read_more()
-        except RequestError as exc:
-            await _refuse_malformed(conn.stream, exc)
-            return
-        if scope.cancelled_caught:
-            return
-        req = conn.requests.popleft()
-        keep_alive = conn.parser.should_keep_alive()
-        responder = HttpResponder(conn.stream, keep_alive, req.method == b"HEAD")
-        await handler(req, responder)
-        if not responder.finished or not responder.keep_alive or not req.complete:
+            await self._handler(req, responder)
+        except BaseException:
+            conn.tcp.abort()
+            raise
+        finally:
+            conn.request = None
+        if not responder.finished:
+            conn.tcp.abort()
+            return False
+        if responder.keep_alive and req.complete:
+            return True
+        await _close_lingering(conn.tcp)
+        return False
+
+    async def _watch(self) -> None:
+        next_expiry = trio.current_time() + EXPIRE_INTERVAL_S
+        while True:
+            await trio.sleep(WATCH_INTERVAL_S)
+            self._cancel_abandoned()
+            now = trio.current_time()
+            if now >= next_expiry:
+                next_expiry = now + EXPIRE_INTERVAL_S
+                self._drop_expired(now)
+
+    def _cancel_abandoned(self) -> None:
+        poll = None
+        by_fd: dict[int, _CallerConn] = {}
+        for conn in self._conns:
+            req = conn.request
+            if req is None:
+                continue
+            if conn.seen is not req:
+                conn.seen = req  # Most requests end before they are looked at.
+                continue
+            if poll is None:
+                poll = select.poll()
+            fd = conn.tcp.fileno()
+            if fd >= 0:
+                poll.register(fd, select.POLLRDHUP)
+                by_fd[fd] = conn
+        if poll is None:
             return
-
-
-async def _refuse_malformed(stream: trio.SocketStream, exc: RequestError) -> None:
-    status = {
-        ResultCode.REQUEST_MALFORMED: 400,
-        ResultCode.REQUEST_TOO_LARGE: 431,
-    }.get(exc.code)
-    if status is None:
-        return
+        for fd, _ in poll.poll(0):
+            req = by_fd[fd].request
+            if req is not None:
+                req.caller_gone = True
+                if req.scope is not None:
+                    req.scope.cancel()
+
+    def _drop_expired(self, now: float) -> None:
+        for conn in tuple(self._conns):
+            if conn.request is not None or now < conn.expires_at:
+                continue
+            if not conn.parser.between_requests:
+                exc = RequestError(
+                    "head was sent too slowly", ResultCode.REQUEST_SENDER_TIMEOUT
+                )
+                conn.tcp.send_now(_refusal(exc))
+            conn.tcp.close()
+
+
+def _refusal(exc: RequestError) -> bytes:
+    status = _REFUSAL_STATUSES.get(exc.code, 400)
     body = f"{exc}\n".encode()
-    responder = HttpResponder(stream, False, False)
-    length = str(len(body)).encode()
-    await responder.start(status, [(b"content-length", length)], body)
+    return (
+        b"HTTP/1.1 %d Refused\r\ncontent-type: text/plain\r\n"
+        b"marigoldchute-code: %d\r\nmarigoldchute-outcome: not-run\r\n"
+        b"content-length: %d\r\nconnection: close\r\n\r\n%s"
+        % (status, exc.code.value, len(body), body)
+    )
+
+
+async def _refuse(tcp: TcpConn, exc: RequestError) -> None:
+    await tcp.send(_refusal(exc))
+    await _close_lingering(tcp)
+
+
+async def _close_lingering(tcp: TcpConn) -> None:
+    """Close so that a caller that still sends can read its answer first."""
+    tcp.shut_down_sending()
+    dropped = 0
+    with trio.move_on_after(LINGER_S):
+        while dropped < LINGER_BYTES:
+            data = await tcp.receive(LINGER_BYTES)
+            if not data:
+                break
+            dropped += len(data)
+    tcp.close()
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -20,14 +20,18 @@
         Backend server chosen by the entry node.
     method, target : bytes
         HTTP method and request target.
-    headers : list of (bytes, bytes)
-        End-to-end headers.
+    header_block : bytes
+        End-to-end headers, each line ended by CR LF.
     remaining_ms : int
         Time left until the caller's deadline.
     priority : int
         Admission class of the route.
+    idempotent : bool
+        Whether the request may run more than once.
     has_body : bool
         Whether body data follows.
+    chunked : bool
+        Whether the body goes to the backend server in chunks.
     """
 
     request_id: str
@@ -37,10 +41,12 @@
     server_id: str
     method: bytes
     target: bytes
-    headers: HeaderList
+    header_block: bytes
     remaining_ms: int
     priority: int
+    idempotent: bool
     has_body: bool
+    chunked: bool
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
@@ -50,15 +56,25 @@
     ----------
     status : int
         HTTP status.
-    headers : list of (bytes, bytes)
-        End-to-end headers.
+    header_block : bytes
+        End-to-end headers, each line ended by CR LF.
+    has_length : bool
+        Whether the headers state the length of the body.
     code : int
         ``ResultCode`` of a refusal by the node.
+    load_level : int
+        Quarter of the slots in use when the request was admitted.
+    backend_us : int
+        Time from the last byte written to the backend server to its answer's head,
+        in microseconds.
     """
 
     status: int
-    headers: HeaderList
+    header_block: bytes = b""
+    has_length: bool = False
     code: int = 0
+    load_level: int = 0
+    backend_us: int = 0
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(RequestHead)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, Protocol
 
+import msgspec
 import trio
 
 from marigoldchute.errors import (
@@ -13,97 +15,354 @@
     RequestError,
     ResultCode,
 )
-from marigoldchute.routing.backend_conn import BackendConnPool, BackendResponse
+from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.backend_conn import BackendConnPool
+from marigoldchute.routing.backend_response import BackendResponse
+from marigoldchute.routing.duplex import send_and_receive
+from marigoldchute.routing.exchange import StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 
 if TYPE_CHECKING:
     from marigoldchute.link.stream import Stream
-    from marigoldchute.membership.model import BackendServer
-    from marigoldchute.membership.service import Membership
+    from marigoldchute.membership.model import BackendServer, Member
+    from marigoldchute.routing.backend_conn import BackendConn
+    from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
 
+SWEEP_S = 1.0
+DRAIN_POLL_S = 0.02
+
+
+class LocalServers(Protocol):
+    """Where the backend servers of this VM are announced."""
+
+    @property
+    def local(self) -> Member:
+        """The member record of this node."""
+
+
+class OwnedServer:
+    """One backend server of this VM with its slots and connections."""
+
+    def __init__(self, server: BackendServer, address: str) -> None:
+        self.server = server
+        self.gate = AdmissionGate(server)
+        self.pool = BackendConnPool(address, server.port)
+
+    def update(self, server: BackendServer) -> None:
+        """Take a new announcement."""
+        self.server = server
+        self.gate.update(server)
+        if server.draining:
+            self.pool.close_all_idle()
+
 
 class Owner:
-    """Runs requests on the backend servers of this VM within their slots."""
+    """Runs requests on the backend servers of this VM within their slots.
+
+    Parameters
+    ----------
+    servers : LocalServers
+        Announced backend servers.
+    address : str
+        IP number of the VM.
+    """
+
+    def __init__(self, servers: LocalServers, address: str) -> None:
+        self._servers = servers
+        self._address = address
+        self._owned: dict[str, OwnedServer] = {}
+        self._member: Member | None = None
+        self._draining = False
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Look after idle and abandoned connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(SWEEP_S)
+                self._refresh()
+                for owned in self._owned.values():
+                    owned.pool.close_idle(trio.current_time())
 
-    def __init__(self, membership: Membership, address: str) -> None:
-        self._membership = membership
-        self._pool = BackendConnPool(address)
-        self._running: dict[str, int] = {}
+    @property
+    def running(self) -> int:
+        """Requests that run on the backend servers of this VM."""
+        return sum(owned.gate.running for owned in self._owned.values())
+
+    def gate(self, server_id: str) -> AdmissionGate | None:
+        """Return the admission gate of a backend server of this VM."""
+        owned = self._find(server_id)
+        return None if owned is None else owned.gate
+
+    def drain(self) -> None:
+        """Admit nothing more on any backend server of this VM."""
+        self._draining = True
+        for owned in self._owned.values():
+            owned.gate.drain()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request runs on a backend server of this VM."""
+        while self.running:
+            await trio.sleep(DRAIN_POLL_S)
 
     async def serve(self, stream: Stream) -> None:
-        """Serve one request of a peer."""
-        head = REQUEST_DECODER.decode(stream.head)
+        """Serve one request of an entry node."""
+        exchange = StreamExchange(stream)
         try:
-            server = self._admit(head)
-        except NotRunError as exc:
-            stream.send_head(ENCODER.encode(ResponseHead(503, [], exc.code)))
-            stream.send_end()
+            head = REQUEST_DECODER.decode(stream.head)
+        except msgspec.DecodeError:
+            stream.reset(ResultCode.PEER_PROTOCOL)
             return
-        self._running[server.server_id] = self._running.get(server.server_id, 0) + 1
         try:
-            with trio.move_on_after(head.remaining_ms / 1000) as scope:
-                await self._run(head, server, stream)
+            with trio.CancelScope() as scope:
+                scope.deadline = trio.current_time() + head.remaining_ms / 1000
+                stream.on_cancel(scope.cancel)
+                await self.execute(head, exchange)
             if scope.cancelled_caught:
-                stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN)
+                stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE)
         except NotRunError as exc:
-            stream.send_head(ENCODER.encode(ResponseHead(503, [], exc.code)))
-            stream.send_end()
+            refusal = ResponseHead(503, code=exc.code)
+            await stream.send_whole(ENCODER.encode(refusal), b"")
         except PeerError:
-            pass
+            stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN)
         except MarigoldchuteError as exc:
             stream.reset(exc.code)
-        finally:
-            self._running[server.server_id] -= 1
 
-    def _admit(self, head: RequestHead) -> BackendServer:
-        for server in self._membership.local.servers:
-            if server.server_id == head.server_id:
-                break
-        else:
+    async def execute(self, head: RequestHead, exchange: Exchange) -> None:
+        """Run one request on the backend server that its head names.
+
+        Raises
+        ------
+        NotRunError
+            The request did not run; nothing was sent to ``exchange``.
+        RequestError
+            The request may have run, and no whole answer was sent.
+        """
+        owned = self._find(head.server_id)
+        if owned is None:
             raise NotRunError("backend server is not here")
-        if server.draining:
-            raise NotRunError("draining", ResultCode.REQUEST_NOT_RUN_DRAINING)
-        if self._running.get(server.server_id, 0) >= server.slots:
-            raise NotRunError("no slot", ResultCode.REQUEST_NOT_RUN_OVERLOADED)
-        return server
+        server = owned.server
+        if server.service != head.service or server.release != head.release:
+            raise NotRunError("another release serves at this address now")
+        gate = owned.gate
+        remaining_ms = head.remaining_ms
+        if not gate.try_enter():
+            entered_at = trio.current_time()
+            await gate.enter(head.priority, remaining_ms / 1000)
+            waited_ms = int((trio.current_time() - entered_at) * 1000)
+            remaining_ms = max(1, remaining_ms - waited_ms)
+        load_level = gate.load_level
+        running = gate.running
+        try:
+            conn = await owned.pool.take(head.idempotent, server.connections)
+        except BaseException:
+            gate.leave()
+            raise
+        run = _Run(head, exchange, conn, load_level, remaining_ms)
+        try:
+            await run.execute()
+        except BaseException as exc:
+            self._end_failed(owned, run, isinstance(exc, trio.Cancelled))
+            raise
+        now = trio.current_time()
+        gate.take_sample(run.run_s, running, now)
+        if run.reusable and not gate.draining:
+            owned.pool.give_back(conn, now)
+        else:
+            owned.pool.discard(conn)
+        gate.leave()
 
-    async def _run(
-        self, head: RequestHead, server: BackendServer, stream: Stream
-    ) -> None:
-        conn = await self._pool.take(server.port)
+    def _end_failed(self, owned: OwnedServer, run: _Run, cancelled: bool) -> None:
+        if run.refused:
+            owned.gate.take_refusal(trio.current_time())
+        still_runs = run.written and not run.ended
+        if still_runs and self._nursery is not None:
+            self._nursery.start_soon(self._hold_abandoned, owned, run.conn)
+            return
+        if run.refused and run.reusable:
+            owned.pool.give_back(run.conn, trio.current_time())
+        else:
+            owned.pool.discard(run.conn)
+        owned.gate.leave()
+
+    async def _hold_abandoned(self, owned: OwnedServer, conn: BackendConn) -> None:
+        # The backend server may still run the request, so its slot is not free yet.
         try:
-            await conn.send_request(head, None)
-            response = BackendResponse(head.method == b"HEAD")
-            async with trio.open_nursery() as nursery:
-                if head.has_body:
-                    nursery.start_soon(self._forward_body, head, stream, conn)
-                await self._forward_answer(conn, response, stream)
-                nursery.cancel_scope.cancel()
-            conn.reusable = response.keep_alive
-        except* RequestError as group:
-            raise RequestError("backend server did not answer whole") from group
+            await conn.wait_abandoned()
         finally:
-            self._pool.give_back(server.port, conn)
+            owned.pool.discard(conn)
+            owned.gate.leave()
+
+    def _find(self, server_id: str) -> OwnedServer | None:
+        if self._servers.local is not self._member:
+            self._refresh()
+        return self._owned.get(server_id)
+
+    def _refresh(self) -> None:
+        member = self._servers.local
+        if member is self._member:
+            return
+        self._member = member
+        announced = {server.server_id: server for server in member.servers}
+        for server_id in tuple(self._owned):
+            if server_id not in announced:
+                self._drop(server_id)
+        for server_id, server in announced.items():
+            owned = self._owned.get(server_id)
+            if owned is None:
+                owned = self._owned[server_id] = OwnedServer(server, self._address)
+            elif owned.server != server:
+                owned.update(server)
+            if self._draining:
+                owned.gate.drain()
+
+    def _drop(self, server_id: str) -> None:
+        owned = self._owned[server_id]
+        owned.gate.drain()
+        owned.pool.close_all_idle()
+        if not owned.gate.running:
+            del self._owned[server_id]
+
+
+class _Run:
+    """One request on one connection to a backend server."""
+
+    def __init__(
+        self,
+        head: RequestHead,
+        exchange: Exchange,
+        conn: BackendConn,
+        load_level: int,
+        remaining_ms: int,
+    ) -> None:
+        self.conn = conn
+        self.run_s = 0.0
+        self.reusable = False
+        self.written = False
+        self.ended = False
+        self.refused = False
+        self._head = head
+        self._exchange = exchange
+        self._load_level = load_level
+        self._remaining_ms = remaining_ms
+        self._sent_at = 0.0
+        self._response = BackendResponse(head.method == b"HEAD")
+
+    async def execute(self) -> None:
+        """Write the request and pass the answer on."""
+        head = self._head
+        first = self._request_bytes()
+        if not head.has_body:
+            await self._send_first(first)
+            await self._pass_answer()
+            return
+        body = self._exchange.take_whole_body()
+        if body is not None:
+            await self._send_first(first + _frame_whole(body, head.chunked))
+            await self._pass_answer()
+            return
+        await self._send_first(first)
+        await self._pass_both_ways()
 
-    async def _forward_body(self, head: RequestHead, stream: Stream, conn) -> None:  # type: ignore[no-untyped-def]
-        chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
-        while (data := await stream.receive()) is not None:
-            await conn.send_body(
-                b"%x\r\n%s\r\n" % (len(data), data) if chunked else data
+    async def _pass_both_ways(self) -> None:
+        sent = await send_and_receive(self._pass_body, self._pass_answer)
+        self.reusable = self.reusable and sent
+
+    def _request_bytes(self) -> bytes:
+        head = self._head
+        framing = b"transfer-encoding: chunked\r\n" if head.chunked else b""
+        return (
+            b"%s %s HTTP/1.1\r\n%s%smarigoldchute-deadline-ms: %d\r\n"
+            b"marigoldchute-request-id: %s\r\n\r\n"
+            % (
+                head.method,
+                head.target,
+                head.header_block,
+                framing,
+                self._remaining_ms,
+                head.request_id.encode("latin-1"),
             )
+        )
+
+    async def _send_first(self, data: bytes) -> None:
+        try:
+            self.written = True
+            await self.conn.send_first(data)
+        except NotRunError:
+            self.written = False
+            raise
+        except RequestError:
+            self.ended = self.conn.peer_ended
+            raise
+        self._sent_at = time.perf_counter()
+
+    async def _pass_body(self) -> None:
+        chunked = self._head.chunked
+        while (data := await self._exchange.receive()) is not None:
+            if data:
+                await self.conn.send(_frame(data, chunked))
         if chunked:
-            await conn.send_body(b"0\r\n\r\n")
+            await self.conn.send(b"0\r\n\r\n")
+        self._sent_at = time.perf_counter()
 
-    async def _forward_answer(self, conn, response, stream: Stream) -> None:  # type: ignore[no-untyped-def]
+    async def _pass_answer(self) -> None:
+        response = self._response
         while not response.has_head:
-            await conn.read_more(response)
-        head = ResponseHead(response.status, response.headers)
-        stream.send_head(ENCODER.encode(head))
-        while True:
-            while response.chunks:
-                await stream.send(response.chunks.popleft())
-            if response.complete:
-                break
-            await conn.read_more(response)
-        stream.send_end()
+            await self._read_more()
+        answered_at = time.perf_counter()
+        if response.refused:
+            self.refused = True
+            self.ended = response.complete
+            self.reusable = response.complete and response.keep_alive
+            raise NotRunError(
+                "backend server refused the request",
+                ResultCode.REQUEST_NOT_RUN_REFUSED,
+            )
+        head = ResponseHead(
+            response.status,
+            response.header_block,
+            response.has_length,
+            0,
+            self._load_level,
+            int((answered_at - self._sent_at) * 1_000_000),
+        )
+        exchange = self._exchange
+        if response.complete:
+            self._end_whole()
+            await exchange.send_whole(head, response.take_body())
+            return
+        await exchange.send_head(head, response.take_body())
+        while not response.complete:
+            await self._read_more()
+            if response.chunks:
+                await exchange.send(response.take_body())
+        self._end_whole()
+        await exchange.finish()
+
+    async def _read_more(self) -> None:
+        try:
+            await self.conn.read_more(self._response)
+        except RequestError:
+            # A connection that the backend server ended holds no slot any more.
+            self.ended = self.conn.peer_ended
+            raise
+
+    def _end_whole(self) -> None:
+        self.ended = True
+        self.run_s = time.perf_counter() - self._sent_at
+        self.reusable = self._response.keep_alive
+
+
+def _frame(data: bytes, chunked: bool) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if chunked else data
+
+
+def _frame_whole(body: bytes, chunked: bool) -> bytes:
+    if not chunked:
+        return body
+    return _frame(body, True) + b"0\r\n\r\n" if body else b"0\r\n\r\n"
--- /dev/null
+++ b/marigoldchute/routing/path.py
@@ -0,0 +1,161 @@
+"""Assembly of the request path of one node, and its graceful stop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
+from marigoldchute.overlay.records import RecordKind
+from marigoldchute.routing.choice import NearestLeastLoaded
+from marigoldchute.routing.entry import Entry
+from marigoldchute.routing.http_server import HttpEdge
+from marigoldchute.routing.owner import Owner
+
+if TYPE_CHECKING:
+    import random
+
+    from marigoldchute.bundle.inforce import InForce
+    from marigoldchute.config import NodeSettings
+    from marigoldchute.events import EventLog
+    from marigoldchute.link.pool import LinkPool
+    from marigoldchute.membership.service import Membership
+    from marigoldchute.moves.engine import MoveEngine
+    from marigoldchute.overlay.records import RecordTable
+    from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+    from marigoldchute.routing.outcomes import OutcomeSink
+    from marigoldchute.util.clock import Clock
+
+MAX_ANNOUNCEMENT_BYTES = 65_536
+DRAIN_ACCEPT_S = 1.0
+DRAIN_LIMIT_S = 30.0
+DRAIN_POLL_S = 0.02
+
+
+class RequestPath:
+    """Entry, owner and HTTP edges of one node.
+
+    Parameters
+    ----------
+    cfg : NodeSettings
+        Settings of the node.
+    in_force : InForce
+        Bundle in force.
+    engine : MoveEngine
+        Split of each service between releases.
+    membership : Membership
+        Members of the mesh and announced backend servers.
+    table : RecordTable
+        Tells of changes of members.
+    traffic : LinkPool
+        Links to the owners.
+    sink : OutcomeSink
+        Receives the outcome of every try.
+    log : EventLog
+        Event log of the process.
+    clock : Clock
+        Wall clock of the process.
+    rng : random.Random
+        Random choices.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        in_force: InForce,
+        engine: MoveEngine,
+        membership: Membership,
+        table: RecordTable,
+        traffic: LinkPool,
+        sink: OutcomeSink,
+        log: EventLog,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._membership = membership
+        self._log = log
+        self._clock = clock
+        self.owner = Owner(membership, cfg.address)
+        chooser = NearestLeastLoaded(rng, self.owner.gate, cfg.region)
+        self.entry = Entry(
+            in_force,
+            engine,
+            membership,
+            traffic,
+            self.owner,
+            chooser,
+            sink,
+            log,
+            clock,
+            rng,
+        )
+        self._caller_edge = HttpEdge(self.entry.handle_external, self._log_failure)
+        self._internal_edge = HttpEdge(self._handle_internal, self._log_failure)
+        table.subscribe(
+            RecordKind.MEMBER, lambda record: self.entry.tables.mark_stale()
+        )
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers and backend servers until cancelled."""
+        cfg = self._cfg
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.owner.run)
+            await nursery.start(
+                self._internal_edge.serve, cfg.address, cfg.internal_port
+            )
+            await nursery.start(self._caller_edge.serve, cfg.address, cfg.caller_port)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Stop without cutting a request, within ``DRAIN_LIMIT_S``.
+
+        Backend servers of this VM get nothing new from now on: what waits here or
+        still arrives from other nodes is refused as not run and tried elsewhere. For
+        ``DRAIN_ACCEPT_S`` callers are still served, by backend servers on other VMs.
+        """
+        self.owner.drain()
+        self._caller_edge.drain()
+        with trio.move_on_after(DRAIN_LIMIT_S) as scope:
+            await trio.sleep(DRAIN_ACCEPT_S)
+            self._caller_edge.stop_accepting()
+            while self._caller_edge.connections or self.owner.running:
+                await trio.sleep(DRAIN_POLL_S)
+        if scope.cancelled_caught:
+            self._log.emit(
+                "routing",
+                "drain-limit",
+                f"{self.owner.running} requests still run at the end of the drain.",
+            )
+
+    async def _handle_internal(
+        self, req: HttpRequest, responder: HttpResponder
+    ) -> None:
+        if req.target != ANNOUNCE_TARGET:
+            await self.entry.handle_internal(req, responder)
+            return
+        body = b""
+        while (data := await req.receive()) is not None:
+            body += data
+            if len(body) > MAX_ANNOUNCEMENT_BYTES:
+                return
+        status, text = 204, b""
+        try:
+            take_announcement(
+                self._membership, body, self._clock.now_ms(), trio.current_time()
+            )
+        except MarigoldchuteError as exc:
+            status, text = 400, f"{exc}\n".encode()
+        await responder.start(
+            status, [(b"content-length", str(len(text)).encode())], text
+        )
+        await responder.finish()
+
+    def _log_failure(self, exc: Exception) -> None:
+        self._log.emit(
+            "routing", "failure", f"A request met an unexpected error: {exc!r}."
+        )
--- a/marigoldchute/standins/backend.py
+++ b/marigoldchute/standins/backend.py
@@ -5,18 +5,15 @@
 import collections
 import dataclasses
 import random
-from typing import Any
+from typing import TYPE_CHECKING
 
 import httpcore
 import msgspec
 import trio
 
+from marigoldchute.errors import RequestError
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, Announcement
-from marigoldchute.routing.http_server import (
-    HttpRequest,
-    HttpResponder,
-    serve_connection,
-)
+from marigoldchute.routing.http_server import HttpEdge
 from marigoldchute.standins.backend_faults import (
     FAULTS_TARGET,
     STATE_TARGET,
@@ -24,6 +21,9 @@
     BackendState,
 )
 
+if TYPE_CHECKING:
+    from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+
 ANNOUNCE_INTERVAL_S = 1.0
 
 
@@ -69,10 +69,6 @@
     cold_factor: float = 10.0
 
 
-class _CutAnswer(Exception):
-    """Ends a connection in the middle of an answer."""
-
-
 class Backend:
     """One stand-in backend server."""
 
@@ -88,38 +84,18 @@
         self._cancelled = 0
         self._running = 0
         self._max_running = 0
-        self._connections = 0
-        self._max_connections = 0
+        self._edge = HttpEdge(self._handle)
 
     async def run(self) -> None:
         """Serve and announce until cancelled."""
         self._faults_since = self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._listen)
+            await nursery.start(
+                self._edge.serve, self._settings.address, self._settings.port
+            )
             if self._settings.node_port:
                 nursery.start_soon(self._announce)
 
-    async def _listen(
-        self, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        settings = self._settings
-        await trio.serve_tcp(
-            self._serve,
-            settings.port,
-            host=settings.address,
-            task_status=task_status,
-        )
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        self._connections += 1
-        self._max_connections = max(self._max_connections, self._connections)
-        try:
-            await serve_connection(stream, self._handle)
-        except _CutAnswer:
-            await trio.aclose_forcefully(stream)
-        finally:
-            self._connections -= 1
-
     async def _handle(self, req: HttpRequest, responder: HttpResponder) -> None:
         if req.target == FAULTS_TARGET:
             await self._set_faults(req, responder)
@@ -128,15 +104,18 @@
             await _answer(responder, 200, msgspec.json.encode(self.state()))
             return
         size = 0
-        while (data := await req.receive()) is not None:
-            size += len(data)
+        try:
+            while (data := await req.receive()) is not None:
+                size += len(data)
+        except RequestError:
+            return  # An upload that was cut is not run.
         self._running += 1
         self._max_running = max(self._max_running, self._running)
         try:
-            await self._run_request(req, responder, size)
-        except trio.Cancelled:
-            self._cancelled += 1
-            raise
+            with trio.CancelScope() as scope:
+                req.scope = scope
+                await self._run_request(req, responder, size)
+            self._cancelled += scope.cancelled_caught
         finally:
             self._running -= 1
 
@@ -148,8 +127,8 @@
             self._cancelled,
             self._running,
             self._max_running,
-            self._connections,
-            self._max_connections,
+            self._edge.connections,
+            self._edge.max_connections,
         )
 
     async def _run_request(
@@ -162,14 +141,14 @@
         self._count_run(req)
         await trio.sleep((self._service_ms() + faults.delay_ms) / 1000)
         if self._draw(faults.drop_share):
-            raise _CutAnswer
+            return
         if self._draw(faults.hang_share):
             await trio.sleep_forever()
         body = b"%s %s %d\n" % (self._settings.release.encode(), req.target, size)
         if self._draw(faults.cut_share):
             length = str(len(body) + 1).encode()
             await responder.start(200, [(b"content-length", length)], body)
-            raise _CutAnswer
+            return
         status = 500 if self._draw(faults.error_share) else 200
         await _answer(responder, status, body)
 
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -276,9 +277,10 @@
         process.wait()
 
     def stop(self) -> None:
-        """End every process."""
-        for process in self._processes.values():
-            process.terminate()
+        """End every process, without a drain of the nodes."""
+        nodes = {vm.name for vm in self.plan.vms}
+        for name, process in self._processes.items():
+            process.send_signal(signal.SIGINT if name in nodes else signal.SIGTERM)
         for process in self._processes.values():
             try:
                 process.wait(STOP_TIMEOUT_S)
--- a/tests/test_link/test_malformed.py
+++ b/tests/test_link/test_malformed.py
@@ -16,6 +16,7 @@
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Handlers, Link
+from tests.support.memory_transport import MemoryTransport
 
 if TYPE_CHECKING:
     from marigoldchute.link.stream import Stream
@@ -57,7 +58,7 @@
         ours, theirs = trio.testing.memory_stream_pair()
         peer = PeerIdentity("peer", 1, "a", "r")
         link = Link(
-            ours,
+            MemoryTransport(ours, theirs),
             FrameDecoder(),
             peer,
             "control",
