Declare members gone by evidence only, fence nodes without contact

Cause: a lost link alone made a member unreachable, nothing ever became gone, and a node cut off from all others went on serving while others might count it out.

Members: claims need a second member that cannot reach the address either; refusals seen twice by two members, a later member at the address, the member's own leaving and silence end an incarnation. Whoever finds its own incarnation ended goes on under a new one. Contact: each node asks three neighbours a second whom they hear; times count from the question, so late answers and pauses never look fresh. A node that hears a majority of no data centre, and does not read in the store that it is unmarked, refuses requests (513) after fence_after_ms. A data centre that is not heard is shown as unreachable as a whole, without a record for each member.

Ruled out: silence judged by the member's own data centre alone.

Overlay: duplicate links end in one, overdue heartbeats bring a fresh link while the old one fails over, dials are bounded in rate with full jitter, a full acceptor refuses with 405, floods and repairs are cut in batches of 64 KiB, links opened to join close.

--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -30,6 +30,8 @@
 TimeoutMs = Annotated[int, msgspec.Meta(ge=10, le=60_000)]
 CallRate = Annotated[float, msgspec.Meta(gt=0, le=1000)]
 BurstCalls = Annotated[float, msgspec.Meta(ge=1, le=10_000)]
+FenceMs = Annotated[int, msgspec.Meta(ge=1000, le=600_000)]
+MIN_FENCE_HEARTBEATS = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +100,9 @@
     peer_secret, admin_token : str
         Shared secrets of peers and operators, at least ``MIN_SECRET_LENGTH``
         characters each.
+    accepted_peer_secrets : tuple of str
+        Further secrets with which peers may prove themselves while ``peer_secret`` is
+        replaced.
     clock_error_ms : int
         Greatest difference between a VM's clock and true time.
     heartbeat_ms : int
@@ -106,6 +111,8 @@
         Added to the machine's clock, for tests.
     move_evidence : bool
         Whether the outcomes of requests act on moves; benches compare without.
+    fence_after_ms : int
+        Time without contact to other members after which requests are refused.
     """
 
     name: Name
@@ -121,11 +128,13 @@
     peer_port: Port = 7000
     admin_port: Port = 7100
     peer_secret: str = ""
+    accepted_peer_secrets: tuple[str, ...] = ()
     admin_token: str = ""
     clock_error_ms: ClockErrorMs = 250
     heartbeat_ms: HeartbeatMs = 1000
     clock_offset_ms: int = 0
     move_evidence: bool = True
+    fence_after_ms: FenceMs = 20_000
 
 
 def parse_node_settings(value: Any, source: str) -> NodeSettings:
@@ -154,6 +163,7 @@
         _check_ports(cfg)
         _check_keys(cfg.trusted_keys)
         _check_secrets(cfg)
+        _check_fence(cfg)
     except ConversionError as exc:
         raise SettingsError(f"{source}: {exc}") from exc
     return cfg
@@ -180,6 +190,14 @@
     return parse_node_settings(load_file(path), path)
 
 
+def _check_fence(cfg: NodeSettings) -> None:
+    if cfg.fence_after_ms < MIN_FENCE_HEARTBEATS * cfg.heartbeat_ms:
+        raise ConversionError(
+            f"$.fence_after_ms: must be at least {MIN_FENCE_HEARTBEATS} times"
+            " heartbeat_ms"
+        )
+
+
 def _check_addresses(cfg: NodeSettings) -> None:
     _check_address("$.address", cfg.address)
     _check_address("$.store.address", cfg.store.address)
@@ -254,7 +272,13 @@
                 f"$.{name}: expected at least {MIN_SECRET_LENGTH} characters, "
                 f"found {size}"
             )
-    if cfg.peer_secret == cfg.admin_token:
+    for index, secret in enumerate(cfg.accepted_peer_secrets):
+        if len(secret) < MIN_SECRET_LENGTH:
+            raise ConversionError(
+                f"$.accepted_peer_secrets[{index}]: expected at least "
+                f"{MIN_SECRET_LENGTH} characters, found {len(secret)}"
+            )
+    if cfg.admin_token in (cfg.peer_secret, *cfg.accepted_peer_secrets):
         raise ConversionError("$.admin_token: must differ from $.peer_secret")
 
 
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -14,9 +14,10 @@
     HANDSHAKE_TIMEOUT_S,
     HandshakeStream,
     PeerIdentity,
+    encode_refusal,
 )
 from marigoldchute.link.link import Handlers, Link
-from marigoldchute.link.stats import ByteTotals
+from marigoldchute.link.stats import TRAFFIC_PURPOSE, ByteTotals
 from marigoldchute.util.tcp import TcpConn
 
 if TYPE_CHECKING:
@@ -28,6 +29,9 @@
 LISTEN_BACKLOG = 1024
 FLUSH_TIMEOUT_S = 2.0
 FLUSH_POLL_S = 0.01
+MAX_HANDSHAKES = 64
+MAX_CONTROL_LINKS = 128
+CONTROL_PURPOSE = "control"
 
 
 class LinkEndpoint:
@@ -39,8 +43,8 @@
         Who this node is.
     bind_address : str
         IP number of this VM, also the source of outgoing connections.
-    secret : bytes
-        Shared secret of the peers.
+    secrets : tuple of bytes
+        Shared secrets of the peers; the first proves, any is accepted.
     handlers : Handlers
         What to do with calls and streams of peers.
     clock : HybridClock
@@ -55,7 +59,7 @@
         self,
         local: PeerIdentity,
         bind_address: str,
-        secret: bytes,
+        secrets: tuple[bytes, ...],
         handlers: Handlers,
         clock: HybridClock,
         heartbeat_ms: int,
@@ -64,13 +68,24 @@
         self.local = local
         self.links: set[Link] = set()
         self._bind_address = bind_address
-        self._secret = secret
+        self._secrets = secrets
         self._handlers = handlers
         self._clock = clock
         self._heartbeat_ms = heartbeat_ms
         self._on_link = on_link
+        self._handshakes = 0
         self._ended_totals: dict[str, ByteTotals] = {}
 
+    def begin_incarnation(self, incarnation: int) -> None:
+        """Go on under another incarnation and close the control links of this one."""
+        local = self.local
+        self.local = PeerIdentity(
+            local.name, incarnation, local.data_centre, local.region
+        )
+        for link in tuple(self.links):
+            if link.purpose != TRAFFIC_PURPOSE:
+                link.close()
+
     def byte_totals(self) -> dict[str, ByteTotals]:
         """Return the bytes of all links, ended ones included, by purpose."""
         totals = dict(self._ended_totals)
@@ -118,6 +133,11 @@
             await sock.bind((self._bind_address, 0))
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await sock.connect((address, port))
+        except ConnectionRefusedError as exc:
+            sock.close()
+            raise PeerError(
+                f"{address}:{port} refuses connections", ResultCode.PEER_REFUSED
+            ) from exc
         except (OSError, trio.TooSlowError) as exc:
             sock.close()
             raise PeerError(f"cannot connect to {address}:{port}: {exc}") from exc
@@ -134,7 +154,7 @@
             local.name, local.incarnation, local.data_centre, local.region, purpose
         )
         try:
-            peer = await handshake.open(identity, self._secret)
+            peer = await handshake.open(identity, self._secrets)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise PeerError("connection ended in the handshake") from exc
         return self._make_link(stream, decoder, handshake, peer, purpose, True)
@@ -191,6 +211,27 @@
         )
 
     async def _accept(self, stream: trio.SocketStream) -> None:
+        if self._handshakes >= MAX_HANDSHAKES or self._is_full():
+            await _refuse(stream)
+            return
+        self._handshakes += 1
+        try:
+            link = await self._accept_link(stream)
+        finally:
+            self._handshakes -= 1
+        if link is not None:
+            self._on_link(link)
+            await self.run_link(link)
+
+    def _is_full(self) -> bool:
+        accepted = [
+            link
+            for link in self.links
+            if not link.opened_here and link.purpose == CONTROL_PURPOSE
+        ]
+        return len(accepted) >= MAX_CONTROL_LINKS
+
+    async def _accept_link(self, stream: trio.SocketStream) -> Link | None:
         decoder = FrameDecoder()
         handshake = HandshakeStream(stream, decoder)
         peer = None
@@ -203,10 +244,15 @@
             ),
             trio.move_on_after(HANDSHAKE_TIMEOUT_S),
         ):
-            peer = await handshake.accept(self.local, self._secret)
+            peer = await handshake.accept(self.local, self._secrets)
         if peer is None:
             await trio.aclose_forcefully(stream)
-            return
-        link = self._make_link(stream, decoder, handshake, peer, peer.purpose, False)
-        self._on_link(link)
-        await self.run_link(link)
+            return None
+        return self._make_link(stream, decoder, handshake, peer, peer.purpose, False)
+
+
+async def _refuse(stream: trio.SocketStream) -> None:
+    """Tell a peer that no further link is taken, with a numbered code."""
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        await stream.send_all(encode_refusal(ResultCode.PEER_BUSY))
+    await trio.aclose_forcefully(stream)
--- a/marigoldchute/link/handshake.py
+++ b/marigoldchute/link/handshake.py
@@ -1,7 +1,8 @@
 """Mutual authentication when a connection between nodes opens.
 
 Both ends send a random nonce and prove with HMAC-SHA-256 over both nonces and both
-names that they hold the peers' shared secret.
+names that they hold a shared secret of the peers. While a secret is replaced, both are
+in the settings: the first proves, any is accepted.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import hashlib
 import hmac
 import secrets
+import struct
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -22,6 +24,7 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 NONCE_BYTES = 16
 RECEIVE_BYTES = 65536
+_CODE = struct.Struct(">I")
 
 
 class PeerIdentity(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +78,8 @@
                 raise PeerError("peer closed the connection in the handshake")
             self.pending.extend(self._decoder.feed(data))
         kind, _, body = self.pending.pop(0)
+        if kind == FrameKind.FAILURE:
+            raise PeerError("peer refused the connection", _decode_code(body))
         if kind != FrameKind.HELLO:
             raise PeerError("peer skipped the handshake", ResultCode.PEER_PROTOCOL)
         try:
@@ -82,29 +87,47 @@
         except msgspec.DecodeError as exc:
             raise PeerError(f"bad handshake: {exc}", ResultCode.PEER_PROTOCOL) from exc
 
-    async def open(self, local: PeerIdentity, secret: bytes) -> PeerIdentity:
+    async def open(self, local: PeerIdentity, keys: tuple[bytes, ...]) -> PeerIdentity:
         """Run the handshake as the end that connected; return the peer's identity."""
         nonce = secrets.token_bytes(NONCE_BYTES)
         await self._send(_Hello(local, nonce, b""))
         hello = await self._receive()
         names = [local.name.encode(), hello.identity.name.encode()]
-        _check(secret, b"accept", [nonce, hello.nonce, *names], hello.proof)
-        proof = _prove(secret, b"open", [nonce, hello.nonce, *names])
+        _check(keys, b"accept", [nonce, hello.nonce, *names], hello.proof)
+        proof = _prove(keys[0], b"open", [nonce, hello.nonce, *names])
         await self._send(_Hello(local, b"", proof))
         return hello.identity
 
-    async def accept(self, local: PeerIdentity, secret: bytes) -> PeerIdentity:
+    async def accept(
+        self, local: PeerIdentity, keys: tuple[bytes, ...]
+    ) -> PeerIdentity:
         """Run the handshake as the end that listened; return the peer's identity."""
         hello = await self._receive()
         nonce = secrets.token_bytes(NONCE_BYTES)
         names = [hello.identity.name.encode(), local.name.encode()]
         parts = [hello.nonce, nonce, *names]
-        await self._send(_Hello(local, nonce, _prove(secret, b"accept", parts)))
+        await self._send(_Hello(local, nonce, _prove(keys[0], b"accept", parts)))
         last = await self._receive()
-        _check(secret, b"open", parts, last.proof)
+        _check(keys, b"open", parts, last.proof)
         return hello.identity
 
 
-def _check(secret: bytes, role: bytes, parts: list[bytes], proof: bytes) -> None:
-    if not hmac.compare_digest(_prove(secret, role, parts), proof):
-        raise AuthError("peer does not hold the shared secret")
+def encode_refusal(code: ResultCode) -> bytes:
+    """Return the frame that refuses a handshake."""
+    return encode_frame(FrameKind.FAILURE, 0, _CODE.pack(code))
+
+
+def _decode_code(body: bytes) -> ResultCode:
+    try:
+        return ResultCode(_CODE.unpack(body)[0])
+    except (ValueError, struct.error):
+        return ResultCode.PEER_PROTOCOL
+
+
+def _check(
+    keys: tuple[bytes, ...], role: bytes, parts: list[bytes], proof: bytes
+) -> None:
+    for secret in keys:
+        if hmac.compare_digest(_prove(secret, role, parts), proof):
+            return
+    raise AuthError("peer does not hold a shared secret")
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -26,6 +26,8 @@
 
 RECEIVE_BYTES = 262_144
 SILENCE_FACTOR = 3
+SUSPECT_FACTOR = 2.25
+HEARTBEAT_SKIP = 0.5
 MAX_PENDING_WRITE_BYTES = 16_000_000
 _CALL_HEADER = struct.Struct(">H")
 _STAMP = struct.Struct(">Q")
@@ -122,6 +124,7 @@
         self._out_ready = trio.Event()
         self._heard_at = trio.current_time()
         self._sent_at = trio.current_time()
+        self._made_at = trio.current_time()
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -129,6 +132,17 @@
         """Whether the link can still be used."""
         return not self.closed.is_set()
 
+    @property
+    def suspect(self) -> bool:
+        """Whether a heartbeat of the peer is overdue, so another link is wanted."""
+        silent_s = trio.current_time() - self._heard_at
+        return silent_s > SUSPECT_FACTOR * self._heartbeat_s
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the link was made."""
+        return trio.current_time() - self._made_at
+
     @property
     def stream_count(self) -> int:
         """Number of open streams."""
@@ -308,8 +322,9 @@
             now = trio.current_time()
             if now - self._heard_at > SILENCE_FACTOR * self._heartbeat_s:
                 raise PeerError("peer is silent", ResultCode.PEER_TIMEOUT)
-            stamp = self._clock.tick(0)
-            self.send_frame(FrameKind.HEARTBEAT, 0, _STAMP.pack(stamp))
+            if now - self._sent_at > HEARTBEAT_SKIP * self._heartbeat_s:
+                stamp = self._clock.tick(0)
+                self.send_frame(FrameKind.HEARTBEAT, 0, _STAMP.pack(stamp))
 
     async def _read_frames(self) -> None:
         for frame in self._early_frames:
--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -11,6 +11,8 @@
     PUSH_RECORDS = 1
     COMPARE_DIGESTS = 2
     PULL_RECORDS = 3
+    GET_VIEW = 4
+    PROBE = 5
     GET_CHUNK = 10
     REPORT_EVIDENCE = 20
     LIST_CONFIRMATIONS = 21
--- a/marigoldchute/link/pool.py
+++ b/marigoldchute/link/pool.py
@@ -43,12 +43,13 @@
         self._links: dict[str, Link] = {}
         self._locks: dict[str, trio.Lock] = {}
         self._used_at: dict[str, float] = {}
+        self._retired: list[Link] = []
         self._nursery: trio.Nursery | None = None
 
     def live(self, name: str) -> Link | None:
-        """Return the open link to a member, if there is one."""
+        """Return the open link to a member, if one is heard."""
         link = self._links.get(name)
-        if link is None or not link.alive:
+        if link is None or not link.alive or link.suspect:
             return None
         self._used_at[name] = trio.current_time()
         return link
@@ -81,12 +82,19 @@
         if link.peer.name != name:
             link.close()
             raise PeerError(f"{link.peer.name!r} answered for {name!r}")
+        self._retire(name)
         self._links[name] = link
         self._used_at[name] = trio.current_time()
         assert self._nursery is not None
         self._nursery.start_soon(self._endpoint.run_link, link)
         return link
 
+    def _retire(self, name: str) -> None:
+        """Let the streams of a replaced link end before it is closed."""
+        link = self._links.pop(name, None)
+        if link is not None and link.alive:
+            self._retired.append(link)
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -99,6 +107,10 @@
                 self._sweep(trio.current_time())
 
     def _sweep(self, now: float) -> None:
+        for link in self._retired:
+            if link.stream_count == 0:
+                link.close()
+        self._retired = [link for link in self._retired if link.alive]
         for name, link in tuple(self._links.items()):
             idle = now - self._used_at.get(name, now) > IDLE_CLOSE_S
             if idle and link.stream_count == 0:
--- a/marigoldchute/membership/model.py
+++ b/marigoldchute/membership/model.py
@@ -70,6 +70,8 @@
         Liveness.
     servers : tuple of BackendServer
         Backend servers on its VM.
+    gone_at_ms : int
+        Wall-clock time at which it was found to be gone.
     """
 
     name: str
@@ -81,6 +83,7 @@
     region: str
     state: MemberState = MemberState.ALIVE
     servers: tuple[BackendServer, ...] = ()
+    gone_at_ms: int = 0
 
     @property
     def usable(self) -> bool:
@@ -95,6 +98,10 @@
     def local(self) -> Member:
         """The member record of this node."""
 
+    @property
+    def fenced(self) -> bool:
+        """Whether this node must refuse requests because it hears too few others."""
+
     def all(self) -> tuple[Member, ...]:
         """Return every known member that is not gone, this node included."""
 
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -17,7 +17,10 @@
 from marigoldchute.link.link import Handlers, Link
 from marigoldchute.link.pool import LinkPool
 from marigoldchute.link.stats import collect_stats
+from marigoldchute.membership.exchange import ContactExchange
+from marigoldchute.membership.probe import Prober
 from marigoldchute.membership.service import Membership
+from marigoldchute.membership.silence import SilenceJudge
 from marigoldchute.moves.collector import Collector
 from marigoldchute.moves.driver import Driver, VerdictReader
 from marigoldchute.moves.engine import MoveEngine
@@ -38,6 +41,7 @@
     from marigoldchute.link.stats import NodeStats
 
 TICK_S = 0.05
+LEAVE_FLOOD_S = 0.05
 
 
 class Node:
@@ -56,17 +60,25 @@
         self._endpoint = LinkEndpoint(
             PeerIdentity(cfg.name, incarnation, cfg.data_centre, cfg.region),
             cfg.address,
-            cfg.peer_secret.encode(),
+            tuple(s.encode() for s in (cfg.peer_secret, *cfg.accepted_peer_secrets)),
             handlers,
             log.clock,
             cfg.heartbeat_ms,
             self._take_link,
         )
         self._overlay = Overlay(cfg.name, self._endpoint, handlers, self._table, rng)
+        self._membership.on_incarnation.append(self._endpoint.begin_incarnation)
         address_of = self._membership.address_of
         self._control = LinkPool(self._endpoint, "control-call", address_of)
         self._traffic = LinkPool(self._endpoint, "traffic", address_of)
         store = HttpObjectStore(cfg.store, rng, cfg.address)
+        self._exchange = ContactExchange(
+            self._membership, self._overlay, store, handlers, log, rng
+        )
+        self._prober = Prober(
+            self._membership, self._endpoint, self._overlay, handlers, rng
+        )
+        self._judge = SilenceJudge(self._membership, store)
         verifier = SignatureVerifier(cfg.trusted_keys)
         self._replicator = Replicator(
             self._membership,
@@ -142,6 +154,9 @@
             await nursery.start(self._traffic.run)
             await nursery.start(self._endpoint.serve, cfg.peer_port)
             nursery.start_soon(self._overlay.run, self._membership)
+            nursery.start_soon(self._exchange.run)
+            nursery.start_soon(self._prober.run)
+            nursery.start_soon(self._judge.run)
             nursery.start_soon(self._replicator.run)
             nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._driver.run)
@@ -156,6 +171,8 @@
         self._log.emit("node", "draining", f"{self._cfg.name} drains.")
         self._membership.drain()
         await self._path.drain()
+        self._membership.leave(self._clock.now_ms())
+        await trio.sleep(LEAVE_FLOOD_S)
         await self._endpoint.flush()
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
@@ -171,7 +188,6 @@
         while True:
             now = trio.current_time()
             self._membership.expire_announcements(now)
-            self._membership.check_lost(now)
             if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
             await trio.sleep(TICK_S)
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -159,6 +159,10 @@
     def _make_call(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
     ) -> Call:
+        if self._members.fenced:
+            raise NotRunError(
+                "too few members are heard", ResultCode.REQUEST_NOT_RUN_FENCED
+            )
         entry = self._find_route(req.target, internal)
         split = self._engine.split(entry.service.name, entry.service.release)
         timeout_ms = entry.route.timeout_ms
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -40,6 +40,10 @@
     def local(self) -> Member:
         """The member record of this node."""
 
+    @property
+    def fenced(self) -> bool:
+        """Whether requests must be refused."""
+
 
 class OwnedServer:
     """One backend server of this VM with its slots and connections."""
@@ -143,6 +147,8 @@
         RequestError
             The request may have run, and no whole answer was sent.
         """
+        if self._servers.fenced:
+            raise NotRunError("fenced", ResultCode.REQUEST_NOT_RUN_FENCED)
         owned = self._find(head.server_id)
         if owned is None:
             raise NotRunError("backend server is not here")
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -94,6 +94,7 @@
         )
         self._caller_edge = HttpEdge(self.entry.handle_external, self._log_failure)
         self._internal_edge = HttpEdge(self._handle_internal, self._log_failure)
+        membership.on_view.append(self.entry.tables.mark_stale)
         table.subscribe(
             RecordKind.MEMBER, lambda record: self.entry.tables.mark_stale()
         )
