Fetch chunks where they are, settle before serving, one transfer per region

Cause: chunks were asked of every neighbour in turn, one at a time, from random ones and over the region link by whoever came first; a joining node served the first version that it heard of; a chunk cache kept one manifest's chunks only. Ruled out: polling neighbours (each hop costs half a polling interval); letting a peer hold the call until it has the chunk (two peers can wait for each other); a leased relay (a lapse is a gap, and a store outage leaves no way to replace it).

--- /dev/null
+++ b/marigoldchute/distribution/fetch.py
@@ -0,0 +1,139 @@
+"""Fetches the chunks of a manifest: from peers first, from the store last."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.distribution.keys import chunk_key
+from marigoldchute.errors import PeerError, PlatformError
+from marigoldchute.link.methods import Method
+
+if TYPE_CHECKING:
+    import random
+
+    from marigoldchute.bundle.model import Manifest
+    from marigoldchute.distribution.chunks import ChunkCache
+    from marigoldchute.distribution.holders import Holders
+    from marigoldchute.distribution.transfer import TransferPolicy
+    from marigoldchute.events import EventLog
+    from marigoldchute.link.link import Link
+    from marigoldchute.membership.service import Membership
+    from marigoldchute.overlay.overlay import Overlay
+    from marigoldchute.platform.api import ObjectStore
+
+FETCHES_AT_ONCE = 8
+NEAR_TIMEOUT_S = 1.0
+FAR_TIMEOUT_S = 3.0
+ASK_ALL_AFTER_S = 1.0
+
+
+class ChunkFetcher:
+    """Fills the cache with the chunks of a manifest, a bounded number at once."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        overlay: Overlay,
+        store: ObjectStore,
+        cache: ChunkCache,
+        holders: Holders,
+        policy: TransferPolicy,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._overlay = overlay
+        self._store = store
+        self._cache = cache
+        self._holders = holders
+        self._policy = policy
+        self._log = log
+        self._rng = rng
+
+    async def fetch(self, manifest: Manifest, waited_s: float) -> bool:
+        """Try every source once that may be asked by now.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            Verified manifest.
+        waited_s : float
+            Seconds since its chunks are wanted.
+
+        Returns
+        -------
+        bool
+            Whether every chunk is held.
+        """
+        links = self._sources(manifest.version, waited_s)
+        if links:
+            await self._fetch_all(manifest, links, from_store=False)
+        store_delay_s = self._policy.store_delay_s()
+        may_ask_store = store_delay_s is not None and waited_s >= store_delay_s
+        if may_ask_store and self._cache.missing(manifest.chunks):
+            await self._fetch_all(manifest, [], from_store=True)
+        return not self._cache.missing(manifest.chunks)
+
+    def _sources(self, version: int, waited_s: float) -> list[Link]:
+        links = self._holders.links_with(version)
+        if not links and waited_s >= ASK_ALL_AFTER_S:
+            links = self._overlay.neighbours()
+        local = self._membership.local
+        outside = waited_s >= self._policy.outside_delay_s()
+        links = [x for x in links if outside or x.peer.region == local.region]
+        self._rng.shuffle(links)
+        return sorted(
+            links,
+            key=lambda link: (
+                link.peer.region != local.region,
+                link.peer.data_centre != local.data_centre,
+            ),
+        )
+
+    async def _fetch_all(
+        self, manifest: Manifest, links: list[Link], from_store: bool
+    ) -> None:
+        limiter = trio.CapacityLimiter(FETCHES_AT_ONCE)
+
+        async def fetch(digest: str) -> None:
+            async with limiter:
+                if from_store:
+                    await self._fetch_from_store(digest)
+                else:
+                    await self._fetch_from_peers(digest, links)
+
+        async with trio.open_nursery() as nursery:
+            for digest in self._cache.missing(manifest.chunks):
+                nursery.start_soon(fetch, digest)
+
+    async def _fetch_from_peers(self, digest: str, links: list[Link]) -> None:
+        for link in links:
+            near = link.peer.region == self._membership.local.region
+            timeout_s = NEAR_TIMEOUT_S if near else FAR_TIMEOUT_S
+            try:
+                chunk = await link.call(Method.GET_CHUNK, digest.encode(), timeout_s)
+            except PeerError:
+                continue
+            if self._cache.add(digest, chunk):
+                return
+            self._holders.distrust(link.peer.name)
+            self._log_altered(digest, link.peer.name)
+
+    async def _fetch_from_store(self, digest: str) -> None:
+        try:
+            stored = await self._store.get(chunk_key(digest))
+        except PlatformError:
+            return
+        if not self._cache.add(digest, stored.value):
+            self._log_altered(digest, "store")
+
+    def _log_altered(self, digest: str, source: str) -> None:
+        self._log.emit(
+            "distribution",
+            "chunk_altered",
+            f"Chunk {digest[:12]} from {source} is altered and not taken.",
+            chunk=digest,
+            source=source,
+        )
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -6,28 +6,18 @@
 
 import trio
 
-from marigoldchute.bundle.codec import (
-    assemble,
-    chunk_digest,
-    decode_manifest,
-    encode_manifest,
-)
+from marigoldchute.bundle.codec import assemble, decode_manifest, encode_manifest
 from marigoldchute.bundle.model import Bundle
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.distribution.audit import audit_fields
-from marigoldchute.distribution.keys import (
-    BUNDLE_PREFIX,
-    HEAD_KEY,
-    chunk_key,
-)
-from marigoldchute.errors import (
-    BundleError,
-    MarigoldchuteError,
-    PeerError,
-    PlatformError,
-    ResultCode,
-)
-from marigoldchute.link.methods import Method
+from marigoldchute.distribution.chunks import ChunkCache, ChunkServer
+from marigoldchute.distribution.fetch import ChunkFetcher
+from marigoldchute.distribution.holders import Holders
+from marigoldchute.distribution.joining import Joiner
+from marigoldchute.distribution.keys import HEAD_KEY
+from marigoldchute.distribution.reader import StoreReader
+from marigoldchute.distribution.transfer import TransferPolicy
+from marigoldchute.errors import BundleError, MarigoldchuteError
 from marigoldchute.overlay.duties import READER
 from marigoldchute.overlay.records import Record, RecordKind
 
@@ -38,23 +28,22 @@
     from marigoldchute.bundle.model import Manifest
     from marigoldchute.bundle.signing import SignatureVerifier
     from marigoldchute.events import EventLog
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.link import Handlers
     from marigoldchute.membership.service import Membership
     from marigoldchute.overlay.overlay import Overlay
     from marigoldchute.overlay.records import RecordTable
     from marigoldchute.platform.api import ObjectStore
 
-CHUNK_TIMEOUT_S = 2.0
 RETRY_S = 0.25
-READER_CHECK_S = 0.5
+MAX_REMEMBERED_REFUSALS = 1000
 
 
 class Replicator:
     """Follows the newest verified manifest and brings its bundle into force.
 
-    The first reachable member of each data centre in rendezvous order reads the
-    store; every other member learns of a new manifest over the overlay. Chunks come
-    from linked peers first and from the store last.
+    The reader of each data centre watches the store; every other member learns of a
+    new manifest over the overlay. Nothing comes into force before this node has
+    settled among its peers, and nothing lower than what is in force ever does.
     """
 
     def __init__(
@@ -70,19 +59,34 @@
         rng: random.Random,
     ) -> None:
         self._membership = membership
-        self._overlay = overlay
         self._table = table
-        self._store = store
         self._verifier = verifier
         self._in_force = in_force
         self._log = log
         self._rng = rng
-        self._chunks: dict[str, bytes] = {}
-        self._newest = trio.Event()
+        self._changed = trio.Event()
+        self._newest: Manifest | None = None
+        self._wanted_since = 0.0
         self._refused: set[str] = set()
+        self._refused_bodies: set[int] = set()
+        self._cache = ChunkCache()
+        ChunkServer(self._cache, handlers)
+        self._joiner = Joiner(overlay, handlers, self._newest_body, self._offer)
+        self._reader = StoreReader(
+            store, lambda: self.is_reader, self._offer, self._settle, log, rng
+        )
+        self._fetcher = ChunkFetcher(
+            membership,
+            overlay,
+            store,
+            self._cache,
+            Holders(overlay, in_force, handlers, self._wake),
+            TransferPolicy(membership),
+            log,
+            rng,
+        )
         table.validate(RecordKind.BUNDLE, self._is_verified)
-        table.subscribe(RecordKind.BUNDLE, self._note_manifest)
-        handlers.register(Method.GET_CHUNK, self._get_chunk)
+        table.subscribe(RecordKind.BUNDLE, self._take_record)
 
     @property
     def is_reader(self) -> bool:
@@ -90,49 +94,61 @@
         local = self._membership.local
         return self._membership.duties.is_held_here(READER, local.data_centre)
 
-    @property
-    def newest_version(self) -> int:
-        """Highest version of which a verified manifest is known."""
-        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
-        return record.rank[0] if record is not None else 0
-
     @property
     def newest_manifest(self) -> Manifest | None:
         """Verified manifest of the highest known version."""
-        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
-        return decode_manifest(record.body) if record is not None else None
+        return self._newest
+
+    @property
+    def newest_version(self) -> int:
+        """Highest version of which a verified manifest is known."""
+        return self._newest.version if self._newest is not None else 0
 
     @property
     def newest_is_refused(self) -> bool:
         """Whether the highest known version is signed but must not come into force."""
-        newest = self.newest_manifest
-        return newest is not None and newest.digest in self._refused
+        return self._newest is not None and self._newest.digest in self._refused
 
     async def run(self) -> None:
         """Follow manifests until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_manifests)
-            nursery.start_soon(self._read_store)
+            nursery.start_soon(self._join)
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._reader.run)
 
     def chunks_to_write(self, chunks: dict[str, bytes]) -> dict[str, bytes]:
         """Return the chunks that the store may not hold yet.
 
         Those of an accepted manifest are there: they are written before it.
         """
-        newest = self.newest_manifest
-        held = set(newest.chunks) if newest is not None else set()
+        held = set(self._newest.chunks) if self._newest is not None else set()
         return {d: chunk for d, chunk in chunks.items() if d not in held}
 
     def publish(self, manifest: Manifest, chunks: dict[str, bytes]) -> None:
         """Take a bundle that this node has just written to the store."""
-        self._chunks |= chunks
+        for digest, chunk in chunks.items():
+            self._cache.add(digest, chunk)
         self._offer(encode_manifest(manifest))
 
+    def _wake(self) -> None:
+        self._changed.set()
+
+    def _settle(self) -> None:
+        self._joiner.settled.set()
+
+    async def _join(self) -> None:
+        await self._joiner.run()
+        self._wake()
+
+    def _newest_body(self) -> bytes:
+        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
+        return record.body if record is not None else b""
+
     def _offer(self, body: bytes) -> None:
         try:
             version = decode_manifest(body).version
         except BundleError as exc:
-            self._log_refusal(exc, 0)
+            self._log_refusal(exc, 0, body)
             return
         self._table.offer(Record(RecordKind.BUNDLE, HEAD_KEY, (version, 0), body))
 
@@ -141,11 +157,22 @@
             manifest = decode_manifest(record.body)
             self._verifier.verify(manifest)
         except BundleError as exc:
-            self._log_refusal(exc, record.rank[0])
+            self._log_refusal(exc, record.rank[0], record.body)
             return False
-        return manifest.version == record.rank[0]
-
-    def _log_refusal(self, exc: MarigoldchuteError, version: int) -> None:
+        is_head = record.key == HEAD_KEY and record.rank == (manifest.version, 0)
+        return is_head and manifest.version > self.newest_version
+
+    def _take_record(self, record: Record) -> None:
+        self._newest = decode_manifest(record.body)
+        self._wanted_since = trio.current_time()
+        self._wake()
+
+    def _log_refusal(self, exc: MarigoldchuteError, version: int, body: bytes) -> None:
+        if hash(body) in self._refused_bodies:
+            return  # a peer may offer the same bytes at every exchange
+        if len(self._refused_bodies) >= MAX_REMEMBERED_REFUSALS:
+            self._refused_bodies.clear()
+        self._refused_bodies.add(hash(body))
         self._log.emit(
             "distribution",
             "refused",
@@ -154,97 +181,43 @@
             code=exc.code.value,
         )
 
-    def _note_manifest(self, record: Record) -> None:
-        self._newest.set()
-
-    async def _follow_manifests(self) -> None:
+    async def _follow(self) -> None:
         while True:
-            await self._newest.wait()
-            self._newest = trio.Event()
-            while self.newest_version > self._in_force.version:
-                if await self._bring_into_force():
-                    break
-                await trio.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
-
-    async def _bring_into_force(self) -> bool:
-        record = self._table.get(RecordKind.BUNDLE, HEAD_KEY)
-        assert record is not None
-        manifest = decode_manifest(record.body)
-        if manifest.digest in self._refused:
-            return True
-        await self._fetch_chunks(manifest)
+            changed = self._changed = trio.Event()
+            manifest = self._wanted()
+            if manifest is None:
+                await changed.wait()
+                continue
+            waited_s = trio.current_time() - self._wanted_since
+            if await self._fetcher.fetch(manifest, waited_s):
+                self._bring_into_force(manifest)
+                continue
+            with trio.move_on_after(RETRY_S * self._rng.uniform(0.5, 1.5)):
+                await changed.wait()
+
+    def _wanted(self) -> Manifest | None:
+        newest = self._newest
+        if newest is None or not self._joiner.settled.is_set():
+            return None
+        if newest.version <= self._in_force.version or self.newest_is_refused:
+            return None
+        return newest
+
+    def _bring_into_force(self, manifest: Manifest) -> None:
         try:
-            content = assemble(manifest, self._chunks)
+            content = assemble(manifest, self._cache.chunks)
             validate_content(content)
         except MarigoldchuteError as exc:
-            if exc.code is ResultCode.BUNDLE_CHUNK_MISSING:
-                return False
             self._refused.add(manifest.digest)
-            self._log_refusal(exc, manifest.version)
-            return True
+            self._log_refusal(exc, manifest.version, manifest.digest.encode())
+            return
         bundle = Bundle(manifest, content)
-        if self._in_force.swap(bundle):
-            self._log.emit(
-                "distribution",
-                "in_force",
-                f"Version {manifest.version} is in force.",
-                **audit_fields(bundle),
-            )
-        wanted = set(manifest.chunks)
-        self._chunks = {d: c for d, c in self._chunks.items() if d in wanted}
-        return True
-
-    async def _fetch_chunks(self, manifest: Manifest) -> None:
-        for digest in manifest.chunks:
-            if digest not in self._chunks:
-                await self._fetch_chunk(digest)
-
-    async def _fetch_chunk(self, digest: str) -> None:
-        links = self._overlay.neighbours()
-        self._rng.shuffle(links)
-        for link in links:
-            try:
-                chunk = await link.call(
-                    Method.GET_CHUNK, digest.encode(), CHUNK_TIMEOUT_S
-                )
-            except PeerError:
-                continue
-            if self._keep_chunk(digest, chunk):
-                return
-        if self.is_reader:
-            await self._fetch_from_store(digest)
-
-    async def _fetch_from_store(self, digest: str) -> None:
-        try:
-            stored = await self._store.get(chunk_key(digest))
-        except PlatformError:
+        if not self._in_force.swap(bundle):
             return
-        self._keep_chunk(digest, stored.value)
-
-    def _keep_chunk(self, digest: str, chunk: bytes) -> bool:
-        if chunk_digest(chunk) != digest:
-            return False
-        self._chunks[digest] = chunk
-        return True
-
-    async def _get_chunk(self, link: Link, body: bytes) -> bytes:
-        chunk = self._chunks.get(body.decode())
-        if chunk is None:
-            raise PeerError("chunk is not here", ResultCode.BUNDLE_CHUNK_MISSING)
-        return chunk
-
-    async def _read_store(self) -> None:
-        while True:
-            while not self.is_reader:
-                await trio.sleep(READER_CHECK_S)
-            self._log.emit("distribution", "reader", "This node reads the store.")
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_store)
-                while self.is_reader:
-                    await trio.sleep(READER_CHECK_S)
-                nursery.cancel_scope.cancel()
-
-    async def _watch_store(self) -> None:
-        async for event in self._store.watch(BUNDLE_PREFIX):
-            if event.value is not None:
-                self._offer(event.value)
+        self._cache.keep_only(manifest)
+        self._log.emit(
+            "distribution",
+            "in_force",
+            f"Version {manifest.version} is in force.",
+            **audit_fields(bundle),
+        )
--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -14,6 +14,8 @@
     GET_VIEW = 4
     PROBE = 5
     GET_CHUNK = 10
+    HAVE_VERSION = 11
+    GET_HEAD = 12
     REPORT_EVIDENCE = 20
     LIST_CONFIRMATIONS = 21
     LIST_STANDS = 22
--- a/marigoldchute/overlay/topology.py
+++ b/marigoldchute/overlay/topology.py
@@ -34,6 +34,12 @@
     return hashlib.blake2b(f"{topic}/{name}".encode(), digest_size=8).digest()
 
 
+def region_topic(region: str, other: str) -> str:
+    """Return the topic whose order picks the gateways between two regions."""
+    first, second = sorted((region, other))
+    return f"region/{first}/{second}"
+
+
 def wanted_peers(local: Member, members: Iterable[Member]) -> set[str]:
     """Return the names of the peers to which this node opens links.
 
@@ -88,7 +94,7 @@
     region_home = by_region.get(local.region, [])
     for region, others in by_region.items():
         if region > local.region:
-            topic = f"region/{local.region}/{region}"
+            topic = region_topic(local.region, region)
             peers |= _paired(local, region_home, others, topic)
     return peers
 
