--- a/marigoldchute/admin/client.py
+++ b/marigoldchute/admin/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import urllib.parse
 from typing import TypeVar
 
 import httpcore
@@ -53,12 +54,14 @@
 
     async def verdict(self, move_id: str) -> MoveStatus:
         """Return the verdict of a move."""
-        return await self._call("GET", f"/v1/verdicts/{move_id}", b"", MoveStatus)
+        return await self._call(
+            "GET", f"/v1/verdicts/{_quote(move_id)}", b"", MoveStatus
+        )
 
     async def cancel(self, move_id: str, author: str) -> Verdict:
         """Take a move back."""
         body = author.encode()
-        return await self._call("POST", f"/v1/cancel/{move_id}", body, Verdict)
+        return await self._call("POST", f"/v1/cancel/{_quote(move_id)}", body, Verdict)
 
     async def _call(self, method: str, path: str, body: bytes, kind: type[T]) -> T:
         try:
@@ -74,8 +77,29 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
-            raise PeerError(f"node {self._address} did not answer: {exc!r}") from exc
+            detail = str(exc) or type(exc).__name__
+            raise PeerError(f"node {self._address} did not answer: {detail}") from exc
         if response.status != 200:
+            raise self._failure(response)
+        try:
+            return msgspec.json.decode(response.content, type=kind)
+        except msgspec.DecodeError as exc:
+            raise self._not_a_node(response) from exc
+
+    def _failure(self, response: httpcore.Response) -> MarigoldchuteError:
+        try:
             failure = msgspec.json.decode(response.content, type=Failure)
-            raise MarigoldchuteError(failure.message, ResultCode(failure.code))
-        return msgspec.json.decode(response.content, type=kind)
+            return MarigoldchuteError(failure.message, ResultCode(failure.code))
+        except (msgspec.DecodeError, ValueError):
+            return self._not_a_node(response)
+
+    def _not_a_node(self, response: httpcore.Response) -> PeerError:
+        return PeerError(
+            f"{self._address} answered {response.status}, but not as a node's "
+            "administration API of this release does",
+            ResultCode.PEER_PROTOCOL,
+        )
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
--- a/marigoldchute/admin/messages.py
+++ b/marigoldchute/admin/messages.py
@@ -37,6 +37,45 @@
     message: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Health:
+    """Whether the process serves."""
+
+    status: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Readiness:
+    """That the node can answer callers, and with which version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class BundleInForce:
+    """The bundle in force on this node.
+
+    Parameters
+    ----------
+    version : int
+        Its version.
+    digest : str
+        SHA-256 of version and chunk digests, in hexadecimal.
+    key_id, author : str
+        Who signed it off.
+    services, routes, moves : tuple of str
+        Names of what it holds.
+    """
+
+    version: int
+    digest: str
+    key_id: str
+    author: str
+    services: tuple[str, ...]
+    routes: tuple[str, ...]
+    moves: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class MemberStatus:
     """One member as an operator sees it."""
--- /dev/null
+++ b/marigoldchute/admin/metrics.py
@@ -0,0 +1,176 @@
+"""Metrics of a node in the Prometheus text format."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+
+from marigoldchute.link.stats import NodeStats
+from marigoldchute.routing.metrics import RouteLatency
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+
+PREFIX = "marigoldchute"
+US_PER_S = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeCounts:
+    """Counts that the parts of a node keep since its start.
+
+    Parameters
+    ----------
+    store_calls : int
+        Calls to the platform's object API.
+    latencies : tuple of RouteLatency
+        Requests answered.
+    counters : mapping of str to int
+        Further counts by name, such as ``retries``.
+    """
+
+    store_calls: int
+    latencies: tuple[RouteLatency, ...] = ()
+    counters: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveShare:
+    """Share of a move that is in force on this node."""
+
+    move_id: str
+    service: str
+    share: float
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeSnapshot:
+    """Everything that the metrics show.
+
+    Parameters
+    ----------
+    version, newest_version : int
+        Bundle version in force, and the newest one known to be signed.
+    members : mapping of str to int
+        Number of members by state.
+    moves : tuple of MoveShare
+        Moves of the bundle in force.
+    stats : NodeStats
+        Resources spent.
+    counts : NodeCounts
+        Counts of the parts.
+    """
+
+    version: int
+    newest_version: int
+    members: Mapping[str, int]
+    moves: tuple[MoveShare, ...]
+    stats: NodeStats
+    counts: NodeCounts
+
+
+def render_metrics(snapshot: NodeSnapshot) -> bytes:
+    """Return the metrics in the Prometheus text format."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_SnapshotCollector(snapshot))
+    return generate_latest(registry)
+
+
+class _SnapshotCollector:
+    """Hands a snapshot to the library's text format."""
+
+    def __init__(self, snapshot: NodeSnapshot) -> None:
+        self._snapshot = snapshot
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric."""
+        snapshot = self._snapshot
+        yield from _bundle_metrics(snapshot)
+        yield from _mesh_metrics(snapshot)
+        yield from _resource_metrics(snapshot.stats, snapshot.counts.store_calls)
+        for name, count in sorted(snapshot.counts.counters.items()):
+            yield _counter(name, f"Number of {name.replace('_', ' ')}.", count)
+        if snapshot.counts.latencies:
+            yield _latency_metric(snapshot.counts.latencies)
+
+
+def _bundle_metrics(snapshot: NodeSnapshot) -> Iterator[Metric]:
+    yield _gauge("bundle_version", "Bundle version in force.", snapshot.version)
+    yield _gauge(
+        "bundle_newest_version",
+        "Newest signed bundle version known.",
+        snapshot.newest_version,
+    )
+
+
+def _mesh_metrics(snapshot: NodeSnapshot) -> Iterator[Metric]:
+    members = GaugeMetricFamily(
+        f"{PREFIX}_members", "Members known to this node.", labels=["state"]
+    )
+    for state, count in sorted(snapshot.members.items()):
+        members.add_metric([state], count)
+    yield members
+    shares = GaugeMetricFamily(
+        f"{PREFIX}_move_share",
+        "Share of requests for the new release of a move.",
+        labels=["move", "service"],
+    )
+    for move in snapshot.moves:
+        shares.add_metric([move.move_id, move.service], move.share)
+    yield shares
+
+
+def _resource_metrics(stats: NodeStats, store_calls: int) -> Iterator[Metric]:
+    link_bytes = CounterMetricFamily(
+        f"{PREFIX}_link_bytes",
+        "Bytes on links between nodes, without TCP headers.",
+        labels=["purpose", "direction"],
+    )
+    link_bytes.add_metric(["control", "sent"], stats.control_bytes_sent)
+    link_bytes.add_metric(["control", "received"], stats.control_bytes_received)
+    link_bytes.add_metric(["traffic", "sent"], stats.traffic_bytes_sent)
+    link_bytes.add_metric(["traffic", "received"], stats.traffic_bytes_received)
+    yield link_bytes
+    yield _gauge("links", "Open links to other nodes.", stats.links)
+    yield _counter("store_calls", "Calls to the platform's object API.", store_calls)
+    yield _counter("cpu_seconds", "Processor time.", stats.cpu_s)
+    yield _gauge("resident_memory_bytes", "Resident memory.", stats.rss)
+    yield _gauge("uptime_seconds", "Time since the start.", stats.uptime_s)
+
+
+def _latency_metric(latencies: Iterable[RouteLatency]) -> Metric:
+    name = f"{PREFIX}_added_latency_seconds"
+    metric = Metric(name, "Latency that this node added to requests.", "summary")
+    for item in latencies:
+        labels = {"route": item.route, "outcome": item.outcome}
+        for quantile, latency_us in _quantiles_us(item):
+            quantile_labels = labels | {"quantile": quantile}
+            metric.add_sample(name, quantile_labels, latency_us / US_PER_S)
+        metric.add_sample(f"{name}_count", labels, item.count)
+    return metric
+
+
+def _quantiles_us(item: RouteLatency) -> tuple[tuple[str, int], ...]:
+    return (
+        ("0.5", item.p50_us),
+        ("0.99", item.p99_us),
+        ("0.999", item.p999_us),
+        ("1", item.max_us),
+    )
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"{PREFIX}_{name}", text, value=value)
+
+
+def _counter(name: str, text: str, value: float) -> Metric:
+    return CounterMetricFamily(f"{PREFIX}_{name}", text, value=value)
--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import collections
 import secrets
 from typing import TYPE_CHECKING
 
 from marigoldchute.admin.messages import (
+    BundleInForce,
     MemberStatus,
     MoveStatus,
+    Readiness,
     RollOrder,
     RollResult,
     Status,
 )
+from marigoldchute.admin.metrics import MoveShare, NodeSnapshot
 from marigoldchute.errors import (
     MoveError,
     NotFoundError,
+    NotRunError,
     PlatformError,
     ResultCode,
 )
@@ -24,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marigoldchute.admin.metrics import NodeCounts
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.distribution.rollout import Rollout
     from marigoldchute.distribution.service import Replicator
@@ -48,6 +54,7 @@
         store: ObjectStore,
         rollout: Rollout,
         stats: Callable[[], NodeStats],
+        counts: Callable[[], NodeCounts],
     ) -> None:
         self._membership = membership
         self._in_force = in_force
@@ -57,6 +64,7 @@
         self._store = store
         self._rollout = rollout
         self.stats = stats
+        self._counts = counts
 
     async def roll(self, order: RollOrder) -> RollResult:
         """Check a signed bundle and write it to the store.
@@ -141,6 +149,64 @@
             moves,
         )
 
+    def ready(self) -> Readiness:
+        """Return that this node can answer callers.
+
+        Raises
+        ------
+        NotRunError
+            It has no bundle in force, or it drains.
+        """
+        if self._in_force.bundle is None:
+            raise NotRunError(
+                "no bundle is in force yet", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
+            )
+        if not self._membership.local.usable:
+            raise NotRunError("this node drains", ResultCode.REQUEST_NOT_RUN_DRAINING)
+        return Readiness(self._in_force.version)
+
+    def bundle_in_force(self) -> BundleInForce:
+        """Return what is in force.
+
+        Raises
+        ------
+        NotRunError
+            No bundle is in force yet.
+        """
+        bundle = self._in_force.bundle
+        if bundle is None:
+            raise NotRunError(
+                "no bundle is in force yet", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
+            )
+        manifest, content = bundle.manifest, bundle.content
+        return BundleInForce(
+            manifest.version,
+            manifest.digest,
+            manifest.key_id,
+            manifest.author,
+            tuple(service.name for service in content.services),
+            tuple(route.name for route in content.routes),
+            tuple(move.move_id for move in content.moves),
+        )
+
+    def snapshot(self) -> NodeSnapshot:
+        """Return what the metrics show."""
+        states = collections.Counter(
+            member.state.name.lower() for member in self._membership.all()
+        )
+        moves = tuple(
+            MoveShare(state.move.move_id, state.move.service, state.share)
+            for state in self._engine.states()
+        )
+        return NodeSnapshot(
+            self._in_force.version,
+            self._replicator.newest_version,
+            states,
+            moves,
+            self.stats(),
+            self._counts(),
+        )
+
     def _state_of(self, move_id: str) -> MoveState:
         for state in self._engine.states():
             if state.move.move_id == move_id:
--- a/marigoldchute/cmd/_program.py
+++ b/marigoldchute/cmd/_program.py
@@ -20,20 +20,33 @@
 
 
 def run_program(command: type) -> NoReturn:
-    """Parse the command line, run the command and exit.
+    """Run the command of the process's command line and exit."""
+    sys.exit(run_command_line(command))
 
-    The exit status is 0 or the class of the result code; a command line that cannot
-    be parsed is class 1, input.
+
+def run_command_line(command: type, argv: list[str] | None = None) -> int:
+    """Parse a command line, run the command and return the exit status.
+
+    The status is 0 or the class of the result code; a command line that cannot be
+    parsed is class 1, input.
+
+    Parameters
+    ----------
+    command : type
+        Class of the command.
+    argv : list of str, optional
+        Arguments without the program's name; those of the process by default.
     """
+    color = sys.stdout.isatty()
     try:
-        status = cappa.invoke(command, version=__version__, color=sys.stdout.isatty())
+        return cappa.invoke(command, argv=argv, version=__version__, color=color)
     except cappa.Exit as exc:
-        sys.exit(ResultCode.ARGUMENT_INVALID.exit_status if exc.code else 0)
+        return ResultCode.ARGUMENT_INVALID.exit_status if exc.code else 0
     except KeyboardInterrupt:
-        sys.exit(INTERRUPTED_STATUS)
+        return INTERRUPTED_STATUS
     except BrokenPipeError:
-        sys.exit(0)
-    sys.exit(status)
+        sys.stdout = None  # type: ignore[assignment]  # nobody reads what is left
+        return 0
 
 
 def run_action(action: Callable[[], Awaitable[int]], as_json: bool = False) -> int:
--- a/marigoldchute/errors.py
+++ b/marigoldchute/errors.py
@@ -5,6 +5,7 @@
 import enum
 
 
+@enum.unique
 class ResultCode(enum.IntEnum):
     """Numbered outcome of an operation; the hundreds digit is its class.
 
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -7,6 +7,7 @@
 import trio
 
 from marigoldchute.admin.app import AdminApp
+from marigoldchute.admin.metrics import NodeCounts
 from marigoldchute.admin.service import AdminService
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.signing import SignatureVerifier
@@ -142,6 +143,7 @@
             store,
             Rollout(store, verifier, self._in_force, self._replicator),
             self._stats,
+            lambda: self._counts(store.calls),
         )
         self._admin = AdminApp(service, cfg.admin_token)
 
@@ -176,6 +178,19 @@
         await self._endpoint.flush()
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
+    def _counts(self, store_calls: int) -> NodeCounts:
+        entry = self._path.entry
+        budget = entry.retry_budget
+        return NodeCounts(
+            store_calls,
+            entry.metrics.snapshot(),
+            {
+                "requests": budget.requests,
+                "retries": budget.retries,
+                "refused_retries": budget.refused_retries,
+            },
+        )
+
     def _stats(self) -> NodeStats:
         uptime_s = trio.current_time() - self._started_at
         return collect_stats(self._endpoint, len(self._membership.all()), uptime_s)
--- a/marigoldchute/routing/budget.py
+++ b/marigoldchute/routing/budget.py
@@ -62,6 +62,9 @@
     """
 
     def __init__(self, share: float, floor_per_s: float, burst: float) -> None:
+        self.requests = 0
+        self.retries = 0
+        self.refused_retries = 0
         self._share = share
         self._burst = burst
         self._earned = burst
@@ -69,10 +72,17 @@
 
     def add_request(self) -> None:
         """Take note of a first try."""
+        self.requests += 1
         self._earned = min(self._burst, self._earned + self._share)
 
     def take_retry(self, now: float) -> bool:
         """Return whether one retry is allowed, and count it."""
+        allowed = self._take(now)
+        self.retries += allowed
+        self.refused_retries += not allowed
+        return allowed
+
+    def _take(self, now: float) -> bool:
         if self._earned >= 1.0:
             self._earned -= 1.0
             return True
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -122,7 +122,7 @@
         self._log = log
         self._clock = clock
         self._rng = rng
-        self._retries = RetryBudget(RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST)
+        self.retry_budget = RetryBudget(RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST)
         self._log_budget = TokenBucket(LOGGED_PER_S, LOGGED_PER_S)
         in_force.on_swap(self._take_bundle)
 
@@ -237,7 +237,7 @@
         )
 
     async def _try_until_done(self, call: Call) -> None:
-        self._retries.add_request()
+        self.retry_budget.add_request()
         while True:
             target, candidates = self._choose(call)
             call.tries += 1
@@ -368,7 +368,7 @@
             return False
         if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
             return True  # A planned stop is no sign of overload.
-        return self._retries.take_retry(now)
+        return self.retry_budget.take_retry(now)
 
     def _observe(
         self,
--- a/marigoldchute/util/asgi.py
+++ b/marigoldchute/util/asgi.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import hypercorn.config
@@ -31,14 +31,19 @@
 
 
 async def answer(
-    send: Send, status: int, body: bytes, content_type: str = "application/json"
+    send: Send,
+    status: int,
+    body: bytes,
+    content_type: str = "application/json",
+    headers: Iterable[tuple[bytes, bytes]] = (),
 ) -> None:
-    """Send a whole answer."""
-    headers = [
+    """Send a whole answer, with further headers if given."""
+    fields = [
         (b"content-type", content_type.encode()),
         (b"content-length", str(len(body)).encode()),
+        *headers,
     ]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.start", "status": status, "headers": fields})
     await send({"type": "http.response.body", "body": body})
 
 
