Log duties, tell a port in use at once, run each package of tests by itself

Cause: nothing in the time line said who collects and decides; a node whose port was taken died with a traceback of nested exception groups; the one test process for all modules without a mesh took 43 s of a 45 s run.

After: events duties/collector and duties/driver with held true or false; a message with key path, address and reason and exit status 1; a process for each package.

--- a/marigoldchute/cmd/node.py
+++ b/marigoldchute/cmd/node.py
@@ -5,14 +5,15 @@
 import dataclasses
 import random
 import signal
+import socket
 from typing import Annotated
 
 import cappa
 import trio
 
 from marigoldchute.cmd._program import report_error, run_program
-from marigoldchute.config import load_node_settings
-from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.config import NodeSettings, load_node_settings
+from marigoldchute.errors import MarigoldchuteError, SettingsError
 from marigoldchute.events import EventLog
 from marigoldchute.node import Node
 
@@ -58,11 +59,37 @@
         if self.check_settings:
             print(f"{self.settings}: settings are valid")
             return 0
+        try:
+            check_ports_free(cfg)
+        except MarigoldchuteError as exc:
+            return report_error(exc)
         node = Node(cfg, EventLog(cfg.name), random.Random(self.seed))
         trio.run(_run_until_signal, node)
         return 0
 
 
+def check_ports_free(cfg: NodeSettings) -> None:
+    """Check that the node can listen, so that it fails at once and says why.
+
+    Raises
+    ------
+    SettingsError
+        An address is not this machine's, or a port is in use or not allowed.
+    """
+    for name in ("caller_port", "internal_port", "peer_port", "admin_port"):
+        port = getattr(cfg, name)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((cfg.address, port))
+                sock.listen(1)
+            except OSError as exc:
+                raise SettingsError(
+                    f"$.address and $.{name}: cannot listen on "
+                    f"{cfg.address}:{port}: {exc.strerror}"
+                ) from exc
+
+
 async def _run_until_signal(node: Node) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -26,6 +26,7 @@
 from marigoldchute.moves.driver import Driver, VerdictReader
 from marigoldchute.moves.engine import MoveEngine
 from marigoldchute.moves.reporter import Reporter
+from marigoldchute.overlay.duty_log import DutyLog
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.client import HttpObjectStore
@@ -145,6 +146,7 @@
             self._stats,
             lambda: self._counts(store.calls),
         )
+        self._duty_log = DutyLog(self._membership, self._membership.duties, log)
         self._admin = AdminApp(service, cfg.admin_token)
 
     async def run(self) -> None:
@@ -203,6 +205,7 @@
         while True:
             now = trio.current_time()
             self._membership.expire_announcements(now)
+            self._duty_log.check()
             if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
             await trio.sleep(TICK_S)
--- /dev/null
+++ b/marigoldchute/overlay/duty_log.py
@@ -0,0 +1,49 @@
+"""Events about the duties that this node takes up and gives up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldchute.overlay.duties import COLLECTOR, DRIVER
+
+if TYPE_CHECKING:
+    from marigoldchute.events import EventLog
+    from marigoldchute.overlay.duties import Duties, MemberList
+
+PART = "duties"
+
+
+class DutyLog:
+    """Logs when this node starts and stops to collect reports or to decide moves.
+
+    The reader of the store logs for itself, as it starts a task with its duty.
+
+    Parameters
+    ----------
+    members : MemberList
+        Members of the mesh.
+    duties : Duties
+        Who has which duty.
+    log : EventLog
+        Event log of the process.
+    """
+
+    def __init__(self, members: MemberList, duties: Duties, log: EventLog) -> None:
+        self._members = members
+        self._duties = duties
+        self._log = log
+        self._held: set[str] = set()
+
+    def check(self) -> None:
+        """Log what has changed since the last check."""
+        centre = self._members.local.data_centre
+        self._note(COLLECTOR, f"collects reports of {centre}", centre)
+        self._note(DRIVER, "decides moves", "")
+
+    def _note(self, duty: str, text: str, data_centre: str) -> None:
+        is_held = self._duties.is_held_here(duty, data_centre)
+        if is_held == (duty in self._held):
+            return
+        self._held ^= {duty}
+        sentence = f"This node {text}." if is_held else f"No more: this node {text}."
+        self._log.emit(PART, duty, sentence, held=is_held)
--- a/tests/test_cmd/test_ctl.py
+++ b/tests/test_cmd/test_ctl.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import socket
 import stat
 import tempfile
 import unittest
@@ -218,3 +219,18 @@
         status, _, err = self.run_program(path, command=NodeCommand)
         self.assertEqual(status, 1)
         self.assertIn(f"[101 SETTINGS_INVALID] {path}: $: missing required", err)
+
+    def test_port_in_use_or_foreign_address_is_told_at_once(self) -> None:
+        text = (EXAMPLES / "hanbit" / "settings.json").read_text()
+        path = self.write("vm.json", text)
+        status, _, err = self.run_program(path, command=NodeCommand)
+        self.assertEqual(status, 1)
+        self.assertIn("cannot listen on 10.40.1.3:8000: Cannot assign", err)
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            local = text.replace("10.40.1.3", "127.0.0.1")
+            local = local.replace('"region"', f'"caller_port": {port}, "region"')
+            path = self.write("vm.json", local)
+            status, _, err = self.run_program(path, command=NodeCommand)
+        self.assertEqual(status, 1)
+        self.assertIn(f"$.caller_port: cannot listen on 127.0.0.1:{port}", err)
--- /dev/null
+++ b/tests/test_overlay/test_duty_log.py
@@ -0,0 +1,44 @@
+"""Events about duties."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldchute.events import EventSink
+from marigoldchute.membership.model import Member, MemberState
+from marigoldchute.overlay.duties import COLLECTOR, DRIVER, Duties
+from marigoldchute.overlay.duty_log import DutyLog
+
+
+def member(name: str, state: MemberState = MemberState.ALIVE) -> Member:
+    return Member(name, 1, 1, "10.0.0.1", 7000, "seoul-a", "seoul", state)
+
+
+class FakeMembers:
+    """Members that a test replaces."""
+
+    def __init__(self) -> None:
+        self.local = member("vm-1")
+        self.members = [self.local]
+        self.generation = 0
+
+    def all(self) -> tuple[Member, ...]:
+        return tuple(self.members)
+
+
+class DutyLogTest(unittest.TestCase):
+    def test_each_change_is_logged_once(self) -> None:
+        members, log = FakeMembers(), EventSink()
+        duties = DutyLog(members, Duties(members), log)
+        duties.check()
+        duties.check()
+        held = [(event.event, event.fields["held"]) for event in log.events]
+        self.assertEqual(held, [(COLLECTOR, True), (DRIVER, True)])
+        for n in range(2, 40):
+            members.members.append(member(f"vm-{n}"))
+        members.generation += 1
+        self.assertNotEqual(Duties(members).holder(DRIVER), "vm-1")
+        duties.check()
+        duties.check()
+        drops = [e.event for e in log.events if not e.fields["held"]]
+        self.assertEqual(drops.count(DRIVER), 1)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -56,17 +56,17 @@
     """Return the test modules of each process.
 
     A module with a mesh of real processes is run by a process of its own, as it takes
-    longest; all others share one.
+    longest; the others of a package share one.
     """
     meshes: list[tuple[str, ...]] = []
-    others: list[str] = []
+    packages: dict[str, list[str]] = {}
     for path in sorted((root / TEST_DIRECTORY).rglob("test_*.py")):
         name = ".".join(path.relative_to(root).with_suffix("").parts)
         if MESH_SUPPORT in path.read_text(encoding="utf-8"):
             meshes.append((name,))
         else:
-            others.append(name)
-    return [tuple(others), *meshes] if others else meshes
+            packages.setdefault(name.rpartition(".")[0], []).append(name)
+    return [*meshes, *(tuple(names) for names in packages.values())]
 
 
 def run_shard(names: Sequence[str], timeout_s: float = SHARD_TIMEOUT_S) -> ShardRun:
