--- a/marigoldchute/bundle/codec.py
+++ b/marigoldchute/bundle/codec.py
@@ -29,12 +29,27 @@
     from marigoldchute.bundle.model import Route
 
 HASH_BITS = 64
+DIGEST_BYTES = 32
 
 _CONTENT = msgspec.msgpack.Decoder(BundleContent)
-_MANIFEST = msgspec.msgpack.Decoder(Manifest)
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 
 
+class _PackedManifest(msgspec.Struct, frozen=True, array_like=True):
+    """``Manifest`` with digests as bytes, half the size that flows at each change."""
+
+    version: int
+    chunks: bytes
+    digest: bytes
+    key_id: str
+    signature: bytes
+    author: str
+    token: str
+
+
+_MANIFEST = msgspec.msgpack.Decoder(_PackedManifest)
+
+
 def chunk_digest(chunk: bytes) -> str:
     """Return the SHA-256 of a chunk in hexadecimal."""
     return hashlib.sha256(chunk).hexdigest()
@@ -167,7 +182,16 @@
 
 def encode_manifest(manifest: Manifest) -> bytes:
     """Encode a manifest for the store and for peers."""
-    return _ENCODER.encode(manifest)
+    packed = _PackedManifest(
+        manifest.version,
+        b"".join(bytes.fromhex(digest) for digest in manifest.chunks),
+        bytes.fromhex(manifest.digest),
+        manifest.key_id,
+        manifest.signature,
+        manifest.author,
+        manifest.token,
+    )
+    return _ENCODER.encode(packed)
 
 
 def decode_manifest(body: bytes) -> Manifest:
@@ -180,6 +204,21 @@
     """
     check_size("manifest", len(body), MAX_MANIFEST_BYTES)
     try:
-        return _MANIFEST.decode(body)
-    except msgspec.DecodeError as exc:
+        packed = _MANIFEST.decode(body)
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise BundleError(f"manifest is malformed: {exc}") from exc
+    if len(packed.chunks) % DIGEST_BYTES:
+        raise BundleError("manifest is malformed: a digest is cut")
+    digests = tuple(
+        packed.chunks[start : start + DIGEST_BYTES].hex()
+        for start in range(0, len(packed.chunks), DIGEST_BYTES)
+    )
+    return Manifest(
+        packed.version,
+        digests,
+        packed.digest.hex(),
+        packed.key_id,
+        packed.signature,
+        packed.author,
+        packed.token,
+    )
--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import dataclasses
+import enum
 import ipaddress
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -34,6 +35,13 @@
 MIN_FENCE_HEARTBEATS = 4
 
 
+class DistributionMode(enum.StrEnum):
+    """How bundles reach a node: by one reader and peers, or each by itself."""
+
+    RELAYED = "relayed"
+    DIRECT = "direct"
+
+
 @dataclasses.dataclass(frozen=True)
 class TrustedKey:
     """Public key whose signature makes a bundle valid.
@@ -111,6 +119,8 @@
         Added to the machine's clock, for tests.
     move_evidence : bool
         Whether the outcomes of requests act on moves; benches compare without.
+    distribution : DistributionMode
+        How bundles reach this node; benches compare with ``direct``.
     fence_after_ms : int
         Time without contact to other members after which requests are refused.
     """
@@ -134,6 +144,7 @@
     heartbeat_ms: HeartbeatMs = 1000
     clock_offset_ms: int = 0
     move_evidence: bool = True
+    distribution: DistributionMode = DistributionMode.RELAYED
     fence_after_ms: FenceMs = 20_000
 
 
--- a/marigoldchute/distribution/fetch.py
+++ b/marigoldchute/distribution/fetch.py
@@ -77,6 +77,8 @@
         return not self._cache.missing(manifest.chunks)
 
     def _sources(self, version: int, waited_s: float) -> list[Link]:
+        if not self._policy.asks_peers:
+            return []
         links = self._holders.links_with(version)
         if not links and waited_s >= ASK_ALL_AFTER_S:
             links = self._overlay.neighbours()
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -9,6 +9,7 @@
 from marigoldchute.bundle.codec import assemble, decode_manifest, encode_manifest
 from marigoldchute.bundle.model import Bundle
 from marigoldchute.bundle.validation import validate_content
+from marigoldchute.config import DistributionMode
 from marigoldchute.distribution.audit import audit_fields
 from marigoldchute.distribution.chunks import ChunkCache, ChunkServer
 from marigoldchute.distribution.fetch import ChunkFetcher
@@ -16,7 +17,7 @@
 from marigoldchute.distribution.joining import Joiner
 from marigoldchute.distribution.keys import HEAD_KEY
 from marigoldchute.distribution.reader import StoreReader
-from marigoldchute.distribution.transfer import TransferPolicy
+from marigoldchute.distribution.transfer import RankedPolicy, StoreOnlyPolicy
 from marigoldchute.errors import BundleError, MarigoldchuteError
 from marigoldchute.overlay.duties import READER
 from marigoldchute.overlay.records import Record, RecordKind
@@ -57,7 +58,9 @@
         handlers: Handlers,
         log: EventLog,
         rng: random.Random,
+        mode: DistributionMode = DistributionMode.RELAYED,
     ) -> None:
+        self._is_direct = mode is DistributionMode.DIRECT
         self._membership = membership
         self._table = table
         self._verifier = verifier
@@ -81,7 +84,7 @@
             store,
             self._cache,
             Holders(overlay, in_force, handlers, self._wake),
-            TransferPolicy(membership),
+            StoreOnlyPolicy() if self._is_direct else RankedPolicy(membership),
             log,
             rng,
         )
@@ -91,6 +94,8 @@
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store for its data centre."""
+        if self._is_direct:
+            return True
         local = self._membership.local
         return self._membership.duties.is_held_here(READER, local.data_centre)
 
@@ -150,7 +155,11 @@
         except BundleError as exc:
             self._log_refusal(exc, 0, body)
             return
-        self._table.offer(Record(RecordKind.BUNDLE, HEAD_KEY, (version, 0), body))
+        record = Record(RecordKind.BUNDLE, HEAD_KEY, (version, 0), body)
+        if not self._is_direct:
+            self._table.offer(record)
+        elif self._is_verified(record):
+            self._take_record(record)
 
     def _is_verified(self, record: Record) -> bool:
         try:
--- a/marigoldchute/distribution/transfer.py
+++ b/marigoldchute/distribution/transfer.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, Protocol
 
 from marigoldchute.membership.model import MemberState
 from marigoldchute.overlay.duties import READER
@@ -21,8 +22,36 @@
 MAX_RANK = 4
 
 
-class TransferPolicy:
-    """Delays before this node leaves its region for chunks."""
+class TransferPolicy(Protocol):
+    """From when on which sources of chunks may be asked."""
+
+    asks_peers: bool
+
+    def outside_delay_s(self) -> float:
+        """Return the seconds to wait before peers of other regions are asked."""
+
+    def store_delay_s(self) -> float | None:
+        """Return the seconds to wait before the store is asked; None for never."""
+
+
+class StoreOnlyPolicy:
+    """Every node asks the store at once and peers never, for comparison."""
+
+    asks_peers = False
+
+    def outside_delay_s(self) -> float:
+        """Return that no peer of another region is ever asked."""
+        return math.inf
+
+    def store_delay_s(self) -> float | None:
+        """Return that the store is asked at once."""
+        return 0.0
+
+
+class RankedPolicy:
+    """Delays by rank before this node leaves its region for chunks."""
+
+    asks_peers = True
 
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -92,6 +92,7 @@
             handlers,
             log,
             rng,
+            cfg.distribution,
         )
         self._engine = MoveEngine(
             self._in_force,
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -163,12 +163,18 @@
         Where settings and logs go.
     seed : int
         Seed of the nodes' random choices.
+
+    Attributes
+    ----------
+    node_settings : dict of str to object
+        Settings of every node that differ from the usual ones.
     """
 
     def __init__(self, plan: MeshPlan, directory: pathlib.Path, seed: int) -> None:
         self.plan = plan
         self.directory = directory
         self.private_key = generate_private_key()
+        self.node_settings: dict[str, object] = {}
         self._seed = seed
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -372,6 +378,7 @@
             "seeds": seeds,
             "peer_secret": PEER_SECRET,
             "admin_token": ADMIN_TOKEN,
+            **self.node_settings,
         }
 
     def _start(self, name: str, module: str, args: list[str]) -> None:
--- a/tests/test_bundle/test_codec.py
+++ b/tests/test_bundle/test_codec.py
@@ -14,10 +14,12 @@
     assemble,
     chunk_digest,
     decode_manifest,
+    encode_manifest,
     join_chunks,
     split_content,
 )
 from marigoldchute.bundle.model import BundleContent, Manifest, Route, Service
+from marigoldchute.bundle.signing import generate_private_key, sign_manifest
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.errors import BundleError, ResultCode
 from tests.test_bundle.bundles import contents
@@ -103,6 +105,14 @@
             with self.assertRaises(BundleError):
                 decode(body)
 
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(st.integers(0, 2**60), st.lists(st.binary(max_size=9), max_size=30))
+    def test_manifest_survives_encoding(self, version: int, chunks) -> None:
+        key = generate_private_key()
+        digests = [chunk_digest(chunk) for chunk in chunks]
+        manifest = sign_manifest(version, digests, "ops-1", key, "ana", "t")
+        self.assertEqual(decode_manifest(encode_manifest(manifest)), manifest)
+
     def test_manifest_is_bounded(self) -> None:
         with self.assertRaises(BundleError) as caught:
             decode_manifest(b"\x00" * (limits.MAX_MANIFEST_BYTES + 1))
--- a/tests/test_distribution/test_rollout.py
+++ b/tests/test_distribution/test_rollout.py
@@ -10,54 +10,13 @@
 from marigoldchute.admin.messages import RollOrder
 from marigoldchute.bundle.codec import chunk_digest, encode_manifest, split_content
 from marigoldchute.bundle.signing import generate_private_key, sign_manifest
-from marigoldchute.errors import MarigoldchuteError, ResultCode
+from marigoldchute.errors import ResultCode
 from marigoldchute.standins.store import StoreFaults
-from tests.support.meshes import MeshTestCase
+from tests.support.rolls import RollTestCase
 from tests.test_bundle.bundles import content, move
 
 if TYPE_CHECKING:
-    from marigoldchute.bundle.model import BundleContent, Manifest
-
-
-class RollTestCase(MeshTestCase):
-    """A mesh to which the test itself signs and rolls bundles."""
-
-    def order(
-        self, version: int, bundle: BundleContent, author: str = "ana"
-    ) -> RollOrder:
-        chunks = split_content(bundle)
-        digests = [chunk_digest(chunk) for chunk in chunks]
-        manifest = sign_manifest(
-            version, digests, "ops-1", self.mesh.private_key, author, f"{author}-t"
-        )
-        return RollOrder(encode_manifest(manifest), tuple(chunks))
-
-    async def accept(self, vm_name: str, version: int, bundle: BundleContent) -> None:
-        await self.mesh.admin(vm_name).roll(self.order(version, bundle))
-
-    async def code_of(self, vm_name: str, order: RollOrder) -> tuple[ResultCode, str]:
-        try:
-            await self.mesh.admin(vm_name).roll(order)
-        except MarigoldchuteError as exc:
-            return exc.code, exc.message
-        return ResultCode.OK, ""
-
-    async def wait_all(self, version: int, timeout_s: float = 15.0) -> None:
-        async with trio.open_nursery() as nursery:
-            for vm in self.mesh.plan.vms:
-                nursery.start_soon(self.wait_one, vm.name, version, timeout_s)
-
-    async def wait_one(
-        self, vm_name: str, version: int, timeout_s: float = 15.0
-    ) -> None:
-        await self.mesh.wait_until(
-            vm_name, lambda status: status.version == version, timeout_s
-        )
-
-    async def wait_linked(self) -> None:
-        count = len(self.mesh.plan.vms)
-        for vm in self.mesh.plan.vms:
-            await self.mesh.wait_until(vm.name, lambda s: len(s.members) == count)
+    from marigoldchute.bundle.model import Manifest
 
 
 class RolloutTest(RollTestCase):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -25,7 +25,7 @@
     from collections.abc import Iterable, Sequence
 
 TEST_DIRECTORY = "tests"
-MESH_SUPPORT = "tests.support.meshes"
+MESH_SUPPORT = ("tests.support.meshes", "tests.support.rolls")
 DEFAULT_JOBS = 3
 SHARD_TIMEOUT_S = 400.0
 
@@ -62,7 +62,8 @@
     packages: dict[str, list[str]] = {}
     for path in sorted((root / TEST_DIRECTORY).rglob("test_*.py")):
         name = ".".join(path.relative_to(root).with_suffix("").parts)
-        if MESH_SUPPORT in path.read_text(encoding="utf-8"):
+        text = path.read_text(encoding="utf-8")
+        if any(support in text for support in MESH_SUPPORT):
             meshes.append((name,))
         else:
             packages.setdefault(name.rpartition(".")[0], []).append(name)
