--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -10,13 +10,15 @@
 from marigoldchute.errors import NotRunError, RequestError
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.routing import backend_conn
-from marigoldchute.routing.messages import RequestHead, ResponseHead
+from marigoldchute.routing.messages import ENCODER, RequestHead, ResponseHead
 from marigoldchute.routing.owner import Owner
 from tests.support.servers import PORT, listening, read_request
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from marigoldchute.errors import ResultCode
+
     Script = Callable[[trio.SocketStream], Awaitable[None]]
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -269,6 +271,36 @@
             backend_conn.IDLE_REUSE_NON_IDEMPOTENT_S = limit_s
 
 
+class FakeStream:
+    """Stream of an entry node that has given up already."""
+
+    head = ENCODER.encode(make_head())
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        callback()
+
+    def reset(self, code: ResultCode) -> None:
+        self.code = code
+
+
+class LateRequestTest(OwnerTestCase):
+    def test_a_request_that_arrives_after_its_cancellation_is_not_run(self) -> None:
+        requests = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                requests.append(request)
+                await stream.send_all(OK)
+
+        async def body(owner: Owner) -> None:
+            await owner.execute(make_head(), CollectingExchange())
+            await owner.serve(FakeStream())
+            await trio.sleep(0.05)
+            self.assertEqual(len(requests), 1)
+
+        self.run_with(serve, body)
+
+
 class AbandonTest(OwnerTestCase):
     slots = 1
 
