--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from marigoldchute.errors import NotRunError, RequestError
+from marigoldchute.errors import NotRunError, RequestError, ResultCode
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.routing import backend_conn
 from marigoldchute.routing.messages import ENCODER, RequestHead, ResponseHead
@@ -17,8 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from marigoldchute.errors import ResultCode
-
     Script = Callable[[trio.SocketStream], Awaitable[None]]
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -27,6 +25,8 @@
 class FakeServers:
     """Announces one backend server."""
 
+    fenced = False
+
     def __init__(self, address: str, slots: int = 4) -> None:
         server = BackendServer("vm/1", "turnos", "r1", PORT, slots, 10)
         self.local = Member("vm", 1, 1, address, 1, "dc", "r", servers=(server,))
@@ -138,6 +138,17 @@
 
         trio.run(main)
 
+    def test_a_draining_owner_admits_nothing(self) -> None:
+        async def main() -> None:
+            owner = Owner(FakeServers("127.9.9.9"), "127.9.9.9")
+            owner.drain()
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(make_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_DRAINING)
+
+        trio.run(main)
+
 
 class UnknownTest(OwnerTestCase):
     def test_a_written_request_without_an_answer_is_unknown(self) -> None:
