Keep the load tool's connections open between requests

Cause: should_keep_alive was asked after the message, when the parser says no; each request opened a connection, which the trials charged to the node.

--- a/marigoldchute/standins/load.py
+++ b/marigoldchute/standins/load.py
@@ -94,7 +94,9 @@
 
     def __init__(self) -> None:
         self.complete = False
+        self.keep_alive = False
         self.outcome = b""
+        self.parser = httptools.HttpResponseParser(self)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name == b"marigoldchute-outcome":
@@ -102,6 +104,7 @@
 
     def on_message_complete(self) -> None:
         self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
 
 
 class LoadGenerator:
@@ -156,8 +159,7 @@
         else:
             conn = await open_tcp(plan.address, plan.port, plan.source)
         answer = _Answer()
-        parser = httptools.HttpResponseParser(answer)
-        whole = False
+        parser = answer.parser
         try:
             await conn.send(self._request)
             while not answer.complete:
@@ -165,9 +167,8 @@
                 if not data:
                     return NO_ANSWER
                 parser.feed_data(data)
-            whole = True
         finally:
-            if whole and parser.should_keep_alive():
+            if answer.keep_alive:
                 self._idle.append(conn)
             else:
                 conn.close()
