--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: demo test lint unit docs bench bench-path clean
+.PHONY: demo test lint unit docs bench bench-membership clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -24,8 +24,8 @@
 
 test: lint unit
 
-bench-path: $(VENV)/.installed
-	$(BIN)/python -m bench.bench_path --seed $(SEED)
+bench-membership: $(VENV)/.installed
+	$(BIN)/python -m bench.bench_membership
 
 clean:
 	rm -rf $(VENV)
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -201,14 +201,24 @@
     async def serve(
         self, port: int, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Accept links on a TCP port until cancelled."""
-        await trio.serve_tcp(
-            self._accept,
-            port,
-            host=self._bind_address,
-            backlog=LISTEN_BACKLOG,
-            task_status=task_status,
-        )
+        """Accept links on a TCP port and send heartbeats until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_heartbeats)
+            await trio.serve_tcp(
+                self._accept,
+                port,
+                host=self._bind_address,
+                backlog=LISTEN_BACKLOG,
+                task_status=task_status,
+            )
+
+    async def _send_heartbeats(self) -> None:
+        # One task for all links: a wake-up for each link costs more than its bytes.
+        while True:
+            await trio.sleep(self._heartbeat_ms / 1000)
+            now = trio.current_time()
+            for link in tuple(self.links):
+                link.beat(now)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
         if self._handshakes >= MAX_HANDSHAKES or self._is_full():
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import struct
 from collections.abc import Awaitable, Callable
@@ -154,12 +155,11 @@
         return len(self._out) + self._writing
 
     async def run(self) -> None:
-        """Read, write and send heartbeats until the connection ends."""
+        """Read and write until the connection ends."""
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._write_frames)
-                nursery.start_soon(self._send_heartbeats)
                 await self._read_frames()
                 nursery.cancel_scope.cancel()
         except* (
@@ -172,6 +172,21 @@
         finally:
             self.close()
 
+    def beat(self, now: float) -> None:
+        """Send a heartbeat if nothing was sent of late; close if the peer is silent.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        if now - self._heard_at > SILENCE_FACTOR * self._heartbeat_s:
+            self.close()
+        elif now - self._sent_at > HEARTBEAT_SKIP * self._heartbeat_s:
+            stamp = _STAMP.pack(self._clock.tick(0))
+            with contextlib.suppress(PeerError):
+                self.send_now(encode_frame(FrameKind.HEARTBEAT, 0, stamp))
+
     def close(self) -> None:
         """Close the connection and fail what is pending on it."""
         if self.closed.is_set():
@@ -316,16 +331,6 @@
             await self._tcp.send(data)
             self._writing = False
 
-    async def _send_heartbeats(self) -> None:
-        while True:
-            await trio.sleep(self._heartbeat_s)
-            now = trio.current_time()
-            if now - self._heard_at > SILENCE_FACTOR * self._heartbeat_s:
-                raise PeerError("peer is silent", ResultCode.PEER_TIMEOUT)
-            if now - self._sent_at > HEARTBEAT_SKIP * self._heartbeat_s:
-                stamp = self._clock.tick(0)
-                self.send_frame(FrameKind.HEARTBEAT, 0, _STAMP.pack(stamp))
-
     async def _read_frames(self) -> None:
         for frame in self._early_frames:
             self._take_frame(*frame)
--- a/marigoldchute/membership/exchange.py
+++ b/marigoldchute/membership/exchange.py
@@ -21,7 +21,7 @@
     from marigoldchute.platform.api import ObjectStore
 
 GONE_PREFIX = "gone/"
-ASK_INTERVAL_S = 1.0
+ASK_SHARE = 0.05
 ASKED_PEERS = 3
 ASK_TIMEOUT_S = 2.0
 PAUSE_AFTER_S = 4.0
@@ -60,12 +60,13 @@
 
     async def run(self) -> None:
         """Ask neighbours and, in doubt, the store until cancelled."""
+        ask_interval_s = ASK_SHARE * self._membership.times.fence_after_s
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._ask_store)
             while True:
                 self._tick(elapsed_clock())
                 self._ask_neighbours(nursery)
-                await trio.sleep(ASK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+                await trio.sleep(ask_interval_s * self._rng.uniform(0.8, 1.2))
 
     def _tick(self, now: float) -> None:
         if now - self._ticked_at > PAUSE_AFTER_S:
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -30,6 +30,7 @@
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.client import HttpObjectStore
+from marigoldchute.routing.outcomes import NullOutcomeSink
 from marigoldchute.routing.path import RequestPath
 from marigoldchute.util.asgi import serve_app
 from marigoldchute.util.clock import Clock
@@ -42,6 +43,7 @@
     from marigoldchute.link.stats import NodeStats
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.25
 LEAVE_FLOOD_S = 0.05
 
 
@@ -129,7 +131,7 @@
             self._membership,
             self._table,
             self._traffic,
-            self._engine.recorder,
+            NullOutcomeSink(),
             log,
             self._clock,
             rng,
@@ -208,4 +210,4 @@
             self._duty_log.check()
             if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
-            await trio.sleep(TICK_S)
+            await trio.sleep(TICK_S if self._engine.states() else IDLE_TICK_S)
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -22,6 +22,7 @@
 LINGER_S = 1.0
 LINGER_BYTES = 262_144
 WATCH_INTERVAL_S = 0.05
+IDLE_WATCH_S = 0.5
 EXPIRE_INTERVAL_S = 0.5
 MAX_CALLER_CONNS = 4096
 
@@ -171,9 +172,6 @@
         self.last_request_at = trio.current_time()
         try:
             await self._handler(req, responder)
-        except RequestError as exc:
-            await _answer_error(conn.tcp, responder, exc)
-            return False
         except BaseException:
             conn.tcp.abort()
             raise
@@ -190,7 +188,7 @@
     async def _watch(self) -> None:
         next_expiry = trio.current_time() + EXPIRE_INTERVAL_S
         while True:
-            await trio.sleep(WATCH_INTERVAL_S)
+            await trio.sleep(WATCH_INTERVAL_S if self._conns else IDLE_WATCH_S)
             self._cancel_abandoned()
             now = trio.current_time()
             if now >= next_expiry:
@@ -245,15 +243,6 @@
     )
 
 
-async def _answer_error(
-    tcp: TcpConn, responder: HttpResponder, exc: RequestError
-) -> None:
-    if responder.started or isinstance(exc, CallerGoneError):
-        tcp.abort()
-    else:
-        await _refuse(tcp, exc)
-
-
 async def _refuse(tcp: TcpConn, exc: RequestError) -> None:
     await tcp.send(_refusal(exc))
     await _close_lingering(tcp)
