Feed the evidence from requests; step in for a driver that is cut off

Cause: outcomes were dropped, and a driver cut off from the store left moves undecided until its peers held it for unreachable (tests.test_moves.test_truth, the cut data centre: no verdict 12 s after the deadline). Ruled out: a shorter liveness limit, which would make false claims. Conclusion: the truth cases hold with real processes.

--- a/marigoldchute/moves/driver.py
+++ b/marigoldchute/moves/driver.py
@@ -28,6 +28,7 @@
 VERDICT_PREFIX = "verdicts/"
 DECIDE_INTERVAL_S = 0.25
 READER_CHECK_S = 0.5
+BACKUP_DELAY_MS = 1000
 
 _VERDICT = msgspec.json.Decoder(Verdict)
 
@@ -62,9 +63,10 @@
 class Driver:
     """Decides the moves of the bundle in force while this node is the driver.
 
-    The driver is the first reachable member in rendezvous order. Two drivers at once
-    are harmless: a verdict is a conditional create, and each writes only what the
-    confirmations that it holds justify.
+    The driver is the first reachable member in rendezvous order; the first of each data
+    centre steps in for it when a verdict is overdue, so that a cut-off driver delays
+    nobody. Two drivers at once are harmless: a verdict is a conditional create, and
+    each writes only what the confirmations that it holds justify.
     """
 
     def __init__(
@@ -88,17 +90,37 @@
         """Whether this node decides moves now."""
         return self._membership.duties.is_held_here(DRIVER)
 
+    @property
+    def is_backup(self) -> bool:
+        """Whether this node decides what the driver leaves undecided."""
+        home = self._membership.local.data_centre
+        return self._membership.duties.is_held_here(DRIVER, home)
+
     async def run(self) -> None:
         """Decide moves until cancelled."""
         while True:
             await trio.sleep(DECIDE_INTERVAL_S)
-            undecided = [s for s in self._engine.states() if s.verdict is None]
-            if not undecided or not self.is_driver:
+            due = self._due_states(self._clock.now_ms())
+            if not due:
                 continue
             stands = await self._reporter.gather_stands()
-            for state in undecided:
+            for state in due:
                 await self._decide(state, stands.get(state.move.move_id, {}))
 
+    def _due_states(self, now_ms: int) -> list[MoveState]:
+        undecided = [s for s in self._engine.states() if s.verdict is None]
+        if not undecided or self.is_driver:
+            return undecided
+        if not self.is_backup:
+            return []
+        return [s for s in undecided if self._is_overdue(s, now_ms)]
+
+    def _is_overdue(self, state: MoveState, now_ms: int) -> bool:
+        latest_ms = state.move.deadline_ms + self._clock_error_ms
+        if state.fault is not None:
+            latest_ms = min(latest_ms, state.fault.at_ms + self._clock_error_ms)
+        return now_ms > latest_ms + BACKUP_DELAY_MS
+
     async def _decide(self, state: MoveState, stands: dict[str, Stand]) -> None:
         now_ms = self._clock.now_ms()
         decision = judge(
--- a/marigoldchute/moves/reporter.py
+++ b/marigoldchute/moves/reporter.py
@@ -159,10 +159,12 @@
                     nursery.start_soon(ask, centre, target)  # type: ignore[arg-type]
 
     async def _call(self, target: str, method: Method) -> bytes | None:
-        try:
-            return await self._control.call(target, method, b"", CALL_TIMEOUT_S)
-        except (PeerError, AuthError):
-            return None
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            try:
+                return await self._control.call(target, method, b"", CALL_TIMEOUT_S)
+            except (PeerError, AuthError):
+                return None
+        return None
 
     async def _read_summaries(self, centre: str, target: str) -> None:
         if target == self._membership.local.name:
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -30,7 +30,6 @@
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.client import HttpObjectStore
-from marigoldchute.routing.outcomes import NullOutcomeSink
 from marigoldchute.routing.path import RequestPath
 from marigoldchute.util.asgi import serve_app
 from marigoldchute.util.clock import Clock
@@ -121,6 +120,7 @@
             self._clock,
             cfg.clock_error_ms,
         )
+        self._membership.on_incarnation.append(lambda _: self._engine.rejoin())
         self._verdict_reader = VerdictReader(
             self._engine, store, lambda: self._replicator.is_reader
         )
@@ -131,7 +131,7 @@
             self._membership,
             self._table,
             self._traffic,
-            NullOutcomeSink(),
+            self._engine.recorder,
             log,
             self._clock,
             rng,
