Show a data centre as cut although it was never heard

Cause: a data centre counted as cut only if its majority had been heard before, and majorities are counted only after the settling time; a region cut soon after a start stayed "alive" for the other side, and its single members too, since a single claim needs the data centre to be heard. Ruled out: the dial schedule (unreachable members are dialled), which the same test shows to heal. Before: tests.test_membership.test_cuts.CutTest.test_region_cut_before_it_was_settled_is_unreachable_and_heals failed (still alive after 30 s). After: it passes in 21 s, all of tests.test_membership 23 passed. Conclusion: silence counts from the end of settling.

--- a/marigoldchute/membership/contact.py
+++ b/marigoldchute/membership/contact.py
@@ -145,6 +145,15 @@
         """Return when a majority of a data centre was last heard."""
         return self._centres.get(data_centre, NEVER)
 
+    def centre_silent_since(self, data_centre: str) -> float:
+        """Return since when a data centre could have been heard and was not.
+
+        A node that has just started, or was paused, first waits until majorities are
+        counted.
+        """
+        settled_at = self._started_at + self._times.fence_after_s
+        return max(settled_at, self.centre_heard_at(data_centre))
+
     def hear(self, name: str, at: float) -> None:
         """Take note that a member answered a question that was asked at a time."""
         self._heard[name] = max(at, self._heard.get(name, NEVER))
--- a/marigoldchute/membership/exchange.py
+++ b/marigoldchute/membership/exchange.py
@@ -82,14 +82,14 @@
         self._note_fence()
 
     def _cut_centres(self, now: float) -> frozenset[str]:
-        """Return the other data centres that were heard once and no longer are."""
+        """Return the other data centres that are not heard."""
         local = self._membership.local.data_centre
         fresh_s = self._membership.times.fresh_s
         return frozenset(
             centre
             for centre in {m.data_centre for m in self._membership.recorded()}
             if centre != local
-            and 0.0 < self._contact.centre_heard_at(centre) < now - fresh_s
+            and self._contact.centre_silent_since(centre) < now - fresh_s
         )
 
     def _note_fence(self) -> None:
