Join through seeds in the store; tell restarted backend servers apart

Cause: a node whose settings seeds were all down never joined; a backend server that restarted on its port was taken for the old one, an announcement was taken from any address, and during a cold start each announcement changed the member record.

Ruled out: one object per member, since calls would grow with the fleet.

--- a/bench/bench_membership.py
+++ b/bench/bench_membership.py
@@ -129,16 +129,17 @@
 
 
 async def _known_ms(
-    mesh: Mesh, member: str, event: str, since_ms: float, others: int
+    mesh: Mesh, member: str, event: str, since_ms: float, others: set[str]
 ) -> list[float]:
     """Return when each other node logged a state of a member."""
     wanted = f"marigoldchute:membership:{event}"
     known: dict[str, float] = {}
     deadline = trio.current_time() + CHANGE_LIMIT_S
-    while len(known) < others and trio.current_time() < deadline:
+    while known.keys() != others and trio.current_time() < deadline:
         await trio.sleep(POLL_S)
         for item in read_events(mesh.directory):
-            if item["message_type"] == wanted and item.get("member") == member:
+            told = item["message_type"] == wanted and item.get("member") == member
+            if told and item["process"] in others:
                 known.setdefault(item["process"], item["wall_ms"] - since_ms)
     return list(known.values())
 
@@ -162,10 +163,10 @@
     drained, killed = names[-1], names[-2]
     since_ms = time.time() * 1000
     os.kill(mesh.process(drained).pid, signal.SIGTERM)
-    drain_ms = await _known_ms(mesh, drained, "draining", since_ms, len(names) - 1)
+    drain_ms = await _known_ms(mesh, drained, "draining", since_ms, set(names[:-1]))
     since_ms = time.time() * 1000
     mesh.kill(killed)
-    kill_ms = await _known_ms(mesh, killed, "gone", since_ms, len(names) - 2)
+    kill_ms = await _known_ms(mesh, killed, "gone", since_ms, set(names[:-2]))
     return SizeFigures(
         nodes=len(names),
         sent_bytes_per_s=rate(lambda s: s.control_bytes_sent),
--- a/marigoldchute/membership/announcement.py
+++ b/marigoldchute/membership/announcement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -14,6 +14,12 @@
     from marigoldchute.membership.service import Membership
 
 ANNOUNCE_TARGET = b"/marigoldchute/announce"
+LOCAL_ADDRESS = "127.0.0.1"
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_COLD_MS = 3_600_000
+
+Label = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,15 +40,18 @@
         Whether it takes no new requests.
     cold_ms : int
         Time left until its cold start ends.
+    instance : str
+        Chosen anew at each start, so that a restart on the same port is told apart.
     """
 
-    service: str
-    release: str
-    port: int
-    slots: int
-    connections: int
+    service: Label
+    release: Label
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=MAX_CONNECTIONS)]
     draining: bool = False
-    cold_ms: int = 0
+    cold_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0
+    instance: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
 class AnnouncementError(MarigoldchuteError):
@@ -52,7 +61,7 @@
 
 
 def take_announcement(
-    membership: Membership, body: bytes, now_ms: int, now: float
+    membership: Membership, body: bytes, sender: str, now_ms: int, now: float
 ) -> None:
     """Decode an announcement and hand it to membership.
 
@@ -62,6 +71,8 @@
         Members of the mesh.
     body : bytes
         JSON of an ``Announcement``.
+    sender : str
+        IP number from which it came; only the VM's own is accepted.
     now_ms : int
         Wall-clock time in milliseconds since the epoch.
     now : float
@@ -70,16 +81,20 @@
     Raises
     ------
     AnnouncementError
-        The body is not an announcement.
+        The body is not an announcement, or it came from another VM.
     """
+    if sender not in (membership.own_address, LOCAL_ADDRESS):
+        raise AnnouncementError(
+            f"announcement came from {sender}, not from this VM",
+            ResultCode.ANNOUNCEMENT_FOREIGN,
+        )
     try:
         said = msgspec.json.decode(body, type=Announcement)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise AnnouncementError(f"announcement is malformed: {exc}") from exc
-    if said.slots < 1 or said.connections < 1:
-        raise AnnouncementError("slots and connections must be at least 1")
+    instance = f"/{said.instance}" if said.instance else ""
     server = BackendServer(
-        server_id=f"{membership.local.name}/{said.port}",
+        server_id=f"{membership.local.name}/{said.port}{instance}",
         service=said.service,
         release=said.release,
         port=said.port,
--- a/marigoldchute/membership/service.py
+++ b/marigoldchute/membership/service.py
@@ -24,6 +24,7 @@
     from marigoldchute.overlay.records import Record, RecordTable
 
 ANNOUNCEMENT_TTL_S = 3.0
+WARM_SHIFT_MS = 500
 TOMBSTONE_TTL_MS = 2 * 3600 * 1000
 
 _MEMBER = msgspec.msgpack.Decoder(Member)
@@ -54,6 +55,8 @@
         self._all_generation = -1
         self._wanted: tuple[int, dict[str, tuple[str, int]]] = (-1, {})
         self._roster: tuple[int, set[str]] = (-1, set())
+        self._store_seeds: list[tuple[str, int]] = []
+        self._strangers: list[tuple[str, int]] = []
         self._superseded = False
         self._leaving = False
         self._announced: dict[str, tuple[BackendServer, float]] = {}
@@ -81,6 +84,11 @@
         """The member record of this node."""
         return self._local
 
+    @property
+    def own_address(self) -> str:
+        """IP number on which this VM's processes listen."""
+        return self._cfg.address
+
     @property
     def generation(self) -> int:
         """Rises with each change of the members."""
@@ -156,6 +164,10 @@
         for server_id, (held, _) in tuple(self._announced.items()):
             if held.port == server.port and server_id != server.server_id:
                 del self._announced[server_id]
+        held_server = self._announced.get(server.server_id, (server, now))[0]
+        shift_ms = abs(server.warm_at_ms - held_server.warm_at_ms)
+        if shift_ms < WARM_SHIFT_MS:
+            server = dataclasses.replace(server, warm_at_ms=held_server.warm_at_ms)
         self._announced[server.server_id] = (server, now)
         self._update_servers()
 
@@ -224,12 +236,26 @@
         return self._wanted[1]
 
     def seeds(self) -> list[tuple[str, int]]:
-        """Return the seeds of the settings, other than this node."""
+        """Return the seeds of the settings and the store, other than this node."""
         own = (self._local.address, self._local.peer_port)
         pairs = [seed.rsplit(":", 1) for seed in self._cfg.seeds]
         found = [(address, int(port)) for address, port in pairs]
+        found += self._store_seeds
         return [pair for pair in found if pair != own]
 
+    def set_store_seeds(self, seeds: list[tuple[str, int]]) -> None:
+        """Try addresses that the store names while no peer is linked."""
+        self._store_seeds = seeds
+
+    def add_stranger(self, address: str, port: int) -> None:
+        """Dial a member once that the store names and no record does."""
+        self._strangers.append((address, port))
+
+    def take_strangers(self) -> list[tuple[str, int]]:
+        """Return addresses to dial once, whatever is linked."""
+        strangers, self._strangers = self._strangers, []
+        return strangers
+
     def link_up(self, name: str, incarnation: int, now: float) -> None:
         """Take note that a peer is linked."""
         self.losses.clear(name)
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -20,6 +20,7 @@
 from marigoldchute.link.stats import collect_stats
 from marigoldchute.membership.exchange import ContactExchange
 from marigoldchute.membership.probe import Prober
+from marigoldchute.membership.seeds import SeedKeeper
 from marigoldchute.membership.service import Membership
 from marigoldchute.membership.silence import SilenceJudge
 from marigoldchute.moves.collector import Collector
@@ -81,6 +82,7 @@
             self._membership, self._endpoint, self._overlay, handlers, rng
         )
         self._judge = SilenceJudge(self._membership, store)
+        self._seeds = SeedKeeper(self._membership, self._overlay, store, rng)
         verifier = SignatureVerifier(cfg.trusted_keys)
         self._replicator = Replicator(
             self._membership,
@@ -163,6 +165,7 @@
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._prober.run)
             nursery.start_soon(self._judge.run)
+            nursery.start_soon(self._seeds.run)
             nursery.start_soon(self._replicator.run)
             nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._driver.run)
@@ -207,6 +210,7 @@
         while True:
             now = trio.current_time()
             self._membership.expire_announcements(now)
+            self._membership.expire_tombstones(self._clock.now_ms())
             self._duty_log.check()
             if self._engine.advance(self._clock.now_ms()):
                 self._reporter.wake()
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -34,6 +34,9 @@
     def seeds(self) -> list[tuple[str, int]]:
         """Return addresses to try while no peer is linked."""
 
+    def take_strangers(self) -> list[tuple[str, int]]:
+        """Return addresses to dial once, whatever is linked."""
+
     def link_lost(self, name: str, refused: bool, now: float) -> None:
         """Take note that a wanted peer cannot be reached."""
 
@@ -115,6 +118,7 @@
         targets = dict(wanted)
         if not self._neighbours:
             targets |= {f"{a}:{p}": (a, p) for a, p in directory.seeds()}
+        targets |= {f"{a}:{p}": (a, p) for a, p in directory.take_strangers()}
         assert self._nursery is not None
         for name, (address, port) in targets.items():
             if self.is_linked(name) or name in self._dialling:
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -139,6 +139,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def peer_address(self) -> str:
+        """IP number of the caller."""
+        return self._tcp.peer_address
+
     async def start(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send status and headers, and with them the first piece of the body."""
         block = b"".join([b"%s: %s\r\n" % pair for pair in headers])
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.errors import MarigoldchuteError, ResultCode
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, take_announcement
 from marigoldchute.overlay.records import RecordKind
 from marigoldchute.routing.choice import NearestLeastLoaded
@@ -147,10 +147,15 @@
         status, text = 204, b""
         try:
             take_announcement(
-                self._membership, body, self._clock.now_ms(), trio.current_time()
+                self._membership,
+                body,
+                responder.peer_address,
+                self._clock.now_ms(),
+                trio.current_time(),
             )
         except MarigoldchuteError as exc:
-            status, text = 400, f"{exc}\n".encode()
+            foreign = exc.code is ResultCode.ANNOUNCEMENT_FOREIGN
+            status, text = 403 if foreign else 400, f"{exc}\n".encode()
         await responder.start(
             status, [(b"content-length", str(len(text)).encode())], text
         )
--- a/marigoldchute/standins/backend.py
+++ b/marigoldchute/standins/backend.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import random
+import secrets
 from typing import TYPE_CHECKING
 
 import httpcore
@@ -78,6 +79,7 @@
         self._faults = BackendFaults(error_share=settings.error_share)
         self._faults_since = 0.0
         self._started_at = 0.0
+        self._instance = secrets.token_hex(4)
         self._announce_now = trio.Event()
         self._runs: collections.Counter[str] = collections.Counter()
         self._total_runs = 0
@@ -218,6 +220,7 @@
             settings.connections,
             self._faults.draining,
             self._cold_left_ms(),
+            self._instance,
         )
 
 
--- a/marigoldchute/util/tcp.py
+++ b/marigoldchute/util/tcp.py
@@ -61,6 +61,14 @@
         """Return the file descriptor, -1 when closed."""
         return self._sock.fileno()
 
+    @property
+    def peer_address(self) -> str:
+        """IP number of the other end, empty when it is not connected."""
+        try:
+            return str(self._sock.getpeername()[0])
+        except OSError:
+            return ""
+
     async def receive(self, limit: int) -> bytes:
         """Wait for data; return at most ``limit`` bytes, or none at the end.
 
--- /dev/null
+++ b/tests/test_membership/test_seeds.py
@@ -0,0 +1,30 @@
+"""Joining through the seeds of the store."""
+
+from __future__ import annotations
+
+from marigoldchute.standins.store import StoreFaults
+from tests.support.membership import MembershipTestCase
+
+FIRST = "cartago-norte-1"
+SECOND = "cartago-norte-2"
+THIRD = "cartago-norte-3"
+
+
+class SeedsTest(MembershipTestCase):
+    centres = 1
+    per_centre = 3
+
+    def test_nodes_join_through_the_store_and_without_it_through_settings(
+        self,
+    ) -> None:
+        self.run_async(self._join, 60)
+
+    async def _join(self) -> None:
+        self.mesh.start_store()
+        self.start_node(FIRST, seeds=[])
+        self.start_node(SECOND, seeds=[])
+        await self.wait_for_all([FIRST, SECOND])
+        await self.mesh.set_store_faults(StoreFaults(down=True))
+        peer = f"{self.mesh.vm(FIRST).address}:7000"
+        self.start_node(THIRD, seeds=[peer])
+        await self.wait_for_all([FIRST, SECOND, THIRD])
