Charge the budget of the link for what requests send across it

Cause: nothing called charge_link, so the budget of the cross-region link never ran out. Each try over a link now counts its head, body and answer; the test of the count failed before the counter was there.

--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -29,6 +29,8 @@
         Whether some try may have run the request.
     answer : ResponseHead or None
         Head of the answer passed to the caller.
+    link_bytes : int
+        Bytes that the tries have sent to other nodes and received from them.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.tries = 0
         self.maybe_run = False
         self.answer: ResponseHead | None = None
+        self.link_bytes = 0
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
@@ -123,6 +126,7 @@
     async def send_body(self, stream: Stream) -> None:
         """Send the body to the owner."""
         while (data := await self.body.receive()) is not None:
+            self.link_bytes += len(data)
             await stream.send(data)
         stream.send_end()
 
@@ -139,16 +143,20 @@
         head = _decode_head(await stream.receive_head())
         if head.code:
             raise NotRunError("refused by the owner", _refusal_code(head.code))
+        self.link_bytes += len(head.header_block)
         body = stream.take_whole()
         if body is not None:
+            self.link_bytes += len(body)
             await self.send_whole(head, body)
             return
         first = await stream.receive()
         if first is None:
             await self.send_whole(head, b"")
             return
+        self.link_bytes += len(first)
         await self.send_head(head, first)
         while (data := await stream.receive()) is not None:
+            self.link_bytes += len(data)
             await self.send(data)
         await self.finish()
 
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -322,6 +322,7 @@
         except PeerError as exc:
             raise self._unreachable(target) from exc
         call.maybe_run, before = True, call.maybe_run
+        call.link_bytes = len(encoded) + len(body or b"")
         try:
             if body is not None:
                 await call.pass_answer(stream)
@@ -338,6 +339,8 @@
             raise
         finally:
             link.forget_stream(stream)
+            now = trio.current_time()
+            self._chooser.charge_link(target, call.link_bytes, now)
 
     async def _open_link(self, target: Target) -> Link:
         with trio.move_on_after(LINK_WAIT_S):
