--- /dev/null
+++ b/bench/fault_run.py
@@ -0,0 +1,284 @@
+"""Seeded mixed fault run of non-idempotent requests, and what must hold after it.
+
+Real processes behind the fault-injecting proxy. Backend servers count each execution by
+idempotency key. Exit status 1 when a request ran twice, a refusal "not run" was false,
+an answer was wrong or short, or more requests ran at once than a backend server has
+slots. Prints one JSON object and writes bench/results/fault_run.json.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import httptools
+import trio
+
+from marigoldchute.standins.backend import BackendSettings
+from marigoldchute.standins.backend_faults import BackendFaults
+from marigoldchute.standins.faultproxy import Action, Rule
+from marigoldchute.standins.mesh import (
+    BACKEND_PORT,
+    INTERNAL_PORT,
+    LoopbackBlock,
+    Mesh,
+    plan_mesh,
+)
+from marigoldchute.util.tcp import open_tcp
+
+RESULT = pathlib.Path(__file__).parent / "results" / "fault_run.json"
+CALLER_PORT = 8000
+SLOTS = 12
+FAULT_S = 1.5
+PAUSE_S = 0.5
+CALL_TIMEOUT_S = 10.0
+BUNDLE = json.dumps(
+    {
+        "services": [{"name": "reservas", "release": "r1"}],
+        "routes": [
+            {
+                "name": "reservas",
+                "path_prefix": "/reservas",
+                "service": "reservas",
+                "timeout_ms": 3000,
+            }
+        ],
+    }
+)
+
+
+class _Answer:
+    def __init__(self) -> None:
+        self.outcome = ""
+        self.body = b""
+        self.complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name == b"marigoldchute-outcome":
+            self.outcome = value.decode()
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class FaultRun:
+    """Sends requests and injects faults at the same time."""
+
+    def __init__(self, mesh: Mesh, seed: int, calls: int, rate_per_s: float) -> None:
+        self._mesh = mesh
+        # Every second VM has no backend server, so that half of the calls cross links.
+        self._serving = mesh.plan.vms[::2]
+        self._rng = random.Random(seed)
+        self._call_rng = random.Random(seed + 1)
+        self._calls = calls
+        self._rate_per_s = rate_per_s
+        self.told: dict[str, str] = {}
+        self.wrong: list[str] = []
+        self.faults: collections.Counter[str] = collections.Counter()
+
+    async def start(self) -> None:
+        """Start the mesh and bring the bundle in force."""
+        mesh = self._mesh
+        vms = mesh.plan.vms
+        mesh.start_store()
+        mesh.start_proxy()
+        for vm in vms:
+            mesh.start_node(vm.name)
+        for vm in self._serving:
+            mesh.start_backend(
+                BackendSettings(
+                    vm.address, BACKEND_PORT, INTERNAL_PORT, "reservas", "r1", SLOTS
+                )
+            )
+        await mesh.wait_until(
+            vms[0].name,
+            lambda s: (
+                len(s.members) == len(vms)
+                and sum(bool(m.servers) for m in s.members) == len(self._serving)
+            ),
+            60,
+        )
+        bundle = mesh.directory / "bundle.json"
+        bundle.write_text(BUNDLE)
+        args = ["roll", str(bundle), "--key", str(mesh.key_path)]
+        done = mesh.run_ctl([*args, "--node", f"{vms[0].address}:7100"])
+        if done.returncode:
+            raise RuntimeError(done.stderr)
+        for vm in vms:
+            await mesh.wait_until(vm.name, lambda s: s.version == 1)
+
+    async def run(self) -> None:
+        """Send every request under faults, then lift the faults."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._inject)
+            async with trio.open_nursery() as callers:
+                at = trio.current_time()
+                for number in range(self._calls):
+                    at += self._call_rng.expovariate(self._rate_per_s)
+                    await trio.sleep_until(at)
+                    vm = self._call_rng.choice(self._mesh.plan.vms)
+                    callers.start_soon(self._call, vm.address, f"call-{number}")
+            nursery.cancel_scope.cancel()
+        await self._mesh.set_faults()
+
+    async def _call(self, address: str, key: str) -> None:
+        size = self._call_rng.randrange(1, 3000)
+        told = "nothing"
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            try:
+                told = await self._exchange(address, key, size)
+            except (OSError, httptools.HttpParserError):
+                told = "nothing"
+        self.told[key] = told
+
+    async def _exchange(self, address: str, key: str, size: int) -> str:
+        conn = await open_tcp(address, CALLER_PORT, "127.0.0.1")
+        answer = _Answer()
+        parser = httptools.HttpResponseParser(answer)
+        try:
+            await conn.send(
+                f"POST /reservas/{key} HTTP/1.1\r\nhost: a\r\n"
+                f"idempotency-key: {key}\r\n"
+                f"content-length: {size}\r\n\r\n".encode()
+                + bytes(size)
+            )
+            while not answer.complete:
+                data = await conn.receive(65_536)
+                if not data:
+                    return "nothing"
+                parser.feed_data(data)
+        finally:
+            conn.close()
+        if answer.outcome:
+            return answer.outcome
+        if answer.body != b"r1 /reservas/%s %d\n" % (key.encode(), size):
+            self.wrong.append(key)
+        return f"answered {parser.get_status_code()}"
+
+    async def _inject(self) -> None:
+        faults = [
+            self._kill,
+            self._pause,
+            self._cut,
+            self._silence,
+            self._one_way,
+            self._misbehave,
+            self._misbehave,
+        ]
+        while True:
+            await trio.sleep(PAUSE_S)
+            fault = self._rng.choice(faults)
+            self.faults[fault.__name__.strip("_")] += 1
+            with trio.CancelScope(shield=True):  # Each fault is lifted again.
+                await fault()
+
+    def _vm(self) -> str:
+        return self._rng.choice(self._mesh.plan.vms).name
+
+    async def _kill(self) -> None:
+        name = self._vm()
+        self._mesh.kill(name)
+        await trio.sleep(FAULT_S)
+        self._mesh.start_node(name)
+
+    async def _pause(self) -> None:
+        process = self._mesh.process(self._vm())
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(FAULT_S)
+        process.send_signal(signal.SIGCONT)
+
+    async def _cut(self) -> None:
+        await self._apply(Rule(self._vm(), "*", Action.RESET))
+
+    async def _silence(self) -> None:
+        await self._apply(Rule(self._vm(), "*", Action.SILENCE))
+
+    async def _one_way(self) -> None:
+        await self._apply(Rule(self._vm(), "*", Action.DROP, both_ways=False))
+
+    async def _apply(self, rule: Rule) -> None:
+        await self._mesh.set_faults(rule)
+        await trio.sleep(FAULT_S)
+        await self._mesh.set_faults()
+
+    async def _misbehave(self) -> None:
+        name = self._rng.choice(self._serving).name
+        await self._mesh.set_backend_faults(
+            name,
+            BackendFaults(
+                refuse_share=0.2,
+                drop_share=0.1,
+                hang_share=0.05,
+                cut_share=0.1,
+                delay_ms=self._rng.choice([0.0, 20.0]),
+            ),
+        )
+        await trio.sleep(FAULT_S)
+        await self._mesh.set_backend_faults(name, BackendFaults())
+
+    async def check(self) -> dict[str, object]:
+        """Return the counts of what was told and of what must not happen."""
+        runs: collections.Counter[str] = collections.Counter()
+        max_running = 0
+        for vm in self._serving:
+            state = await self._mesh.backend_state(vm.name)
+            runs.update(state.runs)
+            max_running = max(max_running, state.max_running)
+        told = collections.Counter(self.told.values())
+        not_run = [key for key, value in self.told.items() if value == "not-run"]
+        answered = sum(n for name, n in told.items() if name.startswith("answered"))
+        return {
+            "calls": len(self.told),
+            "answered_share": round(answered / len(self.told), 4),
+            "told": dict(told),
+            "faults": dict(self.faults),
+            "doubled": sum(count > 1 for count in runs.values()),
+            "false_not_run": sum(runs[key] > 0 for key in not_run),
+            "wrong_or_short": len(self.wrong),
+            "max_running": max_running,
+            "above_slots": max(0, max_running - SLOTS),
+        }
+
+
+async def measure(args: argparse.Namespace, directory: pathlib.Path) -> dict:
+    """Run the whole and return its figures."""
+    block = LoopbackBlock()
+    plan = plan_mesh(block.number, 2, 2, proxied=True)
+    mesh = Mesh(plan, directory, args.seed)
+    mesh.write_key()
+    run = FaultRun(mesh, args.seed, args.calls, args.rate)
+    try:
+        await run.start()
+        await run.run()
+        return {"seed": args.seed, **await run.check()}
+    finally:
+        mesh.stop()
+        block.release()
+
+
+def main() -> int:
+    """Run and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--calls", type=int, default=20_000)
+    parser.add_argument("--rate", type=float, default=300.0, help="calls a second")
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        figures = trio.run(measure, args, pathlib.Path(directory))
+    print(json.dumps(figures, indent=2))
+    RESULT.write_text(json.dumps(figures, indent=2) + "\n")
+    bad = ("doubled", "false_not_run", "wrong_or_short", "above_slots")
+    return 1 if any(figures[name] for name in bad) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
