--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: demo test lint unit docs bench bench-membership clean
+.PHONY: demo test lint unit proofs docs clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,8 +22,19 @@
 unit: $(VENV)/.installed
 	$(BIN)/python -m tools.run_tests
 
-test: lint unit
+test: lint docs unit
 
+proofs: $(VENV)/.installed
+	$(BIN)/python -m tools.proofs $(if $(filter command line,$(origin SEED)),--seed $(SEED))
+
+docs: $(VENV)/.installed
+	$(BIN)/sphinx-build -q -W -b html docs docs/_build
+
+.PHONY: bench-path
+bench-path: $(VENV)/.installed
+	$(BIN)/python -m bench.bench_path --seed $(SEED)
+
+.PHONY: bench-membership
 bench-membership: $(VENV)/.installed
 	$(BIN)/python -m bench.bench_membership
 
