--- a/marigoldchute/cmd/standin.py
+++ b/marigoldchute/cmd/standin.py
@@ -12,6 +12,7 @@
 
 from marigoldchute.standins.backend import Backend, BackendSettings
 from marigoldchute.standins.faultproxy import FaultProxy, ProxyPlan
+from marigoldchute.standins.load import LoadGenerator, LoadPlan
 from marigoldchute.standins.store import serve_store
 
 
@@ -57,12 +58,29 @@
         return 0
 
 
+@cappa.command(name="load", help="Send requests at a rate and print the latencies.")
+@dataclasses.dataclass(frozen=True)
+class LoadCommand:
+    """Send the requests described by JSON of ``LoadPlan``; print a ``LoadResult``."""
+
+    plan: str
+
+    def __call__(self) -> int:
+        """Send until the plan's duration is over."""
+        plan = msgspec.json.decode(self.plan, type=LoadPlan)
+        result = trio.run(LoadGenerator(plan).run)
+        print(msgspec.json.encode(result).decode())
+        return 0
+
+
 @cappa.command(name="marigoldchute-standin", help="Stand-ins for demo and tests.")
 @dataclasses.dataclass(frozen=True)
 class StandinCommand:
     """Command line of the stand-ins."""
 
-    command: cappa.Subcommands[StoreCommand | BackendCommand | ProxyCommand]
+    command: cappa.Subcommands[
+        StoreCommand | BackendCommand | ProxyCommand | LoadCommand
+    ]
 
 
 def main() -> None:
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -172,6 +172,9 @@
         self.last_request_at = trio.current_time()
         try:
             await self._handler(req, responder)
+        except RequestError as exc:
+            await _answer_error(conn.tcp, responder, exc)
+            return False
         except BaseException:
             conn.tcp.abort()
             raise
@@ -243,6 +246,15 @@
     )
 
 
+async def _answer_error(
+    tcp: TcpConn, responder: HttpResponder, exc: RequestError
+) -> None:
+    if responder.started or isinstance(exc, CallerGoneError):
+        tcp.abort()
+    else:
+        await _refuse(tcp, exc)
+
+
 async def _refuse(tcp: TcpConn, exc: RequestError) -> None:
     await tcp.send(_refusal(exc))
     await _close_lingering(tcp)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -126,7 +126,8 @@
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + head.remaining_ms / 1000
                 stream.on_cancel(scope.cancel)
-                await self.execute(head, exchange)
+                if not scope.cancel_called:
+                    await self.execute(head, exchange)
             if scope.cancelled_caught:
                 stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE)
         except NotRunError as exc:
--- /dev/null
+++ b/tests/test_routing/paths.py
@@ -0,0 +1,112 @@
+"""A mesh with a bundle in force and clients of its request path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+import trio
+
+from marigoldchute.standins.backend import BackendSettings
+from marigoldchute.standins.mesh import BACKEND_PORT, INTERNAL_PORT
+from tests.support.meshes import MeshTestCase
+
+if TYPE_CHECKING:
+    import signal
+
+    from marigoldchute.standins.backend_faults import BackendState
+
+BUNDLE = """{
+  "services": [
+    {"name": "reservas", "release": "r1"},
+    {"name": "ejes", "release": "r1", "internal": true}
+  ],
+  "routes": [
+    {"name": "reservas", "path_prefix": "/reservas", "service": "reservas"},
+    {"name": "ejes", "path_prefix": "/ejes", "service": "ejes"}
+  ]
+}"""
+FIRST = "cartago-norte-1"
+SECOND = "cartago-norte-2"
+
+
+class PathTestCase(MeshTestCase):
+    """Two VMs of one data centre."""
+
+    centres = 1
+    per_centre = 2
+
+    async def start_path(self, *on: str, service_ms: float = 2.0) -> None:
+        """Start the mesh, backend servers on the named VMs, and roll the bundle."""
+        self.start_nodes()
+        for name in on:
+            self.mesh.start_backend(
+                BackendSettings(
+                    self.mesh.vm(name).address,
+                    BACKEND_PORT,
+                    INTERNAL_PORT,
+                    "reservas",
+                    "r1",
+                    service_ms=service_ms,
+                )
+            )
+        count = len(self.mesh.plan.vms)
+        await self.mesh.wait_until(
+            FIRST,
+            lambda s: (
+                len(s.members) == count
+                and sum(bool(m.servers) for m in s.members) == len(on)
+            ),
+        )
+        status, _, err = await self.roll(self.write_bundle(BUNDLE), FIRST)
+        self.assertEqual(status, 0, err)
+        for vm in self.mesh.plan.vms:
+            await self.mesh.wait_until(vm.name, lambda s: s.version == 1)
+        await self.wait_routed()
+
+    async def wait_routed(self) -> None:
+        """Wait until every node can reach a backend server."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            for vm in self.mesh.plan.vms:
+                url = self.caller_url(vm.name, "/reservas/ready")
+                while (await pool.request("GET", url)).status != 200:
+                    await trio.sleep(0.05)
+
+    async def post(
+        self, vm_name: str, key: str, deadline_ms: int = 5000
+    ) -> httpcore.Response:
+        """Send one non-idempotent request on a connection of its own."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                "POST",
+                self.caller_url(vm_name, "/reservas/alta"),
+                headers={
+                    "idempotency-key": key,
+                    "marigoldchute-deadline-ms": str(deadline_ms),
+                },
+                content=b"lathe 4",
+            )
+
+    async def runs_of(self, key: str, *vm_names: str) -> int:
+        """Return how often the backend servers of some VMs ran a request."""
+        states = [await self.mesh.backend_state(name) for name in vm_names]
+        return sum(state.runs.get(key, 0) for state in states)
+
+    async def wait_for_state(
+        self, vm_name: str, condition, timeout_s: float = 5.0
+    ) -> BackendState:
+        """Poll a backend server stand-in until a condition holds."""
+        with trio.fail_after(timeout_s):
+            while not condition(state := await self.mesh.backend_state(vm_name)):
+                await trio.sleep(0.03)
+        return state
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of the mesh."""
+        self.mesh.process(name).send_signal(number)
+
+
+def outcome_of(response: httpcore.Response) -> str:
+    """Return what a response says of the request's execution."""
+    value = dict(response.headers).get(b"marigoldchute-outcome", b"answered")
+    return value.decode()
--- /dev/null
+++ b/tests/test_routing/test_choice.py
@@ -0,0 +1,237 @@
+"""Choice of the backend server."""
+
+from __future__ import annotations
+
+import collections
+import random
+import unittest
+
+from marigoldchute.membership.model import BackendServer, Member
+from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.candidates import Candidates, CandidateTables
+from marigoldchute.routing.choice import NearestLeastLoaded
+from marigoldchute.routing.target import Target
+
+NOW_MS = 1_000_000
+
+
+def make_target(name: str, region: str = "cartago", warm_at_ms: int = 0) -> Target:
+    server = BackendServer(
+        f"{name}/1", "turnos", "r1", 1, 12, 110, warm_at_ms=warm_at_ms
+    )
+    return Target(Member(name, 1, 1, "127.0.0.1", 1, "dc", region), server)
+
+
+def make_chooser(gate: AdmissionGate | None = None) -> NearestLeastLoaded:
+    return NearestLeastLoaded(random.Random(1), lambda server_id: gate, "cartago")
+
+
+def count_choices(
+    chooser: NearestLeastLoaded, candidates: Candidates, rounds: int = 1000
+) -> collections.Counter[str]:
+    counts: collections.Counter[str] = collections.Counter()
+    for index in range(rounds):
+        target = chooser.choose(candidates, set(), index * 0.01, NOW_MS)
+        counts[target.member.name if target else ""] += 1
+    return counts
+
+
+class TierTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.own = make_target("own")
+        self.near = make_target("near")
+        self.region = make_target("region")
+        self.far = make_target("far", "limon")
+        self.candidates = Candidates(
+            (self.own,), (self.own, self.near), (self.region,), (self.far,)
+        )
+        self.gate = AdmissionGate(self.own.server)
+
+    def test_own_server_is_preferred_while_lightly_loaded(self) -> None:
+        chooser = make_chooser(self.gate)
+        self.assertEqual(count_choices(chooser, self.candidates), {"own": 1000})
+
+    def test_own_server_under_load_is_one_of_many(self) -> None:
+        while self.gate.running < 10:
+            self.gate.try_enter()
+        counts = count_choices(make_chooser(self.gate), self.candidates)
+        self.assertGreater(counts["near"], 200)
+        self.assertEqual(counts["region"] + counts["far"], 0)
+
+    def test_farther_tiers_are_used_only_when_nearer_ones_are_tried(self) -> None:
+        chooser = make_chooser()
+        tried = {self.own, self.near}
+        target = chooser.choose(self.candidates, tried, 0.0, NOW_MS)
+        self.assertIs(target, self.region)
+        tried.add(self.region)
+        self.assertIs(chooser.choose(self.candidates, tried, 0.0, NOW_MS), self.far)
+        tried.add(self.far)
+        self.assertIsNone(chooser.choose(self.candidates, tried, 0.0, NOW_MS))
+
+    def test_the_link_is_used_within_its_budget_only(self) -> None:
+        chooser = make_chooser()
+        candidates = Candidates(remote=(self.far,))
+        self.assertIs(chooser.choose(candidates, set(), 0.0, NOW_MS), self.far)
+        chooser.charge_link(self.far, 1_000_000, 0.0)
+        self.assertIsNone(chooser.choose(candidates, set(), 0.1, NOW_MS))
+        self.assertIs(chooser.choose(candidates, set(), 10.0, NOW_MS), self.far)
+
+    def test_bytes_within_the_region_cost_no_budget(self) -> None:
+        chooser = make_chooser()
+        chooser.charge_link(self.near, 10_000_000, 0.0)
+        candidates = Candidates(remote=(self.far,))
+        self.assertIs(chooser.choose(candidates, set(), 0.0, NOW_MS), self.far)
+
+
+class LoadTest(unittest.TestCase):
+    def test_the_less_loaded_of_two_is_taken(self) -> None:
+        targets = tuple(make_target(f"t{i}") for i in range(4))
+        targets[0].in_flight = 8
+        counts = count_choices(make_chooser(), Candidates(centre=targets))
+        self.assertLess(counts["t0"], 120)
+
+    def test_a_slow_server_gets_less(self) -> None:
+        targets = tuple(make_target(f"t{i}") for i in range(4))
+        for target in targets:
+            target.take_answer(2.0, False)
+        for _ in range(50):
+            targets[0].take_answer(40.0, False)
+        counts = count_choices(make_chooser(), Candidates(centre=targets))
+        self.assertLess(counts["t0"], 120)
+
+    def test_a_busy_server_is_passed_over_for_a_while(self) -> None:
+        targets = (make_target("a"), make_target("b"))
+        targets[0].take_busy(0.0)
+        chooser = make_chooser()
+        candidates = Candidates(centre=targets)
+        chosen = {chooser.choose(candidates, set(), 0.1, NOW_MS) for _ in range(50)}
+        self.assertEqual(chosen, {targets[1]})
+        chosen = {chooser.choose(candidates, set(), 0.5, NOW_MS) for _ in range(50)}
+        self.assertEqual(len(chosen), 2)
+
+
+class SlowStartTest(unittest.TestCase):
+    def test_a_cold_server_gets_few_requests(self) -> None:
+        cold = make_target("cold", warm_at_ms=NOW_MS + 3000)
+        targets = (cold, *(make_target(f"t{i}") for i in range(3)))
+        for target in targets[1:]:
+            target.in_flight = 3
+        counts = count_choices(make_chooser(), Candidates(centre=targets))
+        self.assertLess(counts["cold"], 120)
+
+    def test_weight_rises_after_the_cold_start(self) -> None:
+        target = make_target("t", warm_at_ms=NOW_MS)
+        weights = [target.weight(NOW_MS + after) for after in (-1, 0, 2500, 5000)]
+        self.assertEqual(weights, [0.05, 0.05, 0.5, 1.0])
+
+    def test_a_cold_server_is_taken_when_it_is_the_only_one(self) -> None:
+        cold = make_target("cold", warm_at_ms=NOW_MS + 3000)
+        counts = count_choices(make_chooser(), Candidates(centre=(cold,)), 5)
+        self.assertEqual(counts, {"cold": 5})
+
+
+class EjectionTest(unittest.TestCase):
+    def test_failing_servers_are_ejected_but_never_more_than_half(self) -> None:
+        targets = tuple(make_target(f"t{i}") for i in range(4))
+        chooser = make_chooser()
+        candidates = Candidates(centre=targets)
+        for target in targets:
+            for _ in range(3):
+                target.take_failure()
+            chooser.take_failure(target, candidates, 0.0)
+        ejected = [target for target in targets if not target.available(0.5)]
+        self.assertEqual(len(ejected), 2)
+
+    def test_a_single_server_is_never_ejected(self) -> None:
+        target = make_target("t")
+        for _ in range(10):
+            target.take_failure()
+        make_chooser().take_failure(target, Candidates(centre=(target,)), 0.0)
+        self.assertTrue(target.available(0.0))
+
+    def test_the_time_doubles_and_ends(self) -> None:
+        target = make_target("t")
+        target.eject(0.0)
+        self.assertTrue(target.available(1.0))
+        target.eject(1.0)
+        self.assertFalse(target.available(2.5))
+        self.assertTrue(target.available(3.0))
+
+    def test_an_ejected_server_is_still_better_than_none(self) -> None:
+        target = make_target("t")
+        target.eject(0.0)
+        candidates = Candidates(centre=(target,))
+        self.assertIs(make_chooser().choose(candidates, set(), 0.1, NOW_MS), target)
+
+
+class FakeMembers:
+    def __init__(self, members: list[Member]) -> None:
+        self.members = members
+        self.reads = 0
+
+    @property
+    def local(self) -> Member:
+        return self.members[0]
+
+    def all(self) -> tuple[Member, ...]:
+        self.reads += 1
+        return tuple(self.members)
+
+    def get(self, name: str) -> Member | None:
+        return None
+
+
+class CandidateTablesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        members = [
+            Member(
+                f"vm{i}",
+                1,
+                1,
+                "127.0.0.1",
+                1,
+                f"dc{i % 7}",
+                f"region{i % 2}",
+                servers=(BackendServer(f"vm{i}/1", f"s{i % 25}", "r1", 1, 12, 110),),
+            )
+            for i in range(870)
+        ]
+        self.members = FakeMembers(members)
+        self.tables = CandidateTables(self.members)
+
+    def test_members_are_read_once_for_each_change_and_not_for_each_request(
+        self,
+    ) -> None:
+        for index in range(1000):
+            self.tables.find("s0", "r1", index * 0.001)
+        self.assertEqual(self.members.reads, 1)
+        self.tables.mark_stale()
+        self.tables.find("s0", "r1", 10.0)
+        self.assertEqual(self.members.reads, 2)
+
+    def test_a_herd_of_changes_rebuilds_at_intervals(self) -> None:
+        for index in range(1000):
+            self.tables.mark_stale()
+            self.tables.find("s0", "r1", index * 0.001)
+        self.assertLessEqual(self.members.reads, 11)
+
+    def test_a_release_that_was_not_known_is_looked_for_at_once(self) -> None:
+        self.tables.find("s0", "r1", 0.0)
+        new = BackendServer("vm0/2", "s0", "r2", 2, 12, 110)
+        first = self.members.members[0]
+        self.members.members[0] = Member(
+            first.name, 1, 2, "127.0.0.1", 1, "dc0", "region0", servers=(new,)
+        )
+        self.tables.mark_stale()
+        self.assertEqual(len(self.tables.find("s0", "r2", 0.01).own), 1)
+
+    def test_observations_outlive_a_rebuild_but_not_a_restart(self) -> None:
+        target = self.tables.find("s0", "r1", 0.0).centre[0]
+        self.tables.mark_stale()
+        self.assertIs(self.tables.find("s0", "r1", 1.0).centre[0], target)
+        old = self.members.members[0]
+        self.members.members[0] = Member(
+            old.name, 2, 1, "127.0.0.1", 1, "dc0", "region0", servers=old.servers
+        )
+        self.tables.mark_stale()
+        self.assertIsNot(self.tables.find("s0", "r1", 2.0).centre[0], target)
--- /dev/null
+++ b/tests/test_routing/test_drain.py
@@ -0,0 +1,91 @@
+"""Planned stops under load."""
+
+from __future__ import annotations
+
+import collections
+import signal
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.standins.backend_faults import BackendFaults
+from tests.test_routing.paths import FIRST, SECOND, PathTestCase, outcome_of
+
+if TYPE_CHECKING:
+    import httpcore
+
+CEASE_S = 3.0
+
+
+class DrainTest(PathTestCase):
+    def test_a_node_that_stops_cuts_no_request(self) -> None:
+        self.run_async(self._stop_node, 40)
+
+    async def _stop_node(self) -> None:
+        await self.start_path(FIRST, SECOND, service_ms=50)
+        for vm in (FIRST, SECOND):
+            await self.mesh.set_backend_faults(vm, BackendFaults(delay_ms=100))
+        counts: collections.Counter[str] = collections.Counter()
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for index in range(16):
+                nursery.start_soon(self._call_steadily, f"c{index}", counts, stop)
+            await trio.sleep(0.5)
+            self.send_signal(SECOND, signal.SIGTERM)
+            process = self.mesh.process(SECOND)
+            await trio.to_thread.run_sync(process.wait)
+            self.assertEqual(process.returncode, 0)
+            await trio.sleep(0.3)
+            stop.set()
+        self.assertEqual(set(counts), {"200 answered"})
+        self.assertGreater(counts["200 answered"], 50)
+        events = (self.mesh.directory / f"{SECOND}.log").read_text()
+        self.assertIn("has drained", events)
+
+    async def _call_steadily(
+        self, name: str, counts: collections.Counter[str], stop: trio.Event
+    ) -> None:
+        number = 0
+        while not stop.is_set():
+            number += 1
+            response = await self.post(FIRST, f"{name}/{number}")
+            counts[f"{response.status} {outcome_of(response)}"] += 1
+
+    def test_a_caller_of_the_stopping_node_is_answered(self) -> None:
+        self.run_async(self._stop_entry, 40)
+
+    async def _stop_entry(self) -> None:
+        await self.start_path(FIRST, SECOND)
+        await self.mesh.set_backend_faults(SECOND, BackendFaults(delay_ms=600))
+        responses: list[httpcore.Response] = []
+
+        async def call(key: str) -> None:
+            responses.append(await self.post(SECOND, key))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, "before")
+            await self.wait_for_state(SECOND, lambda s: s.runs.get("before") == 1)
+            self.send_signal(SECOND, signal.SIGTERM)
+            await trio.sleep(0.1)
+            nursery.start_soon(call, "during")
+        self.assertEqual([r.status for r in responses], [200, 200])
+        self.assertEqual(await self.runs_of("during", FIRST), 1)
+        self.assertEqual(await self.runs_of("before", SECOND), 1)
+
+    def test_a_draining_backend_server_gets_nothing_new(self) -> None:
+        self.run_async(self._drain_backend, 40)
+
+    async def _drain_backend(self) -> None:
+        await self.start_path(FIRST, SECOND)
+        await self.mesh.set_backend_faults(SECOND, BackendFaults(draining=True))
+        drained_at = trio.current_time()
+        while trio.current_time() < drained_at + CEASE_S:
+            for vm in (FIRST, SECOND):
+                self.assertEqual((await self.post(vm, "during")).status, 200)
+            await trio.sleep(0.05)
+        before = (await self.mesh.backend_state(SECOND)).total_runs
+        for index in range(40):
+            vm = (FIRST, SECOND)[index % 2]
+            self.assertEqual((await self.post(vm, "after")).status, 200)
+        after = (await self.mesh.backend_state(SECOND)).total_runs
+        self.assertEqual(after, before)
--- /dev/null
+++ b/tests/test_routing/test_owner.py
@@ -0,0 +1,341 @@
+"""Truth about execution at the owner of a backend server."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.errors import NotRunError, RequestError, ResultCode
+from marigoldchute.membership.model import BackendServer, Member
+from marigoldchute.routing import backend_conn
+from marigoldchute.routing.messages import ENCODER, RequestHead, ResponseHead
+from marigoldchute.routing.owner import Owner
+from tests.support.servers import PORT, listening, read_request
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Script = Callable[[trio.SocketStream], Awaitable[None]]
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class FakeServers:
+    """Announces one backend server."""
+
+    fenced = False
+
+    def __init__(self, address: str, slots: int = 4) -> None:
+        server = BackendServer("vm/1", "turnos", "r1", PORT, slots, 10)
+        self.local = Member("vm", 1, 1, address, 1, "dc", "r", servers=(server,))
+
+
+class CollectingExchange:
+    """Exchange that keeps what the owner sends."""
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.finished = False
+
+    def take_whole_body(self) -> bytes | None:
+        return b""
+
+    async def receive(self) -> bytes | None:
+        return None
+
+    async def send_whole(self, head: ResponseHead, body: bytes) -> None:
+        await self.send_head(head, body)
+        self.finished = True
+
+    async def send_head(self, head: ResponseHead, body: bytes) -> None:
+        self.head = head
+        self.body += body
+
+    async def send(self, data: bytes) -> None:
+        self.body += data
+
+    async def finish(self) -> None:
+        self.finished = True
+
+
+def make_head(target: bytes = b"/1", idempotent: bool = False) -> RequestHead:
+    return RequestHead(
+        "id",
+        "turnos",
+        "turnos",
+        "r1",
+        "vm/1",
+        b"POST",
+        target,
+        b"host: a\r\ncontent-length: 0\r\n",
+        1000,
+        1,
+        idempotent,
+        False,
+        False,
+    )
+
+
+class OwnerTestCase(unittest.TestCase):
+    """Runs an owner against a scripted backend server."""
+
+    slots = 4
+
+    def run_with(
+        self, script: Script, body: Callable[[Owner], Awaitable[None]]
+    ) -> None:
+        async def main() -> None:
+            with trio.fail_after(10):
+                async with listening(script) as address, trio.open_nursery() as nursery:
+                    owner = Owner(FakeServers(address, self.slots), address)
+                    await nursery.start(owner.run)
+                    await body(owner)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
+class NotRunTest(OwnerTestCase):
+    def test_a_backend_servers_own_refusal_is_not_run(self) -> None:
+        async def refuse(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(
+                    b"HTTP/1.1 503 Busy\r\nMarigoldchute-Not-Run: 1\r\n"
+                    b"Content-Length: 0\r\n\r\n"
+                )
+
+        async def body(owner: Owner) -> None:
+            exchange = CollectingExchange()
+            with self.assertRaises(NotRunError):
+                await owner.execute(make_head(), exchange)
+            self.assertIsNone(exchange.head)
+            self.assertEqual(owner.running, 0)
+
+        self.run_with(refuse, body)
+
+    def test_an_error_answer_without_the_header_is_an_answer(self) -> None:
+        async def fail(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+        async def body(owner: Owner) -> None:
+            exchange = CollectingExchange()
+            await owner.execute(make_head(), exchange)
+            assert exchange.head is not None
+            self.assertEqual(exchange.head.status, 503)
+
+        self.run_with(fail, body)
+
+    def test_a_refused_connection_is_not_run(self) -> None:
+        async def main() -> None:
+            owner = Owner(FakeServers("127.9.9.9"), "127.9.9.9")
+            with self.assertRaises(NotRunError):
+                await owner.execute(make_head(), CollectingExchange())
+            self.assertEqual(owner.running, 0)
+
+        trio.run(main)
+
+    def test_a_draining_owner_admits_nothing(self) -> None:
+        async def main() -> None:
+            owner = Owner(FakeServers("127.9.9.9"), "127.9.9.9")
+            owner.drain()
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(make_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_DRAINING)
+
+        trio.run(main)
+
+
+class UnknownTest(OwnerTestCase):
+    def test_a_written_request_without_an_answer_is_unknown(self) -> None:
+        async def close(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+
+        async def body(owner: Owner) -> None:
+            with self.assertRaises(RequestError) as caught:
+                await owner.execute(make_head(), CollectingExchange())
+            self.assertNotIsInstance(caught.exception, NotRunError)
+
+        self.run_with(close, body)
+
+    def test_a_cut_answer_is_never_finished(self) -> None:
+        answers = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nclose-delimited",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        )
+        for answer in answers:
+            with self.subTest(answer):
+                self._cut(answer)
+
+    def _cut(self, answer: bytes) -> None:
+        async def cut(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(answer)
+
+        async def body(owner: Owner) -> None:
+            exchange = CollectingExchange()
+            with self.assertRaises(RequestError) as caught:
+                await owner.execute(make_head(), exchange)
+            self.assertNotIsInstance(caught.exception, NotRunError)
+            self.assertFalse(exchange.finished)
+            await owner.wait_idle()
+
+        self.run_with(cut, body)
+
+
+class ReuseTest(OwnerTestCase):
+    def test_whole_answers_reuse_their_connection(self) -> None:
+        connections = 0
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            while await read_request(stream):
+                await stream.send_all(OK)
+
+        async def body(owner: Owner) -> None:
+            for _ in range(5):
+                exchange = CollectingExchange()
+                await owner.execute(make_head(), exchange)
+                self.assertEqual(exchange.body, b"ok")
+            self.assertEqual(connections, 1)
+
+        self.run_with(serve, body)
+
+    def test_a_late_answer_never_reaches_another_request(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                path = request.split()[1]
+                if path == b"/slow":
+                    await trio.sleep(0.1)
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    % (len(path), path)
+                )
+
+        async def body(owner: Owner) -> None:
+            with trio.move_on_after(0.03):
+                await owner.execute(make_head(b"/slow"), CollectingExchange())
+            for _ in range(8):
+                exchange = CollectingExchange()
+                await owner.execute(make_head(b"/fast"), exchange)
+                self.assertEqual(exchange.body, b"/fast")
+                await trio.sleep(0.02)
+
+        self.run_with(serve, body)
+
+    def test_bytes_behind_an_answer_end_the_connection(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK + OK.replace(b"ok", b"no"))
+
+        async def body(owner: Owner) -> None:
+            for _ in range(3):
+                exchange = CollectingExchange()
+                await owner.execute(make_head(), exchange)
+                self.assertEqual(exchange.body, b"ok")
+
+        self.run_with(serve, body)
+
+    def test_an_idle_connection_that_was_closed_is_not_reused(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(OK)
+
+        async def body(owner: Owner) -> None:
+            for _ in range(3):
+                await owner.execute(make_head(), CollectingExchange())
+                await trio.sleep(0.02)
+
+        self.run_with(serve, body)
+
+    def test_non_idempotent_requests_avoid_connections_idle_for_long(self) -> None:
+        connections = 0
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            while await read_request(stream):
+                await stream.send_all(OK)
+
+        async def body(owner: Owner) -> None:
+            await owner.execute(make_head(), CollectingExchange())
+            await trio.sleep(0.05)
+            await owner.execute(make_head(idempotent=True), CollectingExchange())
+            self.assertEqual(connections, 1)
+            await trio.sleep(0.05)
+            await owner.execute(make_head(), CollectingExchange())
+            self.assertEqual(connections, 2)
+
+        limit_s = backend_conn.IDLE_REUSE_NON_IDEMPOTENT_S
+        backend_conn.IDLE_REUSE_NON_IDEMPOTENT_S = 0.03
+        try:
+            self.run_with(serve, body)
+        finally:
+            backend_conn.IDLE_REUSE_NON_IDEMPOTENT_S = limit_s
+
+
+class FakeStream:
+    """Stream of an entry node that has given up already."""
+
+    head = ENCODER.encode(make_head())
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        callback()
+
+    def reset(self, code: ResultCode) -> None:
+        self.code = code
+
+
+class LateRequestTest(OwnerTestCase):
+    def test_a_request_that_arrives_after_its_cancellation_is_not_run(self) -> None:
+        requests = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                requests.append(request)
+                await stream.send_all(OK)
+
+        async def body(owner: Owner) -> None:
+            await owner.execute(make_head(), CollectingExchange())
+            await owner.serve(FakeStream())
+            await trio.sleep(0.05)
+            self.assertEqual(len(requests), 1)
+
+        self.run_with(serve, body)
+
+
+class AbandonTest(OwnerTestCase):
+    slots = 1
+
+    def test_a_given_up_request_is_cancelled_and_holds_its_slot_until_then(
+        self,
+    ) -> None:
+        cancelled = trio.Event()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            if (await read_request(stream)).split()[1] != b"/hang":
+                await stream.send_all(OK)
+                return
+            await stream.receive_some(1)  # Returns when the node gives up.
+            cancelled.set()
+            await trio.sleep(0.1)
+
+        async def body(owner: Owner) -> None:
+            with trio.move_on_after(0.05):
+                await owner.execute(make_head(b"/hang"), CollectingExchange())
+            self.assertEqual(owner.running, 1)
+            await cancelled.wait()
+            start = trio.current_time()
+            await owner.execute(make_head(b"/next"), CollectingExchange())
+            self.assertGreater(trio.current_time() - start, 0.05)
+            self.assertEqual(owner.running, 0)
+
+        self.run_with(serve, body)
