--- a/marigoldchute/standins/backend.py
+++ b/marigoldchute/standins/backend.py
@@ -14,6 +14,7 @@
 
 from marigoldchute.errors import RequestError
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, Announcement
+from marigoldchute.routing.headers import DEADLINE_HEADER
 from marigoldchute.routing.http_server import HttpEdge
 from marigoldchute.standins.backend_faults import (
     FAULTS_TARGET,
@@ -26,6 +27,7 @@
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
 
 ANNOUNCE_INTERVAL_S = 1.0
+DEPTH_HEADER = b"standin-depth"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +73,11 @@
 
 
 class Backend:
-    """One stand-in backend server."""
+    """One stand-in backend server.
+
+    A request with the header ``standin-depth`` is passed on through the node of the
+    VM as often as the header says, so that it runs on a chain of backend servers.
+    """
 
     def __init__(self, settings: BackendSettings) -> None:
         self._settings = settings
@@ -141,6 +147,11 @@
             await _answer(responder, 503, b"", [(b"marigoldchute-not-run", b"1")])
             return
         self._count_run(req)
+        depth = int(req.header(DEPTH_HEADER) or 0)
+        if depth > 0:
+            status = await self._call_deeper(req, depth - 1)
+            await _answer(responder, status, b"")
+            return
         await trio.sleep((self._service_ms() + faults.delay_ms) / 1000)
         if self._draw(faults.drop_share):
             return
@@ -154,6 +165,25 @@
         status = 500 if self._draw(faults.error_share) else 200
         await _answer(responder, status, body)
 
+    async def _call_deeper(self, req: HttpRequest, depth: int) -> int:
+        """Call the same path through the node of this VM; return the status."""
+        settings = self._settings
+        deadline_ms = req.header(DEADLINE_HEADER) or b"1000"
+        address, port = settings.address, settings.node_port
+        async with httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b"http", address.encode(), port)
+        ) as conn:
+            response = await conn.request(
+                req.method,
+                f"http://{address}:{port}{req.target.decode()}",
+                headers=[
+                    (b"host", address.encode()),
+                    (DEPTH_HEADER, str(depth).encode()),
+                    (DEADLINE_HEADER, deadline_ms),
+                ],
+            )
+        return response.status
+
     def _count_run(self, req: HttpRequest) -> None:
         self._total_runs += 1
         key = req.header(b"idempotency-key")
--- a/tests/test_routing/paths.py
+++ b/tests/test_routing/paths.py
@@ -22,7 +22,8 @@
     {"name": "ejes", "release": "r1", "internal": true}
   ],
   "routes": [
-    {"name": "reservas", "path_prefix": "/reservas", "service": "reservas"},
+    {"name": "reservas", "path_prefix": "/reservas", "service": "reservas",
+     "timeout_ms": 20000},
     {"name": "ejes", "path_prefix": "/ejes", "service": "ejes"}
   ]
 }"""
@@ -36,7 +37,9 @@
     centres = 1
     per_centre = 2
 
-    async def start_path(self, *on: str, service_ms: float = 2.0) -> None:
+    async def start_path(
+        self, *on: str, service_ms: float = 2.0, slots: int = 12
+    ) -> None:
         """Start the mesh, backend servers on the named VMs, and roll the bundle."""
         self.start_nodes()
         for name in on:
@@ -48,6 +51,7 @@
                     "reservas",
                     "r1",
                     service_ms=service_ms,
+                    slots=slots,
                 )
             )
         count = len(self.mesh.plan.vms)
