Settle on several answers before serving; measure distribution

Cause: a joining node believed the first peer that was linked; one that was behind brought version 1 into force after version 2 (JoinTest, found by the invariant checker, failed first). Now three answers, or all others of a smaller mesh, or one second.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,9 @@
 bench-membership: $(VENV)/.installed
 	$(BIN)/python -m bench.bench_membership
 
+.PHONY: bench-distribution
+bench-distribution: $(VENV)/.installed
+	$(BIN)/python -m bench.bench_distribution --sizes 8 16 32 64 --seed $(SEED)
+
 clean:
 	rm -rf $(VENV)
--- a/marigoldchute/distribution/joining.py
+++ b/marigoldchute/distribution/joining.py
@@ -20,12 +20,24 @@
 ASK_TIMEOUT_S = 1.0
 PEERS_TO_ASK = 3
 SETTLE_S = 1.0
+STORE_ANSWER = "/store"  # no member's name holds a slash
 
 
 class _Head(msgspec.Struct, frozen=True, array_like=True):
-    """Newest manifest that a node knows, and whether it has settled itself."""
+    """What a node tells a joining one.
+
+    Parameters
+    ----------
+    settled : bool
+        Whether it has settled itself.
+    members : int
+        Members that it knows, unreachable ones included.
+    manifest : bytes
+        Newest manifest that it knows; empty for none.
+    """
 
     settled: bool
+    members: int
     manifest: bytes
 
 
@@ -35,9 +47,10 @@
 class Joiner:
     """Asks several peers for their newest manifest before any comes into force.
 
-    A node has settled once ``PEERS_TO_ASK`` settled peers have answered, or all that
-    are linked when there are fewer, or the store has been read, or ``SETTLE_S`` after
-    it learnt of a first version while peers stay silent.
+    A node has settled once ``PEERS_TO_ASK`` settled peers have answered, or all others
+    in a smaller mesh, or ``SETTLE_S`` after the first answer or version when further
+    peers stay silent. The first peer to answer may be the one that is behind, and the
+    store may answer from the past, so one answer alone is enough only in a mesh of two.
     """
 
     def __init__(
@@ -46,15 +59,22 @@
         handlers: Handlers,
         newest: Callable[[], bytes],
         offer: Callable[[bytes], None],
+        count_members: Callable[[], int],
     ) -> None:
         self._overlay = overlay
+        self._count_members = count_members
+        self._members_told = 0
         self._newest = newest
         self._offer = offer
         self._answered: set[str] = set()
-        self._first_known_at: float | None = None
+        self._heard_at: float | None = None
         self.settled = trio.Event()
         handlers.register(Method.GET_HEAD, self._get_head)
 
+    def note_store_read(self) -> None:
+        """Count the store as one that has answered."""
+        self._answered.add(STORE_ANSWER)
+
     async def run(self) -> None:
         """Ask until settled."""
         while not self.settled.is_set():
@@ -63,7 +83,7 @@
                 for link in links:
                     if link.peer.name not in self._answered:
                         nursery.start_soon(self._ask, link)
-            self._check(len(links), trio.current_time())
+            self._check(trio.current_time())
             with trio.move_on_after(ASK_INTERVAL_S):
                 await self.settled.wait()
 
@@ -75,19 +95,21 @@
             return
         if head.manifest:
             self._offer(head.manifest)
+        self._members_told = max(self._members_told, head.members)
         if head.settled:
             self._answered.add(link.peer.name)
 
-    def _check(self, linked: int, now: float) -> None:
-        if self._newest() and self._first_known_at is None:
-            self._first_known_at = now
-        needed = min(PEERS_TO_ASK, max(1, linked))
-        waited = (
-            self._first_known_at is not None and now - self._first_known_at >= SETTLE_S
-        )
+    def _check(self, now: float) -> None:
+        heard = bool(self._newest() or self._answered)
+        if heard and self._heard_at is None:
+            self._heard_at = now
+        others = max(self._members_told, self._count_members()) - 1
+        needed = min(PEERS_TO_ASK, max(1, others))
+        waited = self._heard_at is not None and now - self._heard_at >= SETTLE_S
         if len(self._answered) >= needed or waited:
             self.settled.set()
 
     async def _get_head(self, link: Link, body: bytes) -> bytes:
-        head = _Head(self.settled.is_set(), self._newest())
+        members = self._count_members()
+        head = _Head(self.settled.is_set(), members, self._newest())
         return msgspec.msgpack.encode(head)
--- a/marigoldchute/distribution/rollout.py
+++ b/marigoldchute/distribution/rollout.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from marigoldchute.bundle.codec import assemble, chunk_digest, decode_manifest
@@ -18,8 +17,7 @@
     PlatformError,
     ResultCode,
 )
-from marigoldchute.moves.driver import verdict_key
-from marigoldchute.moves.model import Verdict
+from marigoldchute.moves.driver import decode_verdict, verdict_key
 from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
@@ -33,9 +31,7 @@
 
 CATCH_UP_S = 3.0
 CHUNK_WRITERS = 8
-KEPT_VERSIONS = 200
-
-_VERDICT = msgspec.json.Decoder(Verdict)
+KEPT_VERSIONS = 20
 
 
 class Rollout:
@@ -148,7 +144,7 @@
                 stored = await self._store.get(verdict_key(move_id))
             except NotFoundError:
                 continue
-            verdicts[move_id] = _decode_verdict(stored.value).kind.value
+            verdicts[move_id] = decode_verdict(stored.value).kind.value
         check_successor(bundle.content, content, verdicts)
 
     async def _write_chunks(self, chunks: dict[str, bytes]) -> None:
@@ -205,13 +201,3 @@
         f"{standing.version}",
         ResultCode.BUNDLE_VERSION_TAKEN,
     )
-
-
-def _decode_verdict(value: bytes) -> Verdict:
-    try:
-        return _VERDICT.decode(value)
-    except msgspec.DecodeError as exc:
-        raise PlatformError(
-            f"the store holds a malformed verdict: {exc}",
-            ResultCode.STORE_ANSWER_MALFORMED,
-        ) from exc
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -74,9 +74,20 @@
         self._refused_bodies: set[int] = set()
         self._cache = ChunkCache()
         ChunkServer(self._cache, handlers)
-        self._joiner = Joiner(overlay, handlers, self._newest_body, self._offer)
+        self._joiner = Joiner(
+            overlay,
+            handlers,
+            self._newest_body,
+            self._offer,
+            lambda: len(membership.all()),
+        )
         self._reader = StoreReader(
-            store, lambda: self.is_reader, self._offer, self._settle, log, rng
+            store,
+            lambda: self.is_reader,
+            self._offer,
+            self._joiner.note_store_read,
+            log,
+            rng,
         )
         self._fetcher = ChunkFetcher(
             membership,
@@ -138,9 +149,6 @@
     def _wake(self) -> None:
         self._changed.set()
 
-    def _settle(self) -> None:
-        self._joiner.settled.set()
-
     async def _join(self) -> None:
         await self._joiner.run()
         self._wake()
--- a/marigoldchute/moves/driver.py
+++ b/marigoldchute/moves/driver.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from marigoldchute.errors import PlatformError
+from marigoldchute.errors import PlatformError, ResultCode
 from marigoldchute.moves.judge import Decision, judge
 from marigoldchute.moves.model import Verdict
 from marigoldchute.overlay.duties import DRIVER
@@ -39,8 +39,20 @@
 
 
 def decode_verdict(value: bytes) -> Verdict:
-    """Decode a verdict as the store holds it."""
-    return _VERDICT.decode(value)
+    """Decode a verdict as the store holds it.
+
+    Raises
+    ------
+    PlatformError
+        The store holds something else.
+    """
+    try:
+        return _VERDICT.decode(value)
+    except msgspec.DecodeError as exc:
+        raise PlatformError(
+            f"the store holds a malformed verdict: {exc}",
+            ResultCode.STORE_ANSWER_MALFORMED,
+        ) from exc
 
 
 async def write_verdict(store: ObjectStore, verdict: Verdict) -> Verdict:
--- a/tests/support/fake_store.py
+++ b/tests/support/fake_store.py
@@ -42,3 +42,9 @@
         if (held.revision if held else 0) != expected_revision:
             raise ConflictError(key)
         return self.write(key, value)
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        held = self.objects.get(key)
+        if (held.revision if held else 0) != expected_revision:
+            raise ConflictError(key)
+        self.objects.pop(key, None)
