--- a/bench/bench_membership.py
+++ b/bench/bench_membership.py
@@ -120,7 +120,7 @@
         await trio.sleep(START_PAUSE_S)
     with trio.fail_after(START_LIMIT_S):
         for name in names:
-            await mesh.wait_for_port(mesh.vm(name).address, 7100)
+            await mesh.wait_for_port(mesh.vm(name).address, 7100, START_LIMIT_S)
         while True:
             stats = await _stats(mesh, names)
             if all(item.members == len(names) for item in stats.values()):
