Let a data centre settle although another one has settled before

Cause: a node waited for the majority of its own data centre once any settled member of the mesh was known, so a data centre that started a little later never counted its own majority, and fenced itself when it was cut off (three nodes of three, 5 s after the cut, tests.test_membership.test_cuts at a load average of 55 to 64 on 10 cores; it had passed when all nodes started at once). Ruled out: lack of processor time, since all three nodes fenced themselves within 0.1 s of each other. Now only settled members of the own data centre count. test_data_centre_settles_although_another_one_has failed first; it, test_cuts and test_gone_safety pass.

--- a/marigoldchute/membership/contact.py
+++ b/marigoldchute/membership/contact.py
@@ -75,7 +75,7 @@
     centres : list of CentreAge
         Majorities heard.
     settled : bool
-        Whether the sender, or a member that it heard, counts majorities itself.
+        Whether the sender, or one of its data centre that it heard, counts majorities.
     """
 
     data_centre: str
@@ -218,7 +218,6 @@
 
     def take(self, view: View, roster: set[str], asked_at: float) -> None:
         """Merge what a peer answered to a question asked at a time."""
-        self._settled_seen |= view.settled
         for item in view.centres:
             if item.age < MAX_AGE:
                 at = asked_at - item.age * AGE_UNIT_S
@@ -227,6 +226,7 @@
                 )
         if view.data_centre != self._data_centre:
             return
+        self._settled_seen |= view.settled
         names = sorted(roster)
         if view.roster != roster_digest(names):
             return
--- a/tests/test_membership/test_contact.py
+++ b/tests/test_membership/test_contact.py
@@ -90,6 +90,15 @@
         self.assertFalse(newcomer.settled)
         self.assertTrue(newcomer.is_fenced(129.0))
 
+    def test_data_centre_settles_although_another_one_has(self) -> None:
+        elsewhere = _settled("a", 100.0, {"b", "c"})
+        contact = Contact("x", "other", 100.0, TIMES)
+        for now in range(101, 125):
+            contact.take(elsewhere.tell(ROSTER, 100.0), {"x", "y"}, float(now))
+            contact.hear("y", float(now))
+            contact.advance({"x", "y"}, float(now))
+        self.assertTrue(contact.settled)
+
 
 class SilenceTest(unittest.TestCase):
     def test_silent_member_is_one_that_nobody_heard_for_the_gone_time(self) -> None:
