--- a/marigoldchute/distribution/rollout.py
+++ b/marigoldchute/distribution/rollout.py
@@ -21,7 +21,7 @@
 from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import BundleContent, Manifest
@@ -48,11 +48,13 @@
         verifier: SignatureVerifier,
         in_force: InForce,
         replicator: Replicator,
+        preflight: Callable[[BundleContent], None],
     ) -> None:
         self._store = store
         self._verifier = verifier
         self._in_force = in_force
         self._replicator = replicator
+        self._preflight = preflight
 
     async def accept(self, body: bytes, chunks: Sequence[bytes]) -> int:
         """Check a signed bundle, write it to the store and spread it.
@@ -83,6 +85,7 @@
         held = {chunk_digest(chunk): chunk for chunk in chunks}
         content = assemble(manifest, held)
         validate_content(content)
+        self._preflight(content)
         await self._check_predecessor(manifest.version)
         await self._check_moves(content)
         await self._write_chunks(self._replicator.chunks_to_write(held))
--- a/marigoldchute/moves/engine.py
+++ b/marigoldchute/moves/engine.py
@@ -16,6 +16,7 @@
     Split,
     Verdict,
 )
+from marigoldchute.moves.preflight import check_moves
 from marigoldchute.moves.recorder import EvidenceRecorder
 from marigoldchute.moves.state import MoveState, Surroundings
 from marigoldchute.moves.watch import LocalWatch
@@ -25,7 +26,7 @@
     from collections.abc import Iterable
 
     from marigoldchute.bundle.inforce import InForce
-    from marigoldchute.bundle.model import Bundle, Move
+    from marigoldchute.bundle.model import Bundle, BundleContent, Move
     from marigoldchute.events import EventLog
     from marigoldchute.membership.model import Members
     from marigoldchute.moves.recorder import MoveRecorder
@@ -155,7 +156,7 @@
             state.confirmed,
             state.stage,
             state.progress.step,
-            round(recorder.busy, 2),
+            round(self.recorder.busy_of(state.move.service), 2),
             cells,
             latencies,
             state.late,
@@ -169,6 +170,24 @@
             if recorder is not None:
                 recorder.shared_p95_ms = item.p95_ms
 
+    def check_moves(self, content: BundleContent) -> None:
+        """Refuse a bundle whose moves cannot be in time or overload a new release.
+
+        Raises
+        ------
+        MoveError
+            The first such move.
+        """
+        nodes = len(self._members.all())
+        busy = {
+            service.name: nodes * self.recorder.busy_of(service.name)
+            for service in content.services
+        }
+        now_ms = self._clock.now_ms()
+        check_moves(
+            content, self.states(), self._members, busy, now_ms, self._clock_error_ms
+        )
+
     def rejoin(self) -> None:
         """Take note that others may have held this node for gone meanwhile."""
         for state in self._states.values():
@@ -177,6 +196,7 @@
     def advance(self, now_ms: int) -> bool:
         """Bring every share to what is allowed now; return whether one changed."""
         changed = False
+        self.recorder.measure_busy(now_ms)
         for state in self._states.values():
             if self._use_evidence and state.verdict is None:
                 self._look(state, now_ms)
--- a/marigoldchute/moves/recorder.py
+++ b/marigoldchute/moves/recorder.py
@@ -12,7 +12,7 @@
     from marigoldchute.bundle.model import Bundle, Move
 
 SLOW_PERCENTILE = 0.95
-MIN_LATENCIES = 50
+MIN_LATENCIES = 20
 BUSY_WINDOW_MS = 2000
 
 _ANSWER = Counts(answered=1)
@@ -36,9 +36,6 @@
         self.cells: dict[CellKey, Counts] = {}
         self.latencies: dict[int, LatencyHistogram] = {}
         self.shared_p95_ms: dict[int, float] = {}
-        self.busy = 0.0
-        self._busy_ms = 0.0
-        self._busy_since_ms = 0
 
     def record(
         self,
@@ -54,7 +51,6 @@
         counts only when it was slow by then. An unknown outcome is an error.
         """
         index = self.routes.index(route)
-        self._busy_ms += latency_ms
         counts = self._judge(index, outcome, latency_ms)
         if counts is not None:
             key = CellKey(index, new, load_level)
@@ -84,15 +80,28 @@
         shared_ms = self.shared_p95_ms.get(route)
         return None if shared_ms is None else ratio * shared_ms
 
-    def measure_busy(self, now_ms: int) -> None:
-        """Bring up to date the mean number of requests running at a time."""
-        elapsed_ms = now_ms - self._busy_since_ms
+
+class ServiceLoad:
+    """Mean number of a service's requests of this node that run at a time."""
+
+    def __init__(self) -> None:
+        self.busy = 0.0
+        self._busy_ms = 0.0
+        self._since_ms = 0
+
+    def add(self, latency_ms: float) -> None:
+        """Take the latency of a finished request."""
+        self._busy_ms += latency_ms
+
+    def measure(self, now_ms: int) -> None:
+        """Bring ``busy`` up to date once in ``BUSY_WINDOW_MS``."""
+        elapsed_ms = now_ms - self._since_ms
         if elapsed_ms < BUSY_WINDOW_MS:
             return
-        if self._busy_since_ms:
+        if self._since_ms:
             self.busy = self._busy_ms / elapsed_ms
         self._busy_ms = 0.0
-        self._busy_since_ms = now_ms
+        self._since_ms = now_ms
 
 
 class EvidenceRecorder:
@@ -101,6 +110,7 @@
     def __init__(self) -> None:
         self._by_move: dict[str, MoveRecorder] = {}
         self._by_service: dict[str, MoveRecorder] = {}
+        self._loads: dict[str, ServiceLoad] = {}
 
     def take_bundle(self, bundle: Bundle) -> None:
         """Begin to count for the moves of a bundle; keep the counts of those held."""
@@ -118,6 +128,16 @@
             self._by_move[move.move_id] = recorder
         self._by_service = {r.move.service: r for r in self._by_move.values()}
 
+    def busy_of(self, service: str) -> float:
+        """Return the mean number of a service's requests that run at a time."""
+        load = self._loads.get(service)
+        return 0.0 if load is None else load.busy
+
+    def measure_busy(self, now_ms: int) -> None:
+        """Bring the load of every service up to date."""
+        for load in self._loads.values():
+            load.measure(now_ms)
+
     def of_move(self, move_id: str) -> MoveRecorder | None:
         """Return the counts of a move."""
         return self._by_move.get(move_id)
@@ -135,6 +155,7 @@
         now_ms: int,
     ) -> None:
         """Count one outcome unless its backend server was in its cold start."""
+        self._loads.setdefault(service, ServiceLoad()).add(latency_ms)
         recorder = self._by_service.get(service)
         if recorder is None or cold or route not in recorder.routes:
             return
--- a/marigoldchute/moves/watch.py
+++ b/marigoldchute/moves/watch.py
@@ -52,7 +52,6 @@
         if now_ms - self._looked_ms < LOOK_INTERVAL_MS:
             return None
         self._looked_ms = now_ms
-        self.recorder.measure_busy(now_ms)
         for key, counts in self.recorder.cells.items():
             fresh = counts.minus(self._seen.get(key, Counts()))
             if any(fresh):
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -146,7 +146,13 @@
             self._engine,
             self._reporter,
             store,
-            Rollout(store, verifier, self._in_force, self._replicator),
+            Rollout(
+                store,
+                verifier,
+                self._in_force,
+                self._replicator,
+                self._engine.check_moves,
+            ),
             self._stats,
             lambda: self._counts(store.calls),
         )
