Bound what a collector takes; send changes of a share without counts

Ruled out: summaries as flooded records, which cross each of some 14 links of a node. A confirmation goes at once, without counts.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 bench-path: $(VENV)/.installed
 	$(BIN)/python -m bench.bench_path --seed $(SEED)
 
+.PHONY: bench-moves
+bench-moves: $(VENV)/.installed
+	$(BIN)/python -m bench.bench_moves --seed $(SEED)
+
 .PHONY: bench-membership
 bench-membership: $(VENV)/.installed
 	$(BIN)/python -m bench.bench_membership
--- a/marigoldchute/moves/engine.py
+++ b/marigoldchute/moves/engine.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from marigoldchute.errors import NotRunError, ResultCode
-from marigoldchute.moves.capacity import measure_capacity
+from marigoldchute.moves.capacity import Capacity, measure_capacity
 from marigoldchute.moves.model import (
     CellReport,
     Fault,
@@ -34,6 +34,7 @@
     from marigoldchute.util.clock import Clock
 
 JOIN_MARGIN_MS = 5000
+CAPACITY_INTERVAL_MS = 500
 FEW_LATENCIES = 400
 
 _VERDICT = msgspec.msgpack.Decoder(Verdict)
@@ -81,6 +82,7 @@
         self._by_service: dict[str, MoveState] = {}
         self._watches: dict[str, LocalWatch] = {}
         self._guidance: dict[str, Guidance] = {}
+        self._capacity: dict[str, tuple[int, Capacity]] = {}
         self.recorder = EvidenceRecorder()
         in_force.on_swap(self._take_bundle)
         table.subscribe(RecordKind.FAULT, self._take_fault)
@@ -198,15 +200,18 @@
         changed = False
         self.recorder.measure_busy(now_ms)
         for state in self._states.values():
-            if self._use_evidence and state.verdict is None:
+            around = Surroundings()
+            if state.verdict is None:
                 self._look(state, now_ms)
-            around = self._surroundings(state, now_ms)
+                around = self._surroundings(state, now_ms)
             if state.advance(now_ms, self._clock_error_ms, around):
                 changed = True
                 self._log_share(state)
         return changed
 
     def _look(self, state: MoveState, now_ms: int) -> None:
+        if not self._use_evidence:
+            return
         watch = self._watches[state.move.move_id]
         if state.probing(now_ms):
             watch.forget_suspicion()
@@ -220,9 +225,9 @@
         guidance = self._guidance.get(move.move_id)
         watch = self._watches[move.move_id]
         known = guidance if guidance is not None else Guidance(move.move_id)
-        capacity = measure_capacity(self._members, move, known.busy, now_ms)
+        capacity = self._capacity_of(move, known.busy, now_ms)
         if not self._use_evidence:
-            return Surroundings(capacity, answered=0, guidance=guidance)
+            return Surroundings(capacity, guidance=guidance, by_schedule=True)
         return Surroundings(
             capacity,
             max(known.answered, watch.answered),
@@ -231,6 +236,13 @@
             guidance,
         )
 
+    def _capacity_of(self, move: Move, busy: float, now_ms: int) -> Capacity:
+        measured_ms, held = self._capacity.get(move.move_id, (0, None))
+        if held is None or now_ms - measured_ms >= CAPACITY_INTERVAL_MS:
+            held = measure_capacity(self._members, move, busy, now_ms)
+            self._capacity[move.move_id] = (now_ms, held)
+        return held
+
     def report_fault(self, move_id: str, reason: str, now_ms: int) -> None:
         """Publish a fault of a new release that this node has found."""
         if not self._use_evidence:
--- a/marigoldchute/moves/reporter.py
+++ b/marigoldchute/moves/reporter.py
@@ -25,10 +25,12 @@
     from marigoldchute.util.clock import Clock
 
 REPORT_INTERVAL_S = 1.0
-REPORTS_PER_S = 40.0
+REPORTS_PER_S = 12.0
+MAX_SPREAD_S = 1.0
 REFRESH_S = 10.0
 MERGE_INTERVAL_S = 0.5
 EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_PER_CENTRE_S = 0.3
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.1
 LATENCIES_EVERY = 8
@@ -88,27 +90,33 @@
         return max(REPORT_INTERVAL_S, size / REPORTS_PER_S)
 
     async def _report_changes(self) -> None:
+        counts_due_at = 0.0
         while True:
             self._changed = trio.Event()
-            await self._report()
-            interval_s = self.interval_s
-            with trio.move_on_after(interval_s * self._rng.uniform(0.8, 1.2)):
+            now, interval_s = trio.current_time(), self.interval_s
+            with_counts = now >= counts_due_at
+            if with_counts:
+                counts_due_at = now + interval_s * self._rng.uniform(0.8, 1.2)
+            if not await self._report(with_counts):
+                counts_due_at = 0.0
+            with trio.move_on_at(counts_due_at):
                 await self._changed.wait()
-                spread_s = interval_s - REPORT_INTERVAL_S
+                spread_s = min(interval_s - REPORT_INTERVAL_S, MAX_SPREAD_S)
                 await trio.sleep(self._rng.uniform(0.0, spread_s))
 
-    async def _report(self) -> None:
+    async def _report(self, with_counts: bool) -> bool:
         local = self._membership.local
         target = self._membership.duties.holder(COLLECTOR, local.data_centre)
         if target is None:
-            return
-        full = self._sequence % LATENCIES_EVERY == 0
-        moves = self._engine.reports(full)
+            return True
+        moves = self._engine.reports(self._sequence % LATENCIES_EVERY == 0)
+        if not with_counts:
+            moves = tuple(_without_counts(move) for move in moves)
         state = (target, self._in_force.version, moves)
         now = trio.current_time()
         undecided = any(s.verdict is None for s in self._engine.states())
         if state == self._last and now - self._last_at < REFRESH_S and not undecided:
-            return
+            return True
         self._sequence += 1
         report = MemberReport(
             local.name, local.incarnation, self._sequence, state[1], moves
@@ -117,8 +125,9 @@
         if target == local.name:
             self._engine.guide(self._collector.guidance())
         elif not await self._send(target, report):
-            return
+            return False
         self._last, self._last_at = state, now
+        return True
 
     async def _send(self, target: str, report: MemberReport) -> bool:
         body = msgspec.msgpack.encode(report)
@@ -145,7 +154,9 @@
 
     async def _exchange_summaries(self) -> None:
         while True:
-            await trio.sleep(EXCHANGE_INTERVAL_S)
+            centres = len({m.data_centre for m in self._membership.all()})
+            interval_s = max(EXCHANGE_INTERVAL_S, centres * EXCHANGE_PER_CENTRE_S)
+            await trio.sleep(interval_s)
             undecided = any(s.verdict is None for s in self._engine.states())
             if undecided and self._is_collector:
                 await self._ask_collectors(self._read_summaries)
@@ -212,5 +223,9 @@
         return gathered
 
 
+def _without_counts(move: MoveReport) -> MoveReport:
+    return msgspec.structs.replace(move, cells=(), latencies={})
+
+
 def _order(report: MemberReport) -> tuple[int, int]:
     return report.incarnation, report.sequence
--- a/marigoldchute/moves/state.py
+++ b/marigoldchute/moves/state.py
@@ -7,7 +7,7 @@
 
 from marigoldchute.moves.capacity import Capacity
 from marigoldchute.moves.model import Guidance, Stage, VerdictKind
-from marigoldchute.moves.schedule import Progress, due_step
+from marigoldchute.moves.schedule import MIN_ANSWERS, Progress, due_step
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import Move
@@ -32,6 +32,8 @@
         Whether the new release alone fails more than the old one did.
     guidance : Guidance, optional
         Last answer of the data centre's collector.
+    by_schedule : bool
+        Whether steps wait for no answers.
     """
 
     capacity: Capacity = Capacity(1, 1)
@@ -39,6 +41,7 @@
     wary: bool = False
     suspicious: bool = False
     guidance: Guidance | None = None
+    by_schedule: bool = False
 
 
 class MoveState:
@@ -147,7 +150,7 @@
     def _step(self, now_ms: int, clock_error_ms: int, around: Surroundings) -> None:
         progress = dataclasses.replace(
             self.progress,
-            answers=max(0, around.answered - self._answered_before),
+            answers=self._answers(around),
             wary=around.wary,
         )
         step = due_step(self.move, progress, now_ms, clock_error_ms)
@@ -158,6 +161,11 @@
             progress = Progress(step, now_ms)
         self.progress = progress
 
+    def _answers(self, around: Surroundings) -> int:
+        if around.by_schedule:
+            return MIN_ANSWERS
+        return max(0, around.answered - self._answered_before)
+
     def _step_share(self, now_ms: int, around: Surroundings) -> float:
         if self.progress.step < 0:
             return 0.0
