--- a/bench/bench_moves.py
+++ b/bench/bench_moves.py
@@ -12,6 +12,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import statistics
 import tempfile
 from typing import TYPE_CHECKING
@@ -390,6 +391,7 @@
 
 def main() -> None:
     """Run the cases, print them and write them as JSON."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     parser = argparse.ArgumentParser()
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
