Split the two largest modules by job

Ruled out: splitting the classes themselves, whose methods share state. Handlers and pending replies, the reading of failures, their log and the sticky point now have modules of their own. Behaviour unchanged; no test altered but for its imports.

--- a/bench/bench_transport.py
+++ b/bench/bench_transport.py
@@ -12,7 +12,7 @@
 import pathlib
 import resource
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import grpclib.client
 import grpclib.const
@@ -24,8 +24,11 @@
 
 from marigoldchute.events import HybridClock
 from marigoldchute.link.endpoint import LinkEndpoint
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
-from marigoldchute.link.link import Handlers, Link
+
+if TYPE_CHECKING:
+    from marigoldchute.link.link import Link
 
 ADDRESS = "127.0.0.1"
 LINK_PORT = 17_001
--- a/marigoldchute/distribution/chunks.py
+++ b/marigoldchute/distribution/chunks.py
@@ -14,7 +14,8 @@
     from collections.abc import Iterable, Mapping
 
     from marigoldchute.bundle.model import Manifest
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
 
 KEPT_MANIFESTS = 2
 MAX_SERVED_AT_ONCE = 16
--- a/marigoldchute/distribution/holders.py
+++ b/marigoldchute/distribution/holders.py
@@ -13,7 +13,8 @@
     from collections.abc import Callable
 
     from marigoldchute.bundle.inforce import InForce
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.overlay.overlay import Overlay
 
 _VERSION = msgspec.msgpack.Decoder(int)
--- a/marigoldchute/distribution/joining.py
+++ b/marigoldchute/distribution/joining.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.overlay.overlay import Overlay
 
 ASK_INTERVAL_S = 0.1
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -29,7 +29,7 @@
     from marigoldchute.bundle.model import Manifest
     from marigoldchute.bundle.signing import SignatureVerifier
     from marigoldchute.events import EventLog
-    from marigoldchute.link.link import Handlers
+    from marigoldchute.link.handlers import Handlers
     from marigoldchute.membership.service import Membership
     from marigoldchute.overlay.overlay import Overlay
     from marigoldchute.overlay.records import RecordTable
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -16,7 +16,7 @@
     PeerIdentity,
     encode_refusal,
 )
-from marigoldchute.link.link import Handlers, Link
+from marigoldchute.link.link import Link
 from marigoldchute.link.stats import TRAFFIC_PURPOSE, ByteTotals
 from marigoldchute.util.tcp import TcpConn
 
@@ -24,6 +24,7 @@
     from collections.abc import Callable
 
     from marigoldchute.events import HybridClock
+    from marigoldchute.link.handlers import Handlers
 
 CONNECT_TIMEOUT_S = 2.0
 LISTEN_BACKLOG = 1024
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -10,7 +10,6 @@
 import contextlib
 import itertools
 import struct
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,10 +17,12 @@
 
 from marigoldchute.errors import MarigoldchuteError, PeerError, ResultCode
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
+from marigoldchute.link.reply import FAILURE_CODE, PendingReply
 from marigoldchute.link.stream import MAX_DATA_BYTES, Stream, encode_whole
 
 if TYPE_CHECKING:
     from marigoldchute.events import HybridClock
+    from marigoldchute.link.handlers import Handlers
     from marigoldchute.link.handshake import PeerIdentity
     from marigoldchute.util.tcp import Transport
 
@@ -32,7 +33,6 @@
 MAX_PENDING_WRITE_BYTES = 16_000_000
 _CALL_HEADER = struct.Struct(">H")
 _STAMP = struct.Struct(">Q")
-_CODE = struct.Struct(">I")
 MALFORMED = (struct.error, msgspec.DecodeError, ValueError)
 _STREAM_KINDS = frozenset(
     {
@@ -44,31 +44,6 @@
     }
 )
 
-CallHandler = Callable[["Link", bytes], Awaitable[bytes]]
-StreamHandler = Callable[[Stream], Awaitable[None]]
-
-
-class Handlers:
-    """What a node does with calls, notifications and streams of its peers.
-
-    Each slice registers its methods under numbers of its own; a notification is a
-    call whose result is dropped.
-    """
-
-    def __init__(self) -> None:
-        self._calls: dict[int, CallHandler] = {}
-        self.stream: StreamHandler | None = None
-
-    def register(self, method: int, handler: CallHandler) -> None:
-        """Serve a method number with a handler."""
-        if method in self._calls:
-            raise ValueError(f"method {method} is registered twice")
-        self._calls[method] = handler
-
-    def find(self, method: int) -> CallHandler | None:
-        """Return the handler of a method number."""
-        return self._calls.get(method)
-
 
 class Link:
     """One connection; ``run`` drives it until it ends.
@@ -120,7 +95,7 @@
         self._heartbeat_s = heartbeat_ms / 1000
         self._numbers = itertools.count(1 if opened_here else 2, 2)
         self._streams: dict[int, Stream] = {}
-        self._replies: dict[int, _PendingReply] = {}
+        self._replies: dict[int, PendingReply] = {}
         self._out = bytearray()
         self._out_ready = trio.Event()
         self._heard_at = trio.current_time()
@@ -223,7 +198,7 @@
             No reply in time, the link ended, or the peer answered with a failure.
         """
         number = next(self._numbers)
-        pending = _PendingReply()
+        pending = PendingReply()
         self._replies[number] = pending
         try:
             self.send_frame(FrameKind.CALL, number, _CALL_HEADER.pack(method) + body)
@@ -398,7 +373,7 @@
             reply = await self._handle_call(body)
         except MarigoldchuteError as exc:
             if kind == FrameKind.CALL and self.alive:
-                failure = _CODE.pack(exc.code) + exc.message.encode()
+                failure = FAILURE_CODE.pack(exc.code) + exc.message.encode()
                 self.send_frame(FrameKind.FAILURE, number, failure)
             return
         if kind == FrameKind.CALL and self.alive:
@@ -415,31 +390,3 @@
             raise PeerError(
                 f"call is malformed: {exc}", ResultCode.PEER_PROTOCOL
             ) from exc
-
-
-class _PendingReply:
-    """A call that waits for its reply."""
-
-    def __init__(self) -> None:
-        self.done = trio.Event()
-        self._reply: bytes | None = None
-        self._error: PeerError | None = None
-
-    def take(self, kind: int, body: bytes) -> None:
-        if kind == FrameKind.REPLY:
-            self._reply = body
-        else:
-            code = ResultCode(_CODE.unpack_from(body)[0])
-            self._error = PeerError(body[_CODE.size :].decode(), code)
-        self.done.set()
-
-    def fail(self, code: ResultCode, message: str) -> None:
-        self._error = PeerError(message, code)
-        self.done.set()
-
-    def result(self) -> bytes:
-        if self._error is not None:
-            raise self._error
-        if self._reply is None:
-            raise PeerError("peer did not reply in time", ResultCode.PEER_TIMEOUT)
-        return self._reply
--- a/marigoldchute/membership/exchange.py
+++ b/marigoldchute/membership/exchange.py
@@ -15,7 +15,8 @@
     import random
 
     from marigoldchute.events import EventLog
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.membership.service import Membership
     from marigoldchute.overlay.overlay import Overlay
     from marigoldchute.platform.api import ObjectStore
--- a/marigoldchute/membership/probe.py
+++ b/marigoldchute/membership/probe.py
@@ -22,7 +22,8 @@
     import random
 
     from marigoldchute.link.endpoint import LinkEndpoint
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.membership.model import Member
     from marigoldchute.membership.service import Membership
     from marigoldchute.overlay.overlay import Overlay
--- a/marigoldchute/moves/collector.py
+++ b/marigoldchute/moves/collector.py
@@ -15,7 +15,8 @@
 from marigoldchute.moves.watch import WARY_SHARE_OF_THRESHOLD, describe
 
 if TYPE_CHECKING:
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.membership.model import Member, Members
     from marigoldchute.moves.engine import MoveEngine
     from marigoldchute.moves.model import Stand
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -14,8 +14,8 @@
 from marigoldchute.distribution.rollout import Rollout
 from marigoldchute.distribution.service import Replicator
 from marigoldchute.link.endpoint import LinkEndpoint
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
-from marigoldchute.link.link import Handlers, Link
 from marigoldchute.link.pool import LinkPool
 from marigoldchute.link.stats import collect_stats
 from marigoldchute.membership.exchange import ContactExchange
@@ -40,6 +40,7 @@
 
     from marigoldchute.config import NodeSettings
     from marigoldchute.events import EventLog
+    from marigoldchute.link.link import Link
     from marigoldchute.link.stats import NodeStats
 
 TICK_S = 0.05
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -15,7 +15,8 @@
     from collections.abc import Callable
 
     from marigoldchute.link.endpoint import LinkEndpoint
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.overlay.records import Record, RecordTable
 
 FLOOD_BATCH_S = 0.005
--- a/marigoldchute/overlay/repair.py
+++ b/marigoldchute/overlay/repair.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from marigoldchute.link.link import Handlers, Link
+    from marigoldchute.link.handlers import Handlers
+    from marigoldchute.link.link import Link
     from marigoldchute.overlay.records import RecordTable
 
 CALL_TIMEOUT_S = 5.0
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import time
 from typing import TYPE_CHECKING
 
@@ -16,10 +15,12 @@
     RequestError,
     ResultCode,
 )
-from marigoldchute.routing.budget import RetryBudget, TokenBucket
+from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import Call
 from marigoldchute.routing.candidates import CandidateTables
 from marigoldchute.routing.duplex import send_and_receive
+from marigoldchute.routing.failure import SHED_CODES, outcome_of, truthful
+from marigoldchute.routing.failure_log import FailureLog
 from marigoldchute.routing.headers import (
     DEADLINE_HEADER,
     REQUEST_ID_HEADER,
@@ -32,6 +33,7 @@
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
 from marigoldchute.routing.route_table import RouteTable
+from marigoldchute.routing.sticky import sticky_point
 
 if TYPE_CHECKING:
     import random
@@ -59,15 +61,7 @@
 RETRY_BURST = 20.0
 LINK_WAIT_S = 1.0
 UNREACHABLE_BACKOFF_S = 1.0
-LOGGED_PER_S = 20.0
 ERROR_STATUS = 500
-_SHED_CODES = frozenset(
-    {
-        ResultCode.REQUEST_NOT_RUN_OVERLOADED,
-        ResultCode.REQUEST_NOT_RUN_DEADLINE,
-        ResultCode.REQUEST_NOT_RUN_REFUSED,
-    }
-)
 
 
 class Entry:
@@ -119,11 +113,10 @@
         self._owner = owner
         self._chooser = chooser
         self._sink = sink
-        self._log = log
         self._clock = clock
         self._rng = rng
         self.retry_budget = RetryBudget(RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST)
-        self._log_budget = TokenBucket(LOGGED_PER_S, LOGGED_PER_S)
+        self._failures = FailureLog(log)
         in_force.on_swap(self._take_bundle)
 
     def _take_bundle(self, bundle: Bundle) -> None:
@@ -149,8 +142,8 @@
         except CallerGoneError:
             outcome = Outcome.CANCELLED
         except (RequestError, PeerError, AuthError) as exc:
-            outcome = _outcome_of(exc)
-            self._log_failure(req, call, outcome, exc)
+            outcome = outcome_of(exc)
+            self._failures.emit(req, call, outcome, exc, trio.current_time())
             if not responder.started:
                 await send_refusal(responder, exc)
         if call is not None:
@@ -248,7 +241,7 @@
                 if not isinstance(exc, NotRunError):
                     call.maybe_run = True
                 if not self._may_retry(call, exc, trio.current_time()):
-                    raise _truthful(call, exc) from exc
+                    raise truthful(call, exc) from exc
             call.body.rewind()
 
     def _choose(self, call: Call) -> tuple[Target, Candidates]:
@@ -261,7 +254,7 @@
             candidates = self.tables.find(service, call.release, now)
             target = self._chooser.choose(candidates, call.tried, now, now_ms)
         if target is None:
-            raise _truthful(
+            raise truthful(
                 call,
                 NotRunError(f"no backend server of {service!r} {call.release!r}"),
             )
@@ -302,7 +295,7 @@
                 outcome = Outcome.CANCELLED
             raise
         except (RequestError, PeerError, AuthError) as exc:
-            outcome = _outcome_of(exc)
+            outcome = outcome_of(exc)
             if isinstance(exc, NotRunError):
                 self._take_refusal(target, exc)
             raise
@@ -355,7 +348,7 @@
         return NotRunError(f"{target.member.name} cannot be reached")
 
     def _take_refusal(self, target: Target, exc: NotRunError) -> None:
-        if exc.code in _SHED_CODES:
+        if exc.code in SHED_CODES:
             target.take_busy(trio.current_time())
         elif exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
             target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
@@ -412,49 +405,3 @@
             if outcome is Outcome.OK and call.answer.status >= ERROR_STATUS:
                 outcome = Outcome.ERROR
         self.metrics.record(call.entry.route.name, outcome.value, total_us)
-
-    def _log_failure(
-        self,
-        req: HttpRequest,
-        call: Call | None,
-        outcome: Outcome,
-        exc: MarigoldchuteError,
-    ) -> None:
-        if not self._log_budget.take(1.0, trio.current_time()):
-            return
-        self._log.emit(
-            "routing",
-            outcome.value,
-            f"{req.target.decode('latin-1')} is not answered: {exc.message}.",
-            code=exc.code.value,
-            request=call.request_id if call is not None else "",
-            tries=call.tries if call is not None else 0,
-        )
-
-
-def sticky_point(move_id: str, value: bytes) -> float:
-    """Return the fixed point in [0, 1) of a sticky header's value.
-
-    A request takes the new release while its point is below the share, so a value
-    that has moved stays moved as the share grows.
-    """
-    digest = hashlib.blake2b(value, digest_size=8, key=move_id.encode()[:64]).digest()
-    return int.from_bytes(digest, "big") / 2**64
-
-
-def _outcome_of(exc: MarigoldchuteError) -> Outcome:
-    if isinstance(exc, CallerGoneError) or exc.code in CALLER_FAULTS:
-        return Outcome.CANCELLED
-    if isinstance(exc, NotRunError):
-        return Outcome.SHED if exc.code in _SHED_CODES else Outcome.NOT_RUN
-    return Outcome.UNKNOWN
-
-
-def _truthful(call: Call, exc: MarigoldchuteError) -> MarigoldchuteError:
-    """Return the error to answer with: an earlier try may have run the request."""
-    if call.maybe_run and isinstance(exc, NotRunError):
-        return RequestError(
-            f"an earlier try may have run; the last one: {exc.message}",
-            ResultCode.REQUEST_OUTCOME_UNKNOWN,
-        )
-    return exc
--- /dev/null
+++ b/marigoldchute/routing/failure.py
@@ -0,0 +1,41 @@
+"""What a failed try says of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldchute.errors import NotRunError, RequestError, ResultCode
+from marigoldchute.routing.http_request import CallerGoneError
+from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.refusal import CALLER_FAULTS
+
+if TYPE_CHECKING:
+    from marigoldchute.errors import MarigoldchuteError
+    from marigoldchute.routing.call import Call
+
+SHED_CODES = frozenset(
+    {
+        ResultCode.REQUEST_NOT_RUN_OVERLOADED,
+        ResultCode.REQUEST_NOT_RUN_DEADLINE,
+        ResultCode.REQUEST_NOT_RUN_REFUSED,
+    }
+)
+
+
+def outcome_of(exc: MarigoldchuteError) -> Outcome:
+    """Return the outcome that an error stands for."""
+    if isinstance(exc, CallerGoneError) or exc.code in CALLER_FAULTS:
+        return Outcome.CANCELLED
+    if isinstance(exc, NotRunError):
+        return Outcome.SHED if exc.code in SHED_CODES else Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def truthful(call: Call, exc: MarigoldchuteError) -> MarigoldchuteError:
+    """Return the error to answer with: an earlier try may have run the request."""
+    if call.maybe_run and isinstance(exc, NotRunError):
+        return RequestError(
+            f"an earlier try may have run; the last one: {exc.message}",
+            ResultCode.REQUEST_OUTCOME_UNKNOWN,
+        )
+    return exc
--- a/tests/test_distribution/test_fetch.py
+++ b/tests/test_distribution/test_fetch.py
@@ -23,7 +23,7 @@
 from marigoldchute.distribution.keys import chunk_key
 from marigoldchute.errors import NotFoundError, PeerError, ResultCode
 from marigoldchute.events import EventSink
-from marigoldchute.link.link import Handlers
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.methods import Method
 from marigoldchute.platform.api import StoredObject
 
--- a/tests/test_distribution/test_replicator.py
+++ b/tests/test_distribution/test_replicator.py
@@ -27,7 +27,7 @@
 from marigoldchute.distribution.service import Replicator
 from marigoldchute.errors import NotFoundError, PlatformError
 from marigoldchute.events import EventSink
-from marigoldchute.link.link import Handlers
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.overlay.records import Record, RecordKind, RecordTable
 from marigoldchute.platform.api import StoredObject, WatchEvent
 from tests.support.invariants import IN_FORCE, find_violations
--- a/tests/test_link/test_malformed.py
+++ b/tests/test_link/test_malformed.py
@@ -14,8 +14,9 @@
 from marigoldchute.errors import PeerError
 from marigoldchute.events import HybridClock
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
-from marigoldchute.link.link import Handlers, Link
+from marigoldchute.link.link import Link
 from tests.support.memory_transport import MemoryTransport
 
 if TYPE_CHECKING:
--- a/tests/test_membership/test_gone_safety.py
+++ b/tests/test_membership/test_gone_safety.py
@@ -11,7 +11,7 @@
 import trio
 
 from marigoldchute.errors import NotFoundError, PlatformError
-from marigoldchute.link.link import Handlers
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.membership.contact import Contact, ContactTimes
 from marigoldchute.membership.exchange import ContactExchange
 from marigoldchute.membership.model import Member, MemberState
--- a/tests/test_overlay/test_repair.py
+++ b/tests/test_overlay/test_repair.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marigoldchute.link.link import Handlers
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.overlay.records import Record, RecordKind, RecordTable
 from marigoldchute.overlay.repair import MAX_BATCH_BYTES, Repair, split_batches
 
--- a/tests/test_routing/test_route_table.py
+++ b/tests/test_routing/test_route_table.py
@@ -15,9 +15,9 @@
     Service,
 )
 from marigoldchute.routing.budget import RetryBudget, TokenBucket
-from marigoldchute.routing.entry import sticky_point
 from marigoldchute.routing.headers import parse_deadline_ms, request_block
 from marigoldchute.routing.route_table import RouteTable
+from marigoldchute.routing.sticky import sticky_point
 
 
 def make_table(*prefixes: str) -> RouteTable:
