Stop probing peers whose links were closed as not needed

Cause: a node closes the links that it opened to join after 15 s; both ends noted the peer as lost, the probe reached it, and the loss stayed, so each such pair was probed again every 5 s for good. Ruled out: heartbeats, whose task wakes once for all links. Before: tests.test_membership.test_probe counted 12 probes a minute. After: 1; a peer whose link is wanted is still probed. Conclusion: cost no longer grows with those who joined through a node.

--- a/marigoldchute/membership/probe.py
+++ b/marigoldchute/membership/probe.py
@@ -102,6 +102,10 @@
             if not helpers and others > 0:
                 return
             outcomes = await self._ask(member, helpers)
+            if Outcome.REACHED in outcomes and name not in self._membership.wanted():
+                # The link was closed because neither end needs it.
+                self._membership.losses.clear(name)
+                return
             self._conclude(member, outcomes, await self._is_centre_heard(member))
 
     def _helpers(self, member: Member) -> list[Link]:
--- /dev/null
+++ b/tests/test_membership/test_probe.py
@@ -0,0 +1,98 @@
+"""Investigation of lost peers."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import trio
+import trio.testing
+
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.membership.losses import Losses
+from marigoldchute.membership.model import Member
+from marigoldchute.membership.probe import Prober
+
+if TYPE_CHECKING:
+    from marigoldchute.link.methods import Method
+
+LOCAL, PEER, OTHER = "a", "b", "c"
+LONG_S = 60.0
+
+
+def _member(name: str) -> Member:
+    return Member(name, 1, 1, "127.0.0.1", 7000, "centre", "region")
+
+
+class _Endpoint:
+    """Reaches every address and counts the connections."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+
+    async def connect(self, address: str, port: int, purpose: str) -> Any:
+        self.connections += 1
+        peer = SimpleNamespace(name=PEER, incarnation=1)
+        return SimpleNamespace(peer=peer, close=lambda: None)
+
+
+class _Membership:
+    """Three members of one data centre; which links are wanted is given."""
+
+    def __init__(self, wanted: set[str]) -> None:
+        self.local = _member(LOCAL)
+        self.losses = Losses()
+        self.claims: list[str] = []
+        self._members = {name: _member(name) for name in (LOCAL, PEER, OTHER)}
+        self._wanted = wanted
+
+    def record_of(self, name: str) -> Member | None:
+        return self._members.get(name)
+
+    def recorded(self) -> list[Member]:
+        return list(self._members.values())
+
+    def wanted(self) -> dict[str, tuple[str, int]]:
+        return {name: ("127.0.0.1", 7000) for name in self._wanted}
+
+    def claim(self, member: Member, *args: object) -> None:
+        self.claims.append(member.name)
+
+
+class _Helper:
+    """A linked peer that is not asked with success."""
+
+    peer = SimpleNamespace(name=OTHER, data_centre="centre")
+
+    async def call(self, method: Method, body: bytes, timeout_s: float) -> bytes:
+        return b""
+
+
+class ProberTest(unittest.TestCase):
+    def _investigate(self, wanted: set[str]) -> tuple[_Membership, _Endpoint]:
+        membership, endpoint = _Membership(wanted), _Endpoint()
+        overlay = SimpleNamespace(
+            is_linked=lambda name: False, neighbours=lambda: [_Helper()]
+        )
+        parts: list[Any] = [membership, endpoint, overlay, Handlers()]
+        prober = Prober(*parts, random.Random(1))
+
+        async def run() -> None:
+            membership.losses.add(PEER, False, trio.current_time())
+            with trio.move_on_after(LONG_S):
+                await prober.run()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return membership, endpoint
+
+    def test_reached_peer_without_a_wanted_link_is_probed_once(self) -> None:
+        membership, endpoint = self._investigate(set())
+        self.assertEqual(endpoint.connections, 1)
+        self.assertEqual(membership.claims, [])
+
+    def test_reached_peer_with_a_wanted_link_stays_lost(self) -> None:
+        membership, endpoint = self._investigate({PEER})
+        self.assertGreater(endpoint.connections, 1)
+        self.assertEqual(membership.claims, [])
