--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 docs: $(VENV)/.installed
 	$(BIN)/sphinx-build -q -W -b html docs docs/_build
 
+.PHONY: bench bench-compare
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench.run_all --seed $(SEED)
+
+bench-compare: $(VENV)/.installed
+	$(BIN)/python -m bench.compare $(A) $(B)
+
 .PHONY: bench-path
 bench-path: $(VENV)/.installed
 	$(BIN)/python -m bench.bench_path --seed $(SEED)
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -1,6 +1,7 @@
 """Puts the figures of two benchmark runs side by side.
 
-Usage: ``python -m bench.compare A.json B.json [--name TEXT]``.
+Usage: ``make bench-compare A=... B=...`` or ``python -m bench.compare A.json B.json
+[--name TEXT]``.
 """
 
 from __future__ import annotations
