Let the entry's tests use the module that the split made

Cause: moved the check of truthful refusals to routing/failure.py, and a test imported it by its private name. Ruled out: any other import of moved names (searched). After: tests.test_routing passes. Conclusion: no assertion changed.

--- a/tests/test_routing/test_entry.py
+++ b/tests/test_routing/test_entry.py
@@ -8,7 +8,7 @@
 
 from marigoldchute.errors import NotRunError, RequestError, ResultCode
 from marigoldchute.routing.call import Call
-from marigoldchute.routing.entry import _truthful
+from marigoldchute.routing.failure import truthful
 from marigoldchute.routing.messages import ENCODER, ResponseHead
 
 
@@ -78,9 +78,9 @@
     def test_a_refusal_after_a_try_that_may_have_run_is_unknown(self) -> None:
         call = make_call()
         refusal = NotRunError("full", ResultCode.REQUEST_NOT_RUN_OVERLOADED)
-        self.assertIs(_truthful(call, refusal), refusal)
+        self.assertIs(truthful(call, refusal), refusal)
         call.maybe_run = True
-        told = _truthful(call, refusal)
+        told = truthful(call, refusal)
         self.assertIsInstance(told, RequestError)
         self.assertNotIsInstance(told, NotRunError)
 
