Remove an outcome sink that nothing uses

Cause: the recorder of moves took its place and nothing refers to it any more (git grep). Conclusion: behaviour unchanged.

--- a/marigoldchute/routing/outcomes.py
+++ b/marigoldchute/routing/outcomes.py
@@ -60,21 +60,3 @@
         now_ms : int
             Wall-clock time in milliseconds since the epoch.
         """
-
-
-class NullOutcomeSink:
-    """Drops every outcome."""
-
-    def record(
-        self,
-        route: str,
-        service: str,
-        release: str,
-        move_id: str,
-        outcome: Outcome,
-        latency_ms: float,
-        load_level: int,
-        cold: bool,
-        now_ms: int,
-    ) -> None:
-        """Drop one outcome."""
