--- a/marigoldchute/admin/service.py
+++ b/marigoldchute/admin/service.py
@@ -38,7 +38,7 @@
     from marigoldchute.moves.engine import MoveEngine
     from marigoldchute.moves.reporter import Reporter
     from marigoldchute.moves.state import MoveState
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
 
 
 class AdminService:
--- a/marigoldchute/bundle/model.py
+++ b/marigoldchute/bundle/model.py
@@ -91,12 +91,31 @@
         Whether only other backend servers may call it.
     depends_on : tuple of str
         Names of services of the same bundle that its backend servers call.
+    max_connections : int
+        Connections that each backend server accepts; as announced when 0.
     """
 
     name: str
     release: str
     internal: bool = False
     depends_on: tuple[str, ...] = ()
+    max_connections: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutePart:
+    """Service that takes a part of a route's requests.
+
+    Parameters
+    ----------
+    service : str
+        Name of a service of the same bundle.
+    weight : float
+        Its part, relative to the weights of the other parts.
+    """
+
+    service: str
+    weight: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,6 +140,14 @@
         Greatest number of tries, the first one included.
     sticky_header : str
         Request header whose hash picks the release; empty for random choice.
+    host : str
+        Host that the route belongs to; empty for every host.
+    parts : tuple of RoutePart
+        Services among which requests are divided; ``service`` takes all when empty.
+    repeatable : bool or None
+        Whether requests may run more than once; by method when None.
+    objective_ms : int
+        Time within which an answer has its full worth; 0 when none is stated.
     """
 
     name: str
@@ -131,6 +158,30 @@
     priority: int = 1
     max_attempts: int = 3
     sticky_header: str = ""
+    host: str = ""
+    parts: tuple[RoutePart, ...] = ()
+    repeatable: bool | None = None
+    objective_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send and how long it may take.
+
+    Parameters
+    ----------
+    head_bytes, body_bytes : int
+        Greatest head and body of a request; a body has no limit when 0.
+    head_timeout_ms : int
+        Longest time from the first byte of a head to its last.
+    idle_timeout_ms : int
+        Longest time that a connection stays open without a request.
+    """
+
+    head_bytes: int = 65_536
+    body_bytes: int = 0
+    head_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 75_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,6 +191,7 @@
     services: tuple[Service, ...]
     routes: tuple[Route, ...]
     moves: tuple[Move, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/marigoldchute/bundle/validation.py
+++ b/marigoldchute/bundle/validation.py
@@ -20,11 +20,18 @@
     )
 
 
-def validate_content(content: BundleContent) -> None:
+def validate_content(content: BundleContent, names_releases: bool = True) -> None:
     """Check values, names and references over a whole bundle.
 
     Messages name the key path of what is wrong, such as ``$.routes[3].service``.
 
+    Parameters
+    ----------
+    content : BundleContent
+        What to check.
+    names_releases : bool
+        Whether each service must name the release that takes its traffic.
+
     Raises
     ------
     BundleError
@@ -37,7 +44,7 @@
     limits.check_count("$.routes", len(content.routes), limits.MAX_ROUTES)
     limits.check_count("$.moves", len(content.moves), limits.MAX_MOVES)
     for index, service in enumerate(content.services):
-        _check_service(f"$.services[{index}]", service)
+        _check_service(f"$.services[{index}]", service, names_releases)
     for index, route in enumerate(content.routes):
         _check_route(f"$.routes[{index}]", route)
     for index, move in enumerate(content.moves):
@@ -48,9 +55,10 @@
     _check_releases(content)
 
 
-def _check_service(path: str, service: Service) -> None:
+def _check_service(path: str, service: Service, names_releases: bool) -> None:
     limits.check_name(f"{path}.name", service.name)
-    limits.check_name(f"{path}.release", service.release)
+    if names_releases or service.release:
+        limits.check_name(f"{path}.release", service.release)
     count = len(service.depends_on)
     limits.check_count(f"{path}.depends_on", count, limits.MAX_DEPENDENCIES)
 
@@ -66,6 +74,16 @@
     limits.check_count(methods_path, len(route.idempotent_methods), limits.MAX_METHODS)
     for index, method in enumerate(route.idempotent_methods):
         limits.check_token(f"{methods_path}[{index}]", method)
+    limits.check_range(
+        f"{path}.objective_ms", route.objective_ms, 0, limits.MAX_TIMEOUT_MS
+    )
+    for index, part in enumerate(route.parts):
+        limits.check_range(f"{path}.parts[{index}].weight", part.weight, 0.0, 1e6)
+    if route.parts and not any(part.weight > 0 for part in route.parts):
+        raise BundleError(
+            f"{path}.parts: some weight must be above 0",
+            ResultCode.BUNDLE_VALUE_OUT_OF_RANGE,
+        )
     if route.sticky_header:
         limits.check_token(f"{path}.sticky_header", route.sticky_header)
 
@@ -118,7 +136,7 @@
 def _check_duplicates(content: BundleContent) -> None:
     _check_unique("$.services", "name", (s.name for s in content.services))
     _check_unique("$.routes", "name", (r.name for r in content.routes))
-    prefixes = (route.path_prefix for route in content.routes)
+    prefixes = (route.host + route.path_prefix for route in content.routes)
     _check_unique("$.routes", "path_prefix", prefixes)
     _check_unique("$.moves", "move_id", (m.move_id for m in content.moves))
     moving: dict[str, int] = {}
@@ -151,6 +169,9 @@
             _check_reference(path, target, names)
     for index, route in enumerate(content.routes):
         _check_reference(f"$.routes[{index}].service", route.service, names)
+        for place, part in enumerate(route.parts):
+            path = f"$.routes[{index}].parts[{place}].service"
+            _check_reference(path, part.service, names)
     for index, move in enumerate(content.moves):
         _check_reference(f"$.moves[{index}].service", move.service, names)
 
--- a/marigoldchute/config.py
+++ b/marigoldchute/config.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marigoldchute.errors import SettingsError
+from marigoldchute.objectstore.settings import Port, StoreSettings
 from marigoldchute.util.convert import ConversionError, convert
 from marigoldchute.util.jsonc import load_file
 
@@ -25,12 +26,8 @@
     str,
     msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64),
 ]
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 ClockErrorMs = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
 HeartbeatMs = Annotated[int, msgspec.Meta(ge=50, le=60_000)]
-TimeoutMs = Annotated[int, msgspec.Meta(ge=10, le=60_000)]
-CallRate = Annotated[float, msgspec.Meta(gt=0, le=1000)]
-BurstCalls = Annotated[float, msgspec.Meta(ge=1, le=10_000)]
 FenceMs = Annotated[int, msgspec.Meta(ge=1000, le=600_000)]
 MIN_FENCE_HEARTBEATS = 4
 
@@ -58,31 +55,6 @@
     public_key: str
 
 
-@dataclasses.dataclass(frozen=True)
-class StoreSettings:
-    """Where the platform's object API is and how often it may be called.
-
-    Parameters
-    ----------
-    address : str
-        IP number of the object API.
-    port : int
-        TCP port of the object API.
-    calls_per_s : float
-        Greatest sustained rate of calls from this node.
-    burst_calls : float
-        Calls that this node may make at once after a quiet time.
-    timeout_ms : int
-        Time limit of one call.
-    """
-
-    address: str
-    port: Port
-    calls_per_s: CallRate = 2.0
-    burst_calls: BurstCalls = 60.0
-    timeout_ms: TimeoutMs = 3000
-
-
 @dataclasses.dataclass(frozen=True)
 class NodeSettings:
     """Settings of one node process.
--- a/marigoldchute/distribution/fetch.py
+++ b/marigoldchute/distribution/fetch.py
@@ -20,8 +20,8 @@
     from marigoldchute.events import EventLog
     from marigoldchute.link.link import Link
     from marigoldchute.membership.service import Membership
+    from marigoldchute.objectstore.api import ObjectStore
     from marigoldchute.overlay.overlay import Overlay
-    from marigoldchute.platform.api import ObjectStore
 
 FETCHES_AT_ONCE = 8
 NEAR_TIMEOUT_S = 1.0
--- a/marigoldchute/distribution/reader.py
+++ b/marigoldchute/distribution/reader.py
@@ -8,14 +8,14 @@
 
 from marigoldchute.distribution.keys import BUNDLE_PREFIX
 from marigoldchute.errors import PlatformError
-from marigoldchute.platform.backoff import Backoff
+from marigoldchute.objectstore.backoff import Backoff
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from marigoldchute.events import EventLog
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
 
 CHECK_S = 0.25
 FIRST_READ_MIN_S = 0.2
--- a/marigoldchute/distribution/rollout.py
+++ b/marigoldchute/distribution/rollout.py
@@ -18,7 +18,7 @@
     ResultCode,
 )
 from marigoldchute.moves.driver import decode_verdict, verdict_key
-from marigoldchute.platform.conditional import create_once
+from marigoldchute.objectstore.conditional import create_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -27,7 +27,7 @@
     from marigoldchute.bundle.model import BundleContent, Manifest
     from marigoldchute.bundle.signing import SignatureVerifier
     from marigoldchute.distribution.service import Replicator
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
 
 CATCH_UP_S = 3.0
 CHUNK_WRITERS = 8
--- a/marigoldchute/distribution/service.py
+++ b/marigoldchute/distribution/service.py
@@ -31,9 +31,9 @@
     from marigoldchute.events import EventLog
     from marigoldchute.link.handlers import Handlers
     from marigoldchute.membership.service import Membership
+    from marigoldchute.objectstore.api import ObjectStore
     from marigoldchute.overlay.overlay import Overlay
     from marigoldchute.overlay.records import RecordTable
-    from marigoldchute.platform.api import ObjectStore
 
 RETRY_S = 0.25
 MAX_REMEMBERED_REFUSALS = 1000
--- a/marigoldchute/errors.py
+++ b/marigoldchute/errors.py
@@ -161,10 +161,26 @@
 
 
 class NotRunError(RequestError):
-    """A request that certainly did not run; it may be tried again."""
+    """A request that certainly did not run; it may be tried again.
+
+    Parameters
+    ----------
+    message : str
+        Short sentence for an operator.
+    code : ResultCode, optional
+        Numbered code.
+    retry_after_s : float
+        Seconds after which there may be room; 0 when that is not known.
+    """
 
     code = ResultCode.REQUEST_NOT_RUN_NO_BACKEND
 
+    def __init__(
+        self, message: str, code: ResultCode | None = None, retry_after_s: float = 0.0
+    ) -> None:
+        super().__init__(message, code)
+        self.retry_after_s = retry_after_s
+
 
 class MoveError(MarigoldchuteError):
     """A move that cannot be rolled or decided as asked."""
--- /dev/null
+++ b/marigoldchute/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Node in a mesh whose bundles, orders and members lie in a platform's store."""
--- /dev/null
+++ b/marigoldchute/hosted/catalog.py
@@ -0,0 +1,210 @@
+"""The bundle in force as named items, and the differences between two of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marigoldchute.bundle.model import (
+    Bundle,
+    BundleContent,
+    CallerLimits,
+    Manifest,
+    Route,
+    Service,
+)
+from marigoldchute.bundle.validation import validate_content
+from marigoldchute.errors import PeerError, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from marigoldchute.bundle.inforce import InForce
+    from marigoldchute.events import EventLog
+
+KEPT_SNAPSHOTS = 8  # Two seconds of a storm; a neighbour fetches sooner.
+COMPRESSION_LEVEL = 6
+
+_SERVICE = "s/"
+_ROUTE = "r/"
+_LIMITS = "limits"
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODE_SERVICE = msgspec.msgpack.Decoder(Service)
+_DECODE_ROUTE = msgspec.msgpack.Decoder(Route)
+_DECODE_LIMITS = msgspec.msgpack.Decoder(CallerLimits)
+
+Items = dict[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """One bundle as the store held it at a revision.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store, which alone decides what is newer.
+    version : int
+        Version that the operator gave.
+    items : dict of str to bytes
+        Encoded services, routes and limits by key.
+    """
+
+    revision: int
+    version: int
+    items: Items
+
+
+class Difference(msgspec.Struct, frozen=True, array_like=True):
+    """What turns one snapshot into another.
+
+    Parameters
+    ----------
+    base : int
+        Revision to which it applies; 0 for an empty one.
+    revision, version : int
+        Those of the result.
+    changed : dict of str to bytes
+        Items that are new or differ.
+    removed : list of str
+        Keys of items that are gone.
+    """
+
+    base: int
+    revision: int
+    version: int
+    changed: dict[str, bytes]
+    removed: list[str]
+
+
+_DIFFERENCE = msgspec.msgpack.Decoder(Difference)
+
+
+def make_snapshot(revision: int, version: int, content: BundleContent) -> Snapshot:
+    """Encode a bundle's content."""
+    items = {_SERVICE + s.name: _ENCODER.encode(s) for s in content.services}
+    for route in content.routes:
+        items[_ROUTE + route.name] = _ENCODER.encode(route)
+    items[_LIMITS] = _ENCODER.encode(content.limits)
+    return Snapshot(revision, version, items)
+
+
+def decode_content(items: Items) -> BundleContent:
+    """Decode a bundle's content."""
+    services, routes = [], []
+    limits = CallerLimits()
+    for key, data in items.items():
+        if key.startswith(_SERVICE):
+            services.append(_DECODE_SERVICE.decode(data))
+        elif key.startswith(_ROUTE):
+            routes.append(_DECODE_ROUTE.decode(data))
+        elif key == _LIMITS:
+            limits = _DECODE_LIMITS.decode(data)
+    return BundleContent(tuple(services), tuple(routes), (), limits)
+
+
+def encode_difference(base: Snapshot | None, target: Snapshot) -> bytes:
+    """Return the compressed difference from a snapshot, or from nothing."""
+    held = base.items if base is not None else {}
+    changed = {k: v for k, v in target.items.items() if held.get(k) != v}
+    removed = [key for key in held if key not in target.items]
+    difference = Difference(
+        base.revision if base is not None else 0,
+        target.revision,
+        target.version,
+        changed,
+        removed,
+    )
+    return zlib.compress(_ENCODER.encode(difference), COMPRESSION_LEVEL)
+
+
+def apply_difference(base: Snapshot | None, data: bytes) -> Snapshot:
+    """Return the snapshot that a compressed difference leads to.
+
+    Raises
+    ------
+    PeerError
+        The difference is malformed or belongs to another snapshot.
+    """
+    try:
+        difference = _DIFFERENCE.decode(zlib.decompress(data))
+    except (zlib.error, msgspec.DecodeError) as exc:
+        raise PeerError(f"bad difference: {exc}", ResultCode.PEER_PROTOCOL) from exc
+    items: Items = {}
+    if difference.base:
+        if base is None or base.revision != difference.base:
+            raise PeerError("difference to another bundle", ResultCode.PEER_PROTOCOL)
+        items = dict(base.items)
+    for key in difference.removed:
+        items.pop(key, None)
+    items.update(difference.changed)
+    return Snapshot(difference.revision, difference.version, items)
+
+
+class Catalog:
+    """Holds the newest snapshot and brings it into force.
+
+    Parameters
+    ----------
+    in_force : InForce
+        Takes each newer bundle whole; within a process it never goes back.
+    log : EventLog
+        Event log of the process.
+    """
+
+    def __init__(self, in_force: InForce, log: EventLog) -> None:
+        self._in_force = in_force
+        self._log = log
+        self._kept: dict[int, Snapshot] = {}
+        self.newest: Snapshot | None = None
+        self.on_newer: list[Callable[[Snapshot], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision of the bundle in force, 0 before the first one."""
+        return self.newest.revision if self.newest is not None else 0
+
+    def kept(self, revision: int) -> Snapshot | None:
+        """Return a snapshot that is still kept, for differences from it."""
+        return self._kept.get(revision)
+
+    def take(self, snapshot: Snapshot, source: str) -> bool:
+        """Bring a snapshot into force if it is newer.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            Snapshot from the store or a peer.
+        source : str
+            Where it came from, for the log.
+
+        Raises
+        ------
+        BundleError
+            The bundle is not allowed; the one in force stays.
+        """
+        if snapshot.revision <= self.revision:
+            return False
+        content = decode_content(snapshot.items)
+        validate_content(content, names_releases=False)
+        manifest = Manifest(snapshot.revision, (), "", "", b"")
+        self.newest = snapshot
+        self._kept[snapshot.revision] = snapshot
+        while len(self._kept) > KEPT_SNAPSHOTS:
+            del self._kept[min(self._kept)]
+        self._in_force.swap(Bundle(manifest, content))
+        self._log.emit(
+            "catalog",
+            "in_force",
+            f"Version {snapshot.version} of the bundle is in force, from {source}.",
+            version=snapshot.version,
+            revision=snapshot.revision,
+            source=source,
+            routes=len(content.routes),
+        )
+        for listener in self.on_newer:
+            listener(snapshot)
+        return True
--- /dev/null
+++ b/marigoldchute/hosted/config_topic.py
@@ -0,0 +1,87 @@
+"""Bundles as a topic of the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from marigoldchute.errors import BundleError, MoveError
+from marigoldchute.hosted.catalog import make_snapshot
+
+if TYPE_CHECKING:
+    from marigoldchute.bundle.model import BundleContent
+    from marigoldchute.events import EventLog
+    from marigoldchute.hosted.catalog import Catalog
+    from marigoldchute.objectstore.documents import Document, DocumentPage
+
+
+class BundleApi(Protocol):
+    """How the bundle lies in the store."""
+
+    @property
+    def kind(self) -> str:
+        """Kind of the bundle's document."""
+
+    @property
+    def name(self) -> str:
+        """Name of the bundle's document."""
+
+    def decode(self, document: Document) -> tuple[int, BundleContent]:
+        """Return the version and the content of a document.
+
+        Raises
+        ------
+        BundleError
+            The document is no bundle.
+        """
+
+
+class BundleTopic:
+    """Takes bundles that the store holds into the catalog.
+
+    Parameters
+    ----------
+    api : BundleApi
+        How the bundle lies in the store.
+    catalog : Catalog
+        Bundles of this node.
+    log : EventLog
+        Event log of the process.
+    """
+
+    def __init__(self, api: BundleApi, catalog: Catalog, log: EventLog) -> None:
+        self.kind = api.kind
+        self._api = api
+        self._catalog = catalog
+        self._log = log
+
+    def known_revision(self) -> int:
+        """Return the revision of the bundle in force."""
+        return self._catalog.revision
+
+    def take_page(self, page: DocumentPage, whole: bool) -> None:
+        """Take the newest bundle of a page."""
+        documents = [
+            document
+            for document in page.documents
+            if document.name == self._api.name and not document.deleted
+        ]
+        for document in sorted(documents, key=lambda item: -item.revision):
+            if self._take(document):
+                return
+
+    def _take(self, document: Document) -> bool:
+        try:
+            version, content = self._api.decode(document)
+            snapshot = make_snapshot(document.revision, version, content)
+            self._catalog.take(snapshot, "the store")
+        except (BundleError, MoveError) as exc:
+            self._log.emit(
+                "catalog",
+                "refused",
+                f"The bundle of revision {document.revision} does not come into "
+                f"force: {exc.message}.",
+                revision=document.revision,
+                code=exc.code.value,
+            )
+            return False
+        return True
--- /dev/null
+++ b/marigoldchute/hosted/node.py
@@ -0,0 +1,303 @@
+"""Assembly of the slices into one hosted node."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any, Protocol
+
+import trio
+
+from marigoldchute.bundle.inforce import InForce
+from marigoldchute.hosted.catalog import Catalog
+from marigoldchute.hosted.config_topic import BundleTopic
+from marigoldchute.hosted.directory import Directory
+from marigoldchute.hosted.discovery import Discovery
+from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+from marigoldchute.hosted.registry import MISSED_REPORTS, LocalRegistry
+from marigoldchute.hosted.relay import BundleRelay
+from marigoldchute.link.endpoint import LinkEndpoint
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.link.handshake import PeerIdentity
+from marigoldchute.link.pool import LinkPool
+from marigoldchute.membership.model import Member
+from marigoldchute.orders.book import OrderBook
+from marigoldchute.orders.driver import OrderDriver
+from marigoldchute.orders.outcomes import OutcomeCounter
+from marigoldchute.overlay.overlay import Overlay
+from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.routing.budget import WindowRetryBudget
+from marigoldchute.routing.entry import Entry
+from marigoldchute.routing.http_server import HttpEdge
+from marigoldchute.routing.least_time import LeastExpectedTime
+from marigoldchute.routing.owner import Owner
+from marigoldchute.routing.policy import PathPolicy
+from marigoldchute.util.clock import Clock
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from marigoldchute.bundle.model import Bundle
+    from marigoldchute.events import EventLog
+    from marigoldchute.hosted.config_topic import BundleApi
+    from marigoldchute.hosted.reader import Topic
+    from marigoldchute.hosted.settings import Endpoint, HostedSettings
+    from marigoldchute.link.link import Link
+    from marigoldchute.objectstore.documents import DocumentStore
+    from marigoldchute.orders.driver import OrderApi
+    from marigoldchute.routing.dialect import Dialect
+    from marigoldchute.routing.http_server import RequestHandler
+
+# Nodes of a hosted mesh are alone on their network; the secret tells meshes apart.
+MESH_SECRET = b"marigoldchute hosted mesh"
+LINK_HEARTBEAT_MS = 400  # A link that misses three is given up, after 1.2 s.
+GATHER_BYTES = 262_144
+TICK_S = 0.25
+DRAIN_ACCEPT_S = 2.6  # Callers are led away after two missed questions, one a second.
+DRAIN_POLL_S = 0.05
+DRAIN_RESERVE_S = 0.7  # Left of the grace for the last messages.
+LEAVE_FLOOD_S = 0.05
+PEERS_FIRST_S = 1.5
+PEERS_ANSWER_S = 0.4  # A few trips between regions: link, comparison, difference.
+POLICY = PathPolicy(adaptive_limit=False, gather_bytes=GATHER_BYTES, retry_errors=True)
+
+
+class HostAdapter(Protocol):
+    """What differs between platforms that host a mesh."""
+
+    @property
+    def dialect(self) -> Dialect:
+        """Header names of callers and backend servers."""
+
+    @property
+    def bundles(self) -> BundleApi:
+        """How the bundle lies in the store."""
+
+    @property
+    def orders(self) -> OrderApi:
+        """How orders lie in the store."""
+
+    @property
+    def store(self) -> DocumentStore:
+        """The platform's store."""
+
+    def control_handlers(
+        self,
+        registry: LocalRegistry,
+        backend: Callable[[], Endpoint],
+        is_ready: Callable[[], bool],
+        clock: Clock,
+    ) -> tuple[RequestHandler, RequestHandler]:
+        """Return the handlers of the control address and of the readiness address."""
+
+
+class HostedNode:
+    """One node process: proxy, member, relay and, at times, reader and driver.
+
+    Parameters
+    ----------
+    cfg : HostedSettings
+        Settings of the node.
+    adapter : HostAdapter
+        The platform.
+    log : EventLog
+        Event log of the process.
+    rng : random.Random
+        Random choices.
+    """
+
+    def __init__(
+        self,
+        cfg: HostedSettings,
+        adapter: HostAdapter,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._log = log
+        self._clock = Clock()
+        self._draining = False
+        now_ms = self._clock.now_ms()
+        handlers = Handlers()
+        table = RecordTable()
+        self._in_force = InForce()
+        local = Member(
+            cfg.name, now_ms, 0, cfg.address, cfg.peer_port, cfg.data_centre, cfg.region
+        )
+        self.directory = Directory(local, table, log)
+        self._endpoint = LinkEndpoint(
+            PeerIdentity(cfg.name, now_ms, cfg.data_centre, cfg.region),
+            cfg.address,
+            (MESH_SECRET,),
+            handlers,
+            log.clock,
+            LINK_HEARTBEAT_MS,
+            self._take_link,
+        )
+        self._overlay = Overlay(cfg.name, self._endpoint, handlers, table, rng)
+        address_of = self.directory.address_of
+        self._control = LinkPool(self._endpoint, "control-call", address_of)
+        self._traffic = LinkPool(self._endpoint, "traffic", address_of)
+        self._registry = LocalRegistry(
+            cfg.name,
+            table,
+            self.directory.publish_servers,
+            log,
+            MISSED_REPORTS * cfg.report_interval_ms / 1000,
+        )
+        self._registry.max_connections = self._max_connections
+        self._catalog = Catalog(self._in_force, log)
+        self._relay = BundleRelay(self._catalog, self._overlay, handlers, log)
+        self._duty = ReaderDuty(self.directory, 0.0)
+        self._book = OrderBook(self.directory, table, log)
+        counter = OutcomeCounter(self._book)
+        self._driver = OrderDriver(
+            adapter.orders,
+            self._book,
+            counter,
+            self.directory,
+            self._duty,
+            self._control,
+            handlers,
+            log,
+            self._clock,
+        )
+        bundles = BundleTopic(adapter.bundles, self._catalog, log)
+        topics: list[Topic] = [bundles, self._driver]
+        self._reader = StoreReader(
+            adapter.store, topics, self._duty, self._overlay, handlers, log, rng
+        )
+        self._driver.reader = self._reader
+        self._discovery = Discovery(adapter.store, self.directory, log, rng)
+        self._owner = Owner(self.directory, cfg.address, adapter.dialect, POLICY)
+        bounds = cfg.bounds
+        self.entry = Entry(
+            self._in_force,
+            self._book,
+            self.directory,
+            self._traffic,
+            self._owner,
+            LeastExpectedTime(rng),
+            counter,
+            log,
+            self._clock,
+            rng,
+            adapter.dialect,
+            POLICY,
+            WindowRetryBudget(
+                bounds.retry_share,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                lambda: len(self.directory.reachable()),
+            ),
+            lambda: self._cfg.service,
+        )
+        handlers.stream = self._owner.serve
+        control, readiness = adapter.control_handlers(
+            self._registry, lambda: self._cfg.backend, self.is_ready, self._clock
+        )
+        self._caller_edge = HttpEdge(self.entry.handle_external, self._log_failure)
+        self._control_edge = HttpEdge(control, self._log_failure)
+        self._readiness_edge = HttpEdge(readiness, self._log_failure)
+        self._in_force.on_swap(self._take_bundle)
+        self.directory.on_view += [self.entry.tables.mark_stale, self._book.refresh]
+        table.subscribe(RecordKind.MEMBER, lambda record: self._book.refresh())
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self._in_force.bundle is not None and not self._draining
+
+    def reload(self, cfg: HostedSettings) -> None:
+        """Take settings that changed while the node runs.
+
+        Addresses on which it listens cannot change.
+        """
+        if cfg == self._cfg:
+            return
+        self._cfg = dataclasses.replace(
+            self._cfg, service=cfg.service, backend=cfg.backend, bounds=cfg.bounds
+        )
+        self._log.emit(
+            "node", "reloaded", "Settings changed.", service=self._cfg.service
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        cfg = self._cfg
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._owner.run)
+            await nursery.start(self._serve, self._control_edge, cfg.control)
+            await nursery.start(self._control.run)
+            await nursery.start(self._traffic.run)
+            await nursery.start(self._endpoint.serve, cfg.peer_port)
+            nursery.start_soon(self._overlay.run, self.directory)
+            nursery.start_soon(self._discovery.run)
+            nursery.start_soon(self._relay.run)
+            nursery.start_soon(self._tick)
+            await nursery.start(self._serve, self._caller_edge, cfg.callers)
+            await nursery.start(self._serve, self._readiness_edge, cfg.readiness)
+            nursery.start_soon(self._driver.run)
+            self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
+            await self._wait_for_peers()
+            await self._reader.run()
+
+    async def _wait_for_peers(self) -> None:
+        """Give peers the time to tell what they know before the store is read."""
+        with trio.move_on_after(PEERS_FIRST_S):
+            await self._discovery.found.wait()
+            await trio.sleep(PEERS_ANSWER_S)
+
+    async def drain(self) -> None:
+        """Leave without cutting a request; returns when the process may end."""
+        started = trio.current_time()
+        self._draining = True
+        self._log.emit("node", "draining", f"{self._cfg.name} drains.")
+        self.directory.drain()
+        self._owner.drain()
+        self._caller_edge.drain()
+        with trio.move_on_at(started + self._cfg.bounds.grace_s - DRAIN_RESERVE_S):
+            await trio.sleep(DRAIN_ACCEPT_S)
+            self._caller_edge.stop_accepting()
+            while self._caller_edge.connections or self._owner.running:
+                await trio.sleep(DRAIN_POLL_S)
+        if not self._registry.holds_server:
+            with trio.move_on_after(DRAIN_RESERVE_S / 2):
+                await self._discovery.remove_entry()
+        self.directory.leave(self._clock.now_ms())
+        await trio.sleep(LEAVE_FLOOD_S)
+        await self._endpoint.flush()
+        self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
+
+    async def _serve(
+        self,
+        edge: HttpEdge,
+        place: Endpoint,
+        task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await edge.serve(place.address, place.port, task_status=task_status)
+
+    async def _tick(self) -> None:
+        while True:
+            self._registry.expire(trio.current_time())
+            await trio.sleep(TICK_S)
+
+    def _take_link(self, link: Link) -> None:
+        if link.purpose == "control":
+            self._overlay.accept(link)
+
+    def _take_bundle(self, bundle: Bundle) -> None:
+        self._caller_edge.limits = bundle.content.limits
+        self._registry.refresh_limits()
+
+    def _max_connections(self, service: str) -> int:
+        bundle = self._in_force.bundle
+        if bundle is None:
+            return 0
+        for candidate in bundle.content.services:
+            if candidate.name == service:
+                return candidate.max_connections
+        return 0
+
+    def _log_failure(self, exc: Exception) -> None:
+        text = f"A request met an unexpected error: {exc!r}."
+        self._log.emit("node", "failure", text)
--- a/marigoldchute/membership/exchange.py
+++ b/marigoldchute/membership/exchange.py
@@ -18,8 +18,8 @@
     from marigoldchute.link.handlers import Handlers
     from marigoldchute.link.link import Link
     from marigoldchute.membership.service import Membership
+    from marigoldchute.objectstore.api import ObjectStore
     from marigoldchute.overlay.overlay import Overlay
-    from marigoldchute.platform.api import ObjectStore
 
 GONE_PREFIX = "gone/"
 ASK_SHARE = 0.05
--- a/marigoldchute/membership/model.py
+++ b/marigoldchute/membership/model.py
@@ -36,6 +36,8 @@
         Whether it takes no new requests.
     warm_at_ms : int
         Wall-clock time at which its cold start ends.
+    instance : str
+        Id by which the backend server knows itself; empty when it has none.
     """
 
     server_id: str
@@ -46,6 +48,7 @@
     connections: int
     draining: bool = False
     warm_at_ms: int = 0
+    instance: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +75,8 @@
         Backend servers on its VM.
     gone_at_ms : int
         Wall-clock time at which it was found to be gone.
+    store_ms : int
+        Shortest time of its calls to the store; 0 while that is not known.
     """
 
     name: str
@@ -84,6 +89,7 @@
     state: MemberState = MemberState.ALIVE
     servers: tuple[BackendServer, ...] = ()
     gone_at_ms: int = 0
+    store_ms: int = 0
 
     @property
     def usable(self) -> bool:
--- a/marigoldchute/membership/seeds.py
+++ b/marigoldchute/membership/seeds.py
@@ -14,15 +14,15 @@
 
 from marigoldchute.errors import ConflictError, NotFoundError, PlatformError
 from marigoldchute.membership.model import MemberState
+from marigoldchute.objectstore.api import CREATE_ONLY
 from marigoldchute.overlay.topology import rendezvous_order
-from marigoldchute.platform.api import CREATE_ONLY
 
 if TYPE_CHECKING:
     import random
 
     from marigoldchute.membership.service import Membership
+    from marigoldchute.objectstore.api import ObjectStore, StoredObject
     from marigoldchute.overlay.overlay import Overlay
-    from marigoldchute.platform.api import ObjectStore, StoredObject
 
 SEED_PREFIX = "seeds/"
 SLOTS = 3
--- a/marigoldchute/membership/silence.py
+++ b/marigoldchute/membership/silence.py
@@ -16,15 +16,15 @@
 from marigoldchute.membership.contact import elapsed_clock
 from marigoldchute.membership.exchange import gone_key
 from marigoldchute.membership.model import MemberState
+from marigoldchute.objectstore.api import CREATE_ONLY
 from marigoldchute.overlay.topology import rendezvous_order
-from marigoldchute.platform.api import CREATE_ONLY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from marigoldchute.membership.model import Member
     from marigoldchute.membership.service import Membership
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
 
 CHECK_INTERVAL_S = 1.0
 STORE_RETRY_S = 5.0
--- a/marigoldchute/moves/driver.py
+++ b/marigoldchute/moves/driver.py
@@ -11,8 +11,8 @@
 from marigoldchute.errors import PlatformError, ResultCode
 from marigoldchute.moves.judge import Decision, judge
 from marigoldchute.moves.model import Verdict
+from marigoldchute.objectstore.conditional import create_once
 from marigoldchute.overlay.duties import DRIVER
-from marigoldchute.platform.conditional import create_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +22,7 @@
     from marigoldchute.moves.model import Stand
     from marigoldchute.moves.reporter import Reporter
     from marigoldchute.moves.state import MoveState
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
     from marigoldchute.util.clock import Clock
 
 VERDICT_PREFIX = "verdicts/"
--- a/marigoldchute/moves/model.py
+++ b/marigoldchute/moves/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from typing import Protocol
 
 import msgspec
 
@@ -254,3 +255,23 @@
     new_release: str
     share: float
     move_id: str = ""
+
+
+class SplitSource(Protocol):
+    """Says how the requests of each service divide between its releases."""
+
+    def split(self, service: str, release: str) -> Split:
+        """Return how the requests of a service divide now.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        release : str
+            Release that the bundle names; empty when it names none.
+
+        Raises
+        ------
+        NotRunError
+            It is not known which release may run the requests.
+        """
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -27,10 +27,10 @@
 from marigoldchute.moves.driver import Driver, VerdictReader
 from marigoldchute.moves.engine import MoveEngine
 from marigoldchute.moves.reporter import Reporter
+from marigoldchute.objectstore.client import HttpObjectStore
 from marigoldchute.overlay.duty_log import DutyLog
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordTable
-from marigoldchute.platform.client import HttpObjectStore
 from marigoldchute.routing.path import RequestPath
 from marigoldchute.util.asgi import serve_app
 from marigoldchute.util.clock import Clock
--- /dev/null
+++ b/marigoldchute/objectstore/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- a/marigoldchute/platform/client.py
+++ b/marigoldchute/objectstore/caller.py
@@ -1,39 +1,31 @@
-"""Client of the platform's object API over HTTP."""
+"""Calls to an object API over HTTP, within a budget, a deadline and a circuit."""
 
 from __future__ import annotations
 
 import contextlib
-import urllib.parse
 from typing import TYPE_CHECKING, TypeVar
 
 import httpcore
 import trio
 
 from marigoldchute.errors import PlatformError, ResultCode, UnknownOutcomeError
-from marigoldchute.platform.api import MAX_VALUE_BYTES, StoredObject, WatchEvent
-from marigoldchute.platform.backoff import Backoff
-from marigoldchute.platform.budget import CallBudget
-from marigoldchute.platform.circuit import Circuit
-from marigoldchute.platform.messages import (
-    Item,
-    Items,
-    Written,
-    decode_answer,
-    raise_for_status,
-)
-from marigoldchute.platform.watch import Watch
+from marigoldchute.objectstore.backoff import Backoff
+from marigoldchute.objectstore.budget import CallBudget
+from marigoldchute.objectstore.circuit import Circuit
+from marigoldchute.objectstore.messages import raise_for_status
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import Callable, Iterator
 
-    from marigoldchute.config import StoreSettings
+    from marigoldchute.objectstore.settings import StoreSettings
 
 MAX_CONNECTIONS = 8
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 2.0
 
 _T = TypeVar("_T")
+
 _RETRIED_CODES = frozenset(
     {
         ResultCode.STORE_UNAVAILABLE,
@@ -52,8 +44,8 @@
 )
 
 
-class HttpObjectStore:
-    """``ObjectStore`` over the HTTP protocol of docs/STORE-PROTOCOL.md.
+class StoreCaller:
+    """One node's calls to the platform's store, whatever protocol they speak.
 
     Each call has a deadline and takes one token of the node's call budget. Calls that
     certainly did not run, and all reads, are tried again with full jitter until the
@@ -80,64 +72,51 @@
         self._budget: CallBudget | None = None
         self._circuit = Circuit(rng)
         self.calls = 0
+        self.fastest_s = float("inf")
 
     @property
     def is_reachable(self) -> bool:
         """Whether recent calls were answered."""
         return not self._circuit.is_open
 
-    async def get(self, key: str) -> StoredObject:
-        """Return one object or raise ``NotFoundError``."""
-        item = await self._call(Item, "GET", f"/v1/objects/{_quote(key)}")
-        return item.to_object()
-
-    async def list(self, prefix: str) -> list[StoredObject]:
-        """Return every object under a prefix, in key order."""
-        items = await self.list_items(prefix)
-        return [item.to_object() for item in items.items]
-
-    async def list_items(self, prefix: str) -> Items:
-        """Return the objects under a prefix and the revision of the list."""
-        return await self._call(Items, "GET", f"/v1/list/{_quote(prefix)}")
-
-    async def put(self, key: str, value: bytes, expected_revision: int) -> int:
-        """Write if the object's revision is as expected; return the new revision."""
-        if len(value) > MAX_VALUE_BYTES:
-            raise PlatformError(
-                f"value of {len(value)} bytes is too large",
-                ResultCode.STORE_VALUE_TOO_LARGE,
-            )
-        path = f"/v1/objects/{_quote(key)}?expected_revision={expected_revision}"
-        return (await self._call(Written, "PUT", path, value)).revision
-
-    async def delete(self, key: str, expected_revision: int) -> None:
-        """Delete if the object's revision is as expected."""
-        path = f"/v1/objects/{_quote(key)}?expected_revision={expected_revision}"
-        await self._call(Written, "DELETE", path, b"")
-
-    async def changes(self, prefix: str, after_revision: int, wait_ms: int) -> Items:
-        """Wait for changes under a prefix after a revision."""
-        query = f"after_revision={after_revision}&wait_ms={wait_ms}"
-        path = f"/v1/watch/{_quote(prefix)}?{query}"
-        return await self._call(Items, "GET", path, wait_ms=wait_ms)
-
-    def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        """Yield the present objects under a prefix, then every later change."""
-        return Watch(self, prefix, self._rng).events()
-
-    async def _call(
+    async def call(
         self,
-        cls: type[_T],
+        decode: Callable[..., _T],
         method: str,
         path: str,
-        value: bytes | None = None,
+        body: bytes | None = None,
         wait_ms: int = 0,
+        content_type: str = "",
     ) -> _T:
+        """Make a call and decode its answer.
+
+        Parameters
+        ----------
+        decode : callable
+            Decodes the body of an answer to a method.
+        method, path : str
+            HTTP method and request target.
+        body : bytes, optional
+            Body of the call.
+        wait_ms : int
+            Time that the store may hold the call back by itself.
+        content_type : str
+            Type of the body; not stated when empty.
+
+        Raises
+        ------
+        PlatformError
+            The call failed or was refused.
+        UnknownOutcomeError
+            The answer to a write was lost.
+        """
         deadline = trio.current_time() + (self._settings.timeout_ms + wait_ms) / 1000
         backoff = Backoff(RETRY_MIN_S, RETRY_MAX_S, self._rng)
+        headers = [("content-type", content_type)] if content_type else None
         while True:
             try:
-                return await self._try_call(cls, method, path, value, deadline)
+                answer = await self._try_call(method, path, body, headers, deadline)
+                return decode(answer, method=method)
             except PlatformError as exc:
                 delay_s = backoff.next_delay_s()
                 if exc.code not in _RETRIED_CODES:
@@ -148,19 +127,21 @@
 
     async def _try_call(
         self,
-        cls: type[_T],
         method: str,
         path: str,
-        value: bytes | None,
+        body: bytes | None,
+        headers: list[tuple[str, str]] | None,
         deadline: float,
-    ) -> _T:
+    ) -> bytes:
         await self._take_budget(deadline)
         url = f"http://{self._settings.address}:{self._settings.port}{path}"
         with self._guard():
             self.calls += 1
-            response = await self._send(method, url, value, deadline)
+            started = trio.current_time()
+            response = await self._send(method, url, body, headers, deadline)
+            self.fastest_s = min(self.fastest_s, trio.current_time() - started)
             raise_for_status(method, path, response.status, response.content)
-            return decode_answer(response.content, cls, method)
+            return response.content
 
     async def _take_budget(self, deadline: float) -> None:
         now = trio.current_time()
@@ -192,11 +173,18 @@
         self._circuit.succeed()
 
     async def _send(
-        self, method: str, url: str, value: bytes | None, deadline: float
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: list[tuple[str, str]] | None,
+        deadline: float,
     ) -> httpcore.Response:
         try:
             with trio.fail_at(deadline):
-                return await self._pool.request(method, url, content=value)
+                return await self._pool.request(
+                    method, url, headers=headers, content=body
+                )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise PlatformError(f"store cannot be reached: {exc}") from exc
         except (
@@ -212,7 +200,3 @@
     if method == "GET":
         return PlatformError(f"store did not answer: {exc!r}")
     return UnknownOutcomeError(f"store's reply was lost: {exc!r}")
-
-
-def _quote(key: str) -> str:
-    return urllib.parse.quote(key, safe="/")
--- a/marigoldchute/platform/conditional.py
+++ b/marigoldchute/objectstore/conditional.py
@@ -13,12 +13,12 @@
     PlatformError,
     UnknownOutcomeError,
 )
-from marigoldchute.platform.api import CREATE_ONLY
+from marigoldchute.objectstore.api import CREATE_ONLY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from marigoldchute.platform.api import ObjectStore
+    from marigoldchute.objectstore.api import ObjectStore
 
 CREATE_ATTEMPTS = 5
 RETRY_PAUSE_S = 0.1
--- /dev/null
+++ b/marigoldchute/objectstore/documents.py
@@ -0,0 +1,106 @@
+"""Contract of a store of documents, each with a content and a status."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, Protocol
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """One document.
+
+    Parameters
+    ----------
+    kind, name : str
+        What it is and which.
+    revision : int
+        Store-wide revision of its last change.
+    content : Any
+        Decoded content.
+    status : Any
+        Decoded status, None while there is none.
+    deleted : bool
+        Whether the document is gone; only in changes.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    content: Any
+    status: Any = None
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentPage:
+    """Documents or changes, complete up to a revision of the store.
+
+    Parameters
+    ----------
+    documents : tuple of Document
+        In the order of the store.
+    revision : int
+        Revision from which a watch goes on.
+    """
+
+    documents: tuple[Document, ...]
+    revision: int
+
+
+class DocumentStore(Protocol):
+    """Documents with versions, conditional updates and watches."""
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether recent calls were answered."""
+
+    @property
+    def fastest_s(self) -> float:
+        """Shortest time in seconds in which a call was answered."""
+
+    @property
+    def calls(self) -> int:
+        """Calls made since the start."""
+
+    async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
+        """Return every document of a kind.
+
+        Parameters
+        ----------
+        kind : str
+            Kind to list.
+        stale_allowed : bool
+            Whether an answer that is seconds old will do; it is cheaper.
+        """
+
+    async def get(self, kind: str, name: str) -> Document:
+        """Return one document or raise ``NotFoundError``."""
+
+    async def changes(
+        self, kind: str, after_revision: int, wait_ms: int
+    ) -> DocumentPage:
+        """Wait for changes of a kind after a revision.
+
+        Raises ``CompactedError`` when the store no longer knows them all.
+        """
+
+    async def create(self, kind: str, name: str, content: Any) -> Document:
+        """Create a document; raises ``ConflictError`` when it exists."""
+
+    async def replace(
+        self, kind: str, name: str, content: Any, expected_revision: int
+    ) -> Document:
+        """Replace a document's content if its revision is as expected."""
+
+    async def write_status(
+        self, kind: str, name: str, status: Any, expected_revision: int
+    ) -> Document:
+        """Replace a document's status if its revision is as expected.
+
+        Raises ``ConflictError`` when the condition fails and ``UnknownOutcomeError``
+        when the reply was lost.
+        """
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete a document; one that does not exist is no error."""
--- a/marigoldchute/platform/messages.py
+++ b/marigoldchute/objectstore/messages.py
@@ -16,7 +16,7 @@
     ResultCode,
     UnknownOutcomeError,
 )
-from marigoldchute.platform.api import StoredObject, WatchEvent
+from marigoldchute.objectstore.api import StoredObject, WatchEvent
 
 _T = TypeVar("_T")
 _REFUSED_BEFORE_RUNNING = (429, 503)
--- a/marigoldchute/platform/watch.py
+++ b/marigoldchute/objectstore/watch.py
@@ -7,14 +7,14 @@
 import trio
 
 from marigoldchute.errors import CompactedError, PlatformError
-from marigoldchute.platform.api import WatchEvent
-from marigoldchute.platform.backoff import Backoff
+from marigoldchute.objectstore.api import WatchEvent
+from marigoldchute.objectstore.backoff import Backoff
 
 if TYPE_CHECKING:
     import random
     from collections.abc import AsyncIterator
 
-    from marigoldchute.platform.messages import Items
+    from marigoldchute.objectstore.messages import Items
 
 WATCH_WAIT_MS = 2_000
 RELIST_INTERVAL_S = 1.0
--- /dev/null
+++ b/marigoldchute/orders/schedule.py
@@ -0,0 +1,120 @@
+"""When an order's share rises, as a function of time and of what was seen."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from marigoldchute.orders.model import OrderStage, OrderState
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """One share of the schedule.
+
+    Parameters
+    ----------
+    share : float
+        Part of the requests for the target.
+    until : float
+        Part of the order's duration after which the next one may begin.
+    min_hold_s : float
+        Shortest time at this share.
+    min_answers : int
+        Answers of the target that must have been seen by its end.
+    """
+
+    share: float
+    until: float
+    min_hold_s: float
+    min_answers: int
+
+
+# The first shares find a release that fails from the start, later or under load before
+# it has had a tenth of all requests; the last one lets requests to the old one end.
+STAGES = (
+    Stage(0.05, 0.42, 3.5, 25),
+    Stage(0.15, 0.56, 1.5, 50),
+    Stage(0.4, 0.66, 1.2, 90),
+    Stage(1.0, 0.82, 2.2, 120),
+)
+LAST_CALL = 0.97  # Part of the duration by which a verdict must be written.
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """What a step needs to know.
+
+    Parameters
+    ----------
+    elapsed_s : float
+        Time since the order.
+    held_s : float
+        Time at the present share.
+    has_servers : bool
+        Whether the target has backend servers to take requests.
+    answers : int
+        Answers of the target that were counted.
+    """
+
+    elapsed_s: float
+    held_s: float
+    has_servers: bool
+    answers: int
+
+
+def next_state(state: OrderState, progress: Progress) -> OrderState | None:
+    """Return the state to go to, or None while the present one stands.
+
+    The final state is ``DONE``; its caller writes the verdict first.
+    """
+    if not state.is_open:
+        return None
+    if state.stage == OrderStage.WAITING or state.share <= 0.0:
+        if not progress.has_servers:
+            return None
+        return _at(state, STAGES[0].share)
+    stage = _stage_of(state.share)
+    duration_s = state.duration_s
+    if progress.held_s < stage.min_hold_s:
+        return None
+    if not progress.has_servers:
+        return None
+    due = progress.elapsed_s >= stage.until * duration_s
+    if not due or (
+        progress.answers < stage.min_answers
+        and progress.elapsed_s < (stage.until + 0.08) * duration_s
+    ):
+        return None
+    later = [s for s in STAGES if s.share > state.share]
+    if later:
+        return _at(state, later[0].share)
+    return OrderState(
+        state.service,
+        state.target,
+        state.number,
+        state.step + 1,
+        1.0,
+        OrderStage.DONE,
+        state.duration_s,
+        state.rejected,
+    )
+
+
+def _stage_of(share: float) -> Stage:
+    for stage in STAGES:
+        if share <= stage.share:
+            return stage
+    return STAGES[-1]
+
+
+def _at(state: OrderState, share: float) -> OrderState:
+    return OrderState(
+        state.service,
+        state.target,
+        state.number,
+        state.step + 1,
+        share,
+        OrderStage.RUNNING,
+        state.duration_s,
+        state.rejected,
+    )
--- a/marigoldchute/overlay/records.py
+++ b/marigoldchute/overlay/records.py
@@ -27,6 +27,9 @@
     FAULT = 3
     SUMMARY = 4
     VERDICT = 5
+    LEAVING = 6
+    ORDER = 7
+    ORDER_FAULT = 8
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/platform/__init__.py
+++ b/marigoldchute/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's object API."""
+"""Adapter to the platform: translates, and decides nothing."""
--- /dev/null
+++ b/marigoldchute/platform/adapter.py
@@ -0,0 +1,50 @@
+"""The platform as a ``HostAdapter``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldchute.platform.bundle import PlatformBundleApi
+from marigoldchute.platform.control import ControlApi
+from marigoldchute.platform.orders import PlatformOrderApi
+from marigoldchute.platform.settings import DIALECT
+from marigoldchute.platform.store import PlatformDocumentStore
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from marigoldchute.hosted.registry import LocalRegistry
+    from marigoldchute.hosted.settings import Endpoint, HostedSettings
+    from marigoldchute.routing.http_server import RequestHandler
+    from marigoldchute.util.clock import Clock
+
+
+class PlatformAdapter:
+    """Everything by which the platform differs from others.
+
+    Parameters
+    ----------
+    cfg : HostedSettings
+        Settings of the node.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    dialect = DIALECT
+
+    def __init__(self, cfg: HostedSettings, rng: random.Random) -> None:
+        self.store = PlatformDocumentStore(cfg.store, rng, cfg.address)
+        self.bundles = PlatformBundleApi()
+        self.orders = PlatformOrderApi(self.store)
+
+    def control_handlers(
+        self,
+        registry: LocalRegistry,
+        backend: Callable[[], Endpoint],
+        is_ready: Callable[[], bool],
+        clock: Clock,
+    ) -> tuple[RequestHandler, RequestHandler]:
+        """Return the handlers of the control address and of the readiness address."""
+        api = ControlApi(registry, backend, is_ready, clock)
+        return api.handle_control, api.handle_readiness
--- /dev/null
+++ b/marigoldchute/platform/orders.py
@@ -0,0 +1,104 @@
+"""The platform's rollouts as orders, and verdicts as their status."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marigoldchute.errors import MoveError
+from marigoldchute.orders.model import OrderDocument, OrderStage
+
+if TYPE_CHECKING:
+    from marigoldchute.objectstore.documents import Document, DocumentStore
+    from marigoldchute.orders.model import OrderState
+
+_WORDS = {
+    OrderStage.RUNNING: "running",
+    OrderStage.DONE: "succeeded",
+    OrderStage.TAKEN_BACK: "rolled_back",
+}
+_STAGES = {word: stage for stage, word in _WORDS.items()}
+
+
+class _Order(msgspec.Struct, frozen=True):
+    service: str
+    target_version: str
+    duration_s: float
+
+
+class _Status(msgspec.Struct, frozen=True):
+    state: str
+    target_version: str
+    # Ours: releases of earlier orders that were taken back, and the order's age.
+    rejected: list[str] = []
+    elapsed_ms: int = 0
+
+
+class PlatformOrderApi:
+    """``OrderApi`` for the platform's rollouts.
+
+    Parameters
+    ----------
+    store : DocumentStore
+        The platform's store.
+    """
+
+    kind = "rollouts"
+
+    def __init__(self, store: DocumentStore) -> None:
+        self._store = store
+
+    def decode(self, document: Document) -> OrderDocument:
+        """Return the order of a document."""
+        try:
+            order = msgspec.convert(document.content, _Order, strict=False)
+        except msgspec.ValidationError as exc:
+            raise MoveError(f"order is malformed: {exc}") from exc
+        status = _status_of(document)
+        rejected = set(status.rejected) if status is not None else set()
+        stage, elapsed_ms = OrderStage.WAITING, 0
+        if status is not None and status.target_version == order.target_version:
+            stage = _STAGES.get(status.state, OrderStage.WAITING)
+            elapsed_ms = status.elapsed_ms
+        elif status is not None and status.state == _WORDS[OrderStage.TAKEN_BACK]:
+            rejected.add(status.target_version)
+        rejected.discard(order.target_version)
+        return OrderDocument(
+            order.service,
+            order.target_version,
+            order.duration_s,
+            document.revision,
+            stage,
+            tuple(sorted(rejected)),
+            elapsed_ms,
+        )
+
+    async def read(self, service: str) -> OrderDocument:
+        """Return the order of a service as the store holds it now."""
+        return self.decode(await self._store.get(self.kind, service))
+
+    async def write(
+        self, document: OrderDocument, state: OrderState, elapsed_ms: int
+    ) -> OrderDocument:
+        """Write an order's status if its document has not changed since."""
+        status = _Status(
+            _WORDS[OrderStage(state.stage)],
+            state.target,
+            list(state.rejected),
+            elapsed_ms,
+        )
+        written = await self._store.write_status(
+            self.kind,
+            document.service,
+            msgspec.to_builtins(status),
+            document.revision,
+        )
+        return self.decode(written)
+
+
+def _status_of(document: Document) -> _Status | None:
+    try:
+        return msgspec.convert(document.status, _Status, strict=False)
+    except msgspec.ValidationError:
+        return None  # No status, or one that another writer left: nothing is decided.
--- /dev/null
+++ b/marigoldchute/platform/store.py
@@ -0,0 +1,176 @@
+"""The platform's store as a ``DocumentStore``."""
+
+from __future__ import annotations
+
+import functools
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marigoldchute.errors import NotFoundError
+from marigoldchute.objectstore.caller import StoreCaller
+from marigoldchute.objectstore.documents import Document, DocumentPage
+from marigoldchute.objectstore.messages import decode_answer
+
+if TYPE_CHECKING:
+    import random
+
+    from marigoldchute.objectstore.settings import StoreSettings
+
+JSON_TYPE = "application/json"
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+    # Keeps a deleted object until it is empty; this project sets none.
+    finalizers: list[str] = []
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _Page(msgspec.Struct, frozen=True):
+    items: list[_Object]
+    at: int
+    more: Any = False
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True):
+    events: list[_Event]
+    at: int
+
+
+_decode_page = functools.partial(decode_answer, cls=_Page)
+_decode_events = functools.partial(decode_answer, cls=_Events)
+_decode_object = functools.partial(decode_answer, cls=_Object)
+
+
+class PlatformDocumentStore:
+    """``DocumentStore`` over the platform's protocol.
+
+    Parameters
+    ----------
+    settings : StoreSettings
+        Address, call budget and time limit.
+    rng : random.Random
+        Source of back-off jitter.
+    local_address : str
+        IP number from which connections are opened.
+    """
+
+    def __init__(
+        self, settings: StoreSettings, rng: random.Random, local_address: str
+    ) -> None:
+        self._caller = StoreCaller(settings, rng, local_address)
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether recent calls were answered."""
+        return self._caller.is_reachable
+
+    @property
+    def fastest_s(self) -> float:
+        """Shortest time in seconds in which a call was answered."""
+        return self._caller.fastest_s
+
+    @property
+    def calls(self) -> int:
+        """Calls made since the start."""
+        return self._caller.calls
+
+    async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
+        """Return every document of a kind."""
+        found: list[Document] = []
+        query = {"allow_stale": "1"} if stale_allowed else {}
+        while True:
+            page = await self._caller.call(_decode_page, "GET", _path(kind, **query))
+            found += [_to_document(kind, item) for item in page.items]
+            if not page.more or not page.items:
+                return DocumentPage(tuple(found), page.at)
+            query["after"] = page.items[-1].metadata.name
+
+    async def get(self, kind: str, name: str) -> Document:
+        """Return one document or raise ``NotFoundError``."""
+        found = await self._caller.call(_decode_object, "GET", _path(kind, name))
+        return _to_document(kind, found)
+
+    async def changes(
+        self, kind: str, after_revision: int, wait_ms: int
+    ) -> DocumentPage:
+        """Wait for changes of a kind after a revision."""
+        path = _path(kind, watch=str(after_revision), wait_ms=str(wait_ms))
+        page = await self._caller.call(_decode_events, "GET", path, wait_ms=wait_ms)
+        documents = tuple(
+            _to_document(kind, event.object, event.deleted) for event in page.events
+        )
+        return DocumentPage(documents, page.at)
+
+    async def create(self, kind: str, name: str, content: Any) -> Document:
+        """Create a document; raises ``ConflictError`` when it exists."""
+        body = {"metadata": {"name": name}, "spec": content}
+        return await self._write(kind, "POST", _path(kind), body)
+
+    async def replace(
+        self, kind: str, name: str, content: Any, expected_revision: int
+    ) -> Document:
+        """Replace a document's content if its revision is as expected."""
+        body = {
+            "metadata": {"name": name, "revision": expected_revision},
+            "spec": content,
+        }
+        return await self._write(kind, "PUT", _path(kind, name), body)
+
+    async def write_status(
+        self, kind: str, name: str, status: Any, expected_revision: int
+    ) -> Document:
+        """Replace a document's status if its revision is as expected."""
+        body = {
+            "metadata": {"name": name, "revision": expected_revision},
+            "status": status,
+        }
+        path = _path(kind, name) + "/status"
+        return await self._write(kind, "PUT", path, body)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete a document; one that does not exist is no error."""
+        try:
+            await self._caller.call(_ignore, "DELETE", _path(kind, name), b"")
+        except NotFoundError:
+            return
+
+    async def _write(self, kind: str, method: str, path: str, body: Any) -> Document:
+        data = msgspec.json.encode(body)
+        written = await self._caller.call(
+            _decode_object, method, path, data, content_type=JSON_TYPE
+        )
+        return _to_document(kind, written)
+
+
+def _path(kind: str, name: str = "", **query: str) -> str:
+    path = f"/api/objects/{urllib.parse.quote(kind, safe='')}"
+    if name:
+        path += f"/{urllib.parse.quote(name, safe='')}"
+    return f"{path}?{urllib.parse.urlencode(query)}" if query else path
+
+
+def _to_document(kind: str, item: _Object, deleted: bool = False) -> Document:
+    metadata = item.metadata
+    gone = deleted or metadata.deleting
+    return Document(
+        kind, metadata.name, metadata.revision, item.spec, item.status, gone
+    )
+
+
+def _ignore(body: bytes, method: str) -> None:
+    """Answer to a deletion: its status has said all."""
--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -1,8 +1,9 @@
-"""Admission of requests to one backend server at the node that owns it."""
+"""Admission to one backend server: its slots and the bounded queue before them."""
 
 from __future__ import annotations
 
-import collections
+import bisect
+import itertools
 from typing import TYPE_CHECKING
 
 import trio
@@ -22,31 +23,41 @@
 
 
 class _Waiter:
-    __slots__ = ("admitted", "event", "refusal")
+    __slots__ = ("admitted", "event", "order", "refusal")
 
-    def __init__(self) -> None:
+    def __init__(self, order: tuple[float, int]) -> None:
         self.event = trio.Event()
         self.admitted = False
         self.refusal: ResultCode | None = None
+        self.order = order
+
+
+def _order_of(waiter: _Waiter) -> tuple[float, int]:
+    return waiter.order
 
 
 class AdmissionGate:
     """Slots of one backend server and the bounded queue before them.
 
+    Who waits is admitted by class, within a class by the time at which its answer is
+    due, and in the order of arrival where no such time is stated.
+
     Parameters
     ----------
     server : BackendServer
         Announced slots and connections.
+    adaptive : bool
+        Whether refusals and rising latencies lower the limit below the slots.
     """
 
-    def __init__(self, server: BackendServer) -> None:
+    def __init__(self, server: BackendServer, adaptive: bool = True) -> None:
         self.running = 0
         self.max_running = 0
         self.draining = False
+        self._adaptive = adaptive
         self._limit = AdaptiveLimit(server.slots)
-        self._queues: tuple[collections.deque[_Waiter], ...] = tuple(
-            collections.deque() for _ in range(PRIORITIES)
-        )
+        self._queues: tuple[list[_Waiter], ...] = tuple([] for _ in range(PRIORITIES))
+        self._arrivals = itertools.count()
         self._queued = 0
         self._run_s = INITIAL_RUN_S
         self.update(server)
@@ -61,6 +72,11 @@
         """Requests that wait."""
         return self._queued
 
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return self.running + self._queued
+
     @property
     def load_level(self) -> int:
         """Quarter of the slots in use, the request admitted last included."""
@@ -81,7 +97,7 @@
         self.draining = True
         for queue in self._queues:
             while queue:
-                self._refuse(queue.popleft(), ResultCode.REQUEST_NOT_RUN_DRAINING)
+                self._refuse(queue.pop(0), ResultCode.REQUEST_NOT_RUN_DRAINING)
 
     def try_enter(self) -> bool:
         """Take a slot at once if one is free and nobody waits.
@@ -100,7 +116,9 @@
         self._take_slot()
         return True
 
-    async def enter(self, priority: int, remaining_s: float) -> None:
+    async def enter(
+        self, priority: int, remaining_s: float, objective_s: float = 0.0
+    ) -> None:
         """Wait for a slot.
 
         Parameters
@@ -109,17 +127,22 @@
             Admission class, 0 is served first.
         remaining_s : float
             Time left until the caller's deadline.
+        objective_s : float
+            Time left in which an answer has its full worth; 0 when none is stated. A
+            request that is not expected to make it is refused at once.
 
         Raises
         ------
         NotRunError
-            The queue is full, the deadline would pass, or the backend server drains.
+            The queue is full, the time would pass, or the backend server drains.
         """
         priority = min(max(priority, 0), PRIORITIES - 1)
-        self._check_wait(priority, remaining_s)
+        due = trio.current_time() + objective_s if objective_s else 0.0
+        waiter = _Waiter((due, next(self._arrivals)))
+        allowed_s = min(remaining_s, objective_s) if objective_s else remaining_s
+        self._check_wait(priority, waiter, allowed_s)
         self._make_room(priority)
-        waiter = _Waiter()
-        self._queues[priority].append(waiter)
+        bisect.insort(self._queues[priority], waiter, key=_order_of)
         self._queued += 1
         try:
             with trio.move_on_after(max(0.0, remaining_s - self._run_s)):
@@ -132,10 +155,12 @@
         if waiter.refusal is None:
             self._give_up(waiter, priority)
             waiter.refusal = ResultCode.REQUEST_NOT_RUN_DEADLINE
-        raise NotRunError("refused while it waited for a slot", waiter.refusal)
+        raise NotRunError(
+            "refused while it waited for a slot", waiter.refusal, self._run_s
+        )
 
     def estimated_wait_s(self, priority: int) -> float:
-        """Return how long a request of a class would wait now."""
+        """Return how long a request that is due last in its class would wait now."""
         ahead = sum(len(queue) for queue in self._queues[: priority + 1])
         return (ahead + 1) * self._run_s / self.limit
 
@@ -147,16 +172,23 @@
     def take_sample(self, run_s: float, running: int, now: float) -> None:
         """Take the time that a whole answer took."""
         self._run_s += RUN_TIME_WEIGHT * (run_s - self._run_s)
-        self._limit.take_sample(run_s, running, now)
+        if self._adaptive:
+            self._limit.take_sample(run_s, running, now)
 
     def take_refusal(self, now: float) -> None:
         """Take note that the backend server itself refused a request."""
-        self._limit.take_refusal(now)
-
-    def _check_wait(self, priority: int, remaining_s: float) -> None:
-        if self.estimated_wait_s(priority) + self._run_s > remaining_s:
+        if self._adaptive:
+            self._limit.take_refusal(now)
+
+    def _check_wait(self, priority: int, waiter: _Waiter, allowed_s: float) -> None:
+        ahead = sum(len(queue) for queue in self._queues[:priority])
+        ahead += bisect.bisect(self._queues[priority], waiter.order, key=_order_of)
+        wait_s = (ahead + 1) * self._run_s / self.limit
+        if wait_s + self._run_s > allowed_s:
             raise NotRunError(
-                "no slot before the deadline", ResultCode.REQUEST_NOT_RUN_DEADLINE
+                "no slot in time",
+                ResultCode.REQUEST_NOT_RUN_DEADLINE,
+                max(self._run_s, wait_s + self._run_s - allowed_s),
             )
 
     def _make_room(self, priority: int) -> None:
@@ -164,13 +196,13 @@
         if self._queued < QUEUE_SHARES[priority] * bound:
             return
         if self._queued < bound:
-            raise _overloaded()
+            raise self._overloaded()
         for lower in range(PRIORITIES - 1, priority, -1):
             if self._queues[lower]:
                 waiter = self._queues[lower].pop()
                 self._refuse(waiter, ResultCode.REQUEST_NOT_RUN_OVERLOADED)
                 return
-        raise _overloaded()
+        raise self._overloaded()
 
     def _refuse(self, waiter: _Waiter, code: ResultCode) -> None:
         self._queued -= 1
@@ -187,7 +219,7 @@
     def _admit_waiting(self) -> None:
         for queue in self._queues:
             while queue and self.running < self.limit:
-                waiter = queue.popleft()
+                waiter = queue.pop(0)
                 self._queued -= 1
                 waiter.admitted = True
                 waiter.event.set()
@@ -197,6 +229,8 @@
         self.running += 1
         self.max_running = max(self.max_running, self.running)
 
-
-def _overloaded() -> NotRunError:
-    return NotRunError("queue is full", ResultCode.REQUEST_NOT_RUN_OVERLOADED)
+    def _overloaded(self) -> NotRunError:
+        wait_s = self.queued * self._run_s / self.limit
+        return NotRunError(
+            "queue is full", ResultCode.REQUEST_NOT_RUN_OVERLOADED, wait_s
+        )
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -18,18 +18,27 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CLOSE_S = 4.0
 IDLE_REUSE_NON_IDEMPOTENT_S = 1.0
+KEEP_ALIVE_MARGIN_S = 1.0  # The header has whole seconds, so up to one is rounded off.
 ABANDON_HOLD_S = 2.0
 
 
 class BackendConn:
     """One connection to a backend server; used for one request at a time."""
 
-    __slots__ = ("idle_since", "peer_ended", "tcp")
+    __slots__ = ("idle_since", "peer_ended", "reusable_for_s", "tcp")
 
     def __init__(self, tcp: TcpConn) -> None:
         self.tcp = tcp
         self.peer_ended = False
         self.idle_since = 0.0
+        self.reusable_for_s = IDLE_CLOSE_S
+
+    def limit_idle(self, keep_alive_s: float | None) -> None:
+        """Take the time for which the backend server keeps the connection idle."""
+        if keep_alive_s is not None:
+            self.reusable_for_s = min(
+                IDLE_CLOSE_S, max(0.0, keep_alive_s - KEEP_ALIVE_MARGIN_S)
+            )
 
     async def send_first(self, data: bytes) -> None:
         """Write the beginning of a request.
@@ -82,6 +91,8 @@
             raise RequestError(f"backend server broke the connection: {exc}") from exc
         if not data:
             self.peer_ended = True
+            if response.end_with_connection():
+                return
             raise RequestError("backend server closed the connection")
         response.feed(data)
 
@@ -150,12 +161,12 @@
         return await self._connect()
 
     def _take_idle(self, idempotent: bool, now: float) -> BackendConn | None:
-        idle_limit_s = IDLE_CLOSE_S if idempotent else IDLE_REUSE_NON_IDEMPOTENT_S
         while self._idle:
             conn = self._idle.pop()
-            if now - conn.idle_since >= IDLE_CLOSE_S or not conn.tcp.is_quiet():
+            idle_s = now - conn.idle_since
+            if idle_s >= conn.reusable_for_s or not conn.tcp.is_quiet():
                 self.discard(conn)
-            elif now - conn.idle_since >= idle_limit_s:
+            elif not idempotent and idle_s >= IDLE_REUSE_NON_IDEMPOTENT_S:
                 self._idle.append(conn)
                 return None
             else:
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -13,6 +13,7 @@
 from marigoldchute.routing.request_body import RequestBody
 
 if TYPE_CHECKING:
+    from marigoldchute.bundle.model import Service
     from marigoldchute.link.stream import Stream
     from marigoldchute.moves.model import Split
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
@@ -20,6 +21,9 @@
     from marigoldchute.routing.target import Target
 
 
+RETRIED_STATUSES = frozenset((500, 502, 503))  # Not 504: its time is over.
+
+
 class Call:
     """One caller's request; also the exchange of its tries on this VM.
 
@@ -29,33 +33,54 @@
         Whether some try may have run the request.
     answer : ResponseHead or None
         Head of the answer passed to the caller.
+    objective : float
+        Monotonic time until which an answer has its full worth; 0 when none is stated.
+    sends : int
+        Tries that may have reached a backend server.
+    refusals : int
+        Tries that certainly did not run.
+    holds_failures : bool
+        Whether a whole failure of a backend server is kept instead of passed on.
+    held : tuple of ResponseHead and bytes, or None
+        The failure that was kept.
     link_bytes : int
         Bytes that the tries have sent to other nodes and received from them.
     """
 
+    holds_failures = False
+
     def __init__(
         self,
         req: HttpRequest,
         responder: HttpResponder,
         entry: RouteEntry,
+        service: Service,
         split: Split,
         release: str,
         request_id: str,
         header_block: bytes,
         deadline: float,
+        objective: float = 0.0,
+        caller_service: str = "",
     ) -> None:
         self.req = req
         self.responder = responder
         self.entry = entry
+        self.service = service
         self.split = split
         self.release = release
         self.request_id = request_id
         self.deadline = deadline
-        self.idempotent = req.method in entry.idempotent_methods
+        self.objective = objective
+        self.caller_service = caller_service
+        self.idempotent = entry.may_repeat(req.method)
         self.body = RequestBody(req)
         self.tried: set[Target] = set()
         self.tries = 0
+        self.sends = 0
+        self.refusals = 0
         self.maybe_run = False
+        self.held: tuple[ResponseHead, bytes] | None = None
         self.answer: ResponseHead | None = None
         self.link_bytes = 0
         self._header_block = header_block
@@ -68,7 +93,7 @@
         return RequestHead(
             self.request_id,
             route.name,
-            route.service,
+            self.service.name,
             self.release,
             target.server.server_id,
             req.method,
@@ -79,6 +104,8 @@
             self.idempotent,
             req.has_body,
             self._chunked,
+            self.caller_service,
+            max(0, int((self.objective - now) * 1000)),
         )
 
     def take_whole_body(self) -> bytes | None:
@@ -90,8 +117,11 @@
         return await self.body.receive()
 
     async def send_whole(self, head: ResponseHead, body: bytes) -> None:
-        """Send a whole answer to the caller."""
+        """Send a whole answer to the caller, or keep a failure."""
         self.answer = head
+        if self.holds_failures and head.status in RETRIED_STATUSES:
+            self.held = (head, body)
+            return
         try:
             await self.responder.send_whole(
                 head.status, head.header_block, head.has_length, body
@@ -142,7 +172,12 @@
         """
         head = _decode_head(await stream.receive_head())
         if head.code:
-            raise NotRunError("refused by the owner", _refusal_code(head.code))
+            self.answer = head
+            raise NotRunError(
+                "refused by the owner",
+                _refusal_code(head.code),
+                head.retry_after_ms / 1000,
+            )
         self.link_bytes += len(head.header_block)
         body = stream.take_whole()
         if body is not None:
--- a/marigoldchute/routing/choice.py
+++ b/marigoldchute/routing/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING, Protocol
 
 from marigoldchute.routing.budget import TokenBucket
@@ -22,11 +23,35 @@
 LINK_REQUEST_BYTES = 1_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request needs of a choice.
+
+    Parameters
+    ----------
+    route : str
+        Name of its route.
+    objective_s : float
+        Time left in which an answer has its full worth; 0 when none is stated.
+    """
+
+    route: str = ""
+    objective_s: float = 0.0
+
+
+NO_WISH = Wish()
+
+
 class Chooser(Protocol):
     """Chooses a backend server; implementations differ in policy."""
 
     def choose(
-        self, candidates: Candidates, tried: set[Target], now: float, now_ms: int
+        self,
+        candidates: Candidates,
+        tried: set[Target],
+        now: float,
+        now_ms: int,
+        wish: Wish = NO_WISH,
     ) -> Target | None:
         """Return the target of the next try, or None when there is none.
 
@@ -40,8 +65,13 @@
             Monotonic time in seconds.
         now_ms : int
             Wall-clock time in milliseconds since the epoch.
+        wish : Wish
+            What the request needs.
         """
 
+    def take_run(self, target: Target, route: str, run_ms: float) -> None:
+        """Take note of the time that a target took to run a request of a route."""
+
     def take_failure(self, target: Target, candidates: Candidates, now: float) -> None:
         """Take note of a failed try, which may eject the target."""
 
@@ -56,7 +86,12 @@
         self._rng = rng
 
     def choose(
-        self, candidates: Candidates, tried: set[Target], now: float, now_ms: int
+        self,
+        candidates: Candidates,
+        tried: set[Target],
+        now: float,
+        now_ms: int,
+        wish: Wish = NO_WISH,
     ) -> Target | None:
         """Return a random target of the nearest tier that has any."""
         for tier in (candidates.centre, candidates.region, candidates.remote):
@@ -65,6 +100,9 @@
                 return self._rng.choice(left)
         return None
 
+    def take_run(self, target: Target, route: str, run_ms: float) -> None:
+        """Do nothing."""
+
     def take_failure(self, target: Target, candidates: Candidates, now: float) -> None:
         """Do nothing."""
 
@@ -104,7 +142,12 @@
         self._link_budget = TokenBucket(LINK_BYTES_PER_S, LINK_BURST_BYTES)
 
     def choose(
-        self, candidates: Candidates, tried: set[Target], now: float, now_ms: int
+        self,
+        candidates: Candidates,
+        tried: set[Target],
+        now: float,
+        now_ms: int,
+        wish: Wish = NO_WISH,
     ) -> Target | None:
         """Return the target of the next try, or None when there is none."""
         own = self._choose_own(candidates.own, tried, now, now_ms)
@@ -120,6 +163,9 @@
                 return target
         return self._choose_unavailable(candidates, tried, now)
 
+    def take_run(self, target: Target, route: str, run_ms: float) -> None:
+        """Do nothing: the latency seen from here is what counts."""
+
     def take_failure(self, target: Target, candidates: Candidates, now: float) -> None:
         """Eject an outlier unless too many of its tier are ejected already."""
         if not target.is_outlier:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -9,7 +9,6 @@
 
 from marigoldchute.errors import (
     AuthError,
-    MarigoldchuteError,
     NotRunError,
     PeerError,
     RequestError,
@@ -18,40 +17,40 @@
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import Call
 from marigoldchute.routing.candidates import CandidateTables
-from marigoldchute.routing.duplex import send_and_receive
-from marigoldchute.routing.failure import SHED_CODES, outcome_of, truthful
+from marigoldchute.routing.choice import Wish
+from marigoldchute.routing.dialect import OWN_DIALECT
+from marigoldchute.routing.dispatch import Dispatcher
+from marigoldchute.routing.failure import outcome_of, truthful
 from marigoldchute.routing.failure_log import FailureLog
-from marigoldchute.routing.headers import (
-    DEADLINE_HEADER,
-    REQUEST_ID_HEADER,
-    parse_deadline_ms,
-    request_block,
-)
+from marigoldchute.routing.headers import parse_deadline_ms, request_block
 from marigoldchute.routing.http_request import CallerGoneError
-from marigoldchute.routing.messages import ENCODER
 from marigoldchute.routing.metrics import RouteMetrics
 from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
 from marigoldchute.routing.route_table import RouteTable
+from marigoldchute.routing.spread import Spread
 from marigoldchute.routing.sticky import sticky_point
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import Bundle
+    from marigoldchute.errors import MarigoldchuteError
     from marigoldchute.events import EventLog
-    from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
-    from marigoldchute.moves.engine import MoveEngine
-    from marigoldchute.moves.model import Split
+    from marigoldchute.moves.model import Split, SplitSource
+    from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
+    from marigoldchute.routing.dialect import Dialect
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
-    from marigoldchute.routing.messages import RequestHead
     from marigoldchute.routing.outcomes import OutcomeSink
     from marigoldchute.routing.owner import Owner
+    from marigoldchute.routing.policy import PathPolicy
     from marigoldchute.routing.route_table import RouteEntry
     from marigoldchute.routing.target import Target
     from marigoldchute.util.clock import Clock
@@ -59,9 +58,11 @@
 RETRY_SHARE = 0.2
 RETRY_FLOOR_PER_S = 5.0
 RETRY_BURST = 20.0
-LINK_WAIT_S = 1.0
-UNREACHABLE_BACKOFF_S = 1.0
-ERROR_STATUS = 500
+MAX_REFUSALS = 3  # A refusal costs one hop; more than three rarely find room in time.
+
+
+def _no_service() -> str:
+    return ""
 
 
 class Entry:
@@ -71,7 +72,7 @@
     ----------
     in_force : InForce
         Bundle in force.
-    engine : MoveEngine
+    splits : SplitSource
         Split of each service between releases.
     members : Members
         Members of the mesh.
@@ -89,12 +90,20 @@
         Wall clock of the process.
     rng : random.Random
         Random choices.
+    dialect : Dialect
+        Header names of callers and backend servers.
+    policy : PathPolicy
+        How answers are treated.
+    retry_budget : RetryLimit, optional
+        Bound on retries; a ``RetryBudget`` by default.
+    caller_service : callable
+        Returns the service on this VM, which is told to backend servers.
     """
 
     def __init__(
         self,
         in_force: InForce,
-        engine: MoveEngine,
+        splits: SplitSource,
         members: Members,
         traffic: LinkPool,
         owner: Owner,
@@ -103,20 +112,30 @@
         log: EventLog,
         clock: Clock,
         rng: random.Random,
+        dialect: Dialect = OWN_DIALECT,
+        policy: PathPolicy = STREAMING_POLICY,
+        retry_budget: RetryLimit | None = None,
+        caller_service: Callable[[], str] = _no_service,
     ) -> None:
         self.metrics = RouteMetrics()
         self.tables = CandidateTables(members)
+        self.retry_budget: RetryLimit = retry_budget or RetryBudget(
+            RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST
+        )
         self._routes: RouteTable | None = None
-        self._engine = engine
+        self._splits = splits
         self._members = members
-        self._traffic = traffic
-        self._owner = owner
         self._chooser = chooser
         self._sink = sink
         self._clock = clock
         self._rng = rng
-        self.retry_budget = RetryBudget(RETRY_SHARE, RETRY_FLOOR_PER_S, RETRY_BURST)
+        self._dialect = dialect
+        self._own_headers = dialect.own_request_headers
+        self._policy = policy
+        self._caller_service = caller_service
+        self._spreads: dict[str, Spread] = {}
         self._failures = FailureLog(log)
+        self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
         in_force.on_swap(self._take_bundle)
 
     def _take_bundle(self, bundle: Bundle) -> None:
@@ -145,7 +164,7 @@
             outcome = outcome_of(exc)
             self._failures.emit(req, call, outcome, exc, trio.current_time())
             if not responder.started:
-                await send_refusal(responder, exc)
+                await send_refusal(responder, exc, self._rng.random())
         if call is not None:
             self._measure(call, outcome, started)
 
@@ -156,33 +175,41 @@
             raise NotRunError(
                 "too few members are heard", ResultCode.REQUEST_NOT_RUN_FENCED
             )
-        entry = self._find_route(req.target, internal)
-        split = self._engine.split(entry.service.name, entry.service.release)
+        entry = self._find_route(req, internal)
+        service = entry.service
+        if entry.parts is not None:
+            service = entry.service_at(self._spread_of(entry.route.name).next())
+        split = self._splits.split(service.name, service.release)
         timeout_ms = entry.route.timeout_ms
-        given_ms = parse_deadline_ms(req.header(DEADLINE_HEADER))
+        given_ms = parse_deadline_ms(req.header(self._dialect.deadline))
         if given_ms is not None:
             timeout_ms = min(timeout_ms, given_ms)
         if timeout_ms <= 0:
             raise NotRunError(
                 "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
             )
+        now = trio.current_time()
+        objective_ms = entry.route.objective_ms
         return Call(
             req,
             responder,
             entry,
+            service,
             split,
             self._pick_release(req, entry, split),
             self._request_id(req, internal),
-            request_block(req.headers),
-            trio.current_time() + timeout_ms / 1000,
+            request_block(req.headers, self._own_headers),
+            now + timeout_ms / 1000,
+            now + objective_ms / 1000 if objective_ms else 0.0,
+            self._caller_service(),
         )
 
-    def _find_route(self, target: bytes, internal: bool) -> RouteEntry:
+    def _find_route(self, req: HttpRequest, internal: bool) -> RouteEntry:
         if self._routes is None:
             raise NotRunError(
                 "no bundle in force", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
             )
-        entry = self._routes.find(target)
+        entry = self._routes.find(req.target, req.header(b"host") or b"")
         if entry is None:
             raise NotRunError("no route", ResultCode.REQUEST_NOT_RUN_NO_ROUTE)
         if entry.service.internal and not internal:
@@ -203,14 +230,24 @@
             if value is not None:
                 point = sticky_point(split.move_id, value)
         if point is None:
-            point = self._rng.random()
+            point = self._spread_of(f"{split.move_id}/{entry.route.name}").next()
         return split.new_release if point < split.share else split.old_release
 
+    def _spread_of(self, key: str) -> Spread:
+        spread = self._spreads.get(key)
+        if spread is None:
+            spread = self._spreads[key] = Spread(self._rng.random())
+        return spread
+
     def _request_id(self, req: HttpRequest, internal: bool) -> str:
-        given = req.header(REQUEST_ID_HEADER) if internal else None
+        given = None
+        if internal or self._dialect.keeps_given_id:
+            given = req.header(self._dialect.request_id)
         if given:
             return given.decode("latin-1")
-        return f"{self._rng.getrandbits(64):016x}"
+        return (
+            "" if self._dialect.keeps_given_id else f"{self._rng.getrandbits(64):016x}"
+        )
 
     async def _run_call(self, call: Call) -> None:
         with trio.CancelScope(deadline=call.deadline) as scope:
@@ -220,6 +257,9 @@
             return
         if call.req.caller_gone:
             raise CallerGoneError("caller closed the connection")
+        if call.held is not None and not call.responder.started:
+            await self._pass_held(call)
+            return
         if call.maybe_run:
             raise RequestError(
                 "no whole answer before the deadline",
@@ -230,34 +270,59 @@
         )
 
     async def _try_until_done(self, call: Call) -> None:
-        self.retry_budget.add_request()
+        service = call.service.name
+        self.retry_budget.add_request(trio.current_time(), service)
         while True:
-            target, candidates = self._choose(call)
             call.tries += 1
+            call.holds_failures = self._may_hold_failure(call)
             try:
-                await self._try_once(call, target, candidates)
-                return
+                target, candidates = self._choose(call)
+                await self._dispatcher.try_once(call, target, candidates)
+                call.sends += 1
             except (RequestError, PeerError, AuthError) as exc:
                 if not isinstance(exc, NotRunError):
                     call.maybe_run = True
                 if not self._may_retry(call, exc, trio.current_time()):
-                    raise truthful(call, exc) from exc
+                    if call.held is None:
+                        raise truthful(call, exc) from exc
+                    await self._pass_held(call)
+                    return
+            else:
+                if call.held is None:
+                    return
+                call.maybe_run = True
+                if not self.retry_budget.take_retry(trio.current_time(), service):
+                    await self._pass_held(call)
+                    return
             call.body.rewind()
 
+    def _may_hold_failure(self, call: Call) -> bool:
+        return (
+            self._policy.retry_errors
+            and call.idempotent
+            and call.held is None
+            and call.sends + 1 < call.entry.route.max_attempts
+        )
+
+    async def _pass_held(self, call: Call) -> None:
+        """Pass on a backend server's failure that no other try made up for."""
+        assert call.held is not None
+        call.holds_failures = False
+        head, body = call.held
+        await call.send_whole(head, body)
+
     def _choose(self, call: Call) -> tuple[Target, Candidates]:
         now = trio.current_time()
         now_ms = self._clock.now_ms()
-        service = call.entry.service.name
+        service = call.service.name
+        wish = Wish(call.entry.route.name, max(0.0, call.objective - now))
         candidates = self.tables.find(service, call.release, now)
-        target = self._chooser.choose(candidates, call.tried, now, now_ms)
+        target = self._chooser.choose(candidates, call.tried, now, now_ms, wish)
         if target is None and self._fall_back(call, now_ms):
             candidates = self.tables.find(service, call.release, now)
-            target = self._chooser.choose(candidates, call.tried, now, now_ms)
+            target = self._chooser.choose(candidates, call.tried, now, now_ms, wish)
         if target is None:
-            raise truthful(
-                call,
-                NotRunError(f"no backend server of {service!r} {call.release!r}"),
-            )
+            raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.tried.add(target)
         return target, candidates
 
@@ -266,93 +331,20 @@
         split = call.split
         if call.tried or split.share >= 1.0 or call.release == split.old_release:
             return False
-        self._record(call, Outcome.NOT_RUN, 0.0, False, now_ms)
+        self._sink.record(
+            call.entry.route.name,
+            call.service.name,
+            call.release,
+            split.move_id,
+            Outcome.NOT_RUN,
+            0.0,
+            0,
+            False,
+            now_ms,
+        )
         call.release = split.old_release
         return True
 
-    async def _try_once(
-        self, call: Call, target: Target, candidates: Candidates
-    ) -> None:
-        started = time.perf_counter()
-        outcome = Outcome.UNKNOWN
-        target.in_flight += 1
-        try:
-            head = call.head_for(target, trio.current_time())
-            if target.member.name == self._members.local.name:
-                call.maybe_run, before = True, call.maybe_run
-                try:
-                    await self._owner.execute(head, call)
-                except NotRunError:
-                    call.maybe_run = before
-                    raise
-            else:
-                await self._try_remote(call, target, head)
-            assert call.answer is not None
-            error = call.answer.status >= ERROR_STATUS
-            outcome = Outcome.ERROR if error else Outcome.OK
-        except trio.Cancelled:
-            if call.req.caller_gone:
-                outcome = Outcome.CANCELLED
-            raise
-        except (RequestError, PeerError, AuthError) as exc:
-            outcome = outcome_of(exc)
-            if isinstance(exc, NotRunError):
-                self._take_refusal(target, exc)
-            raise
-        finally:
-            target.in_flight -= 1
-            latency_ms = (time.perf_counter() - started) * 1000
-            self._observe(call, target, candidates, outcome, latency_ms)
-
-    async def _try_remote(self, call: Call, target: Target, head: RequestHead) -> None:
-        link = self._traffic.live(target.member.name)
-        if link is None:
-            link = await self._open_link(target)
-        body = call.body.take_whole()
-        encoded = ENCODER.encode(head)
-        try:
-            stream = link.open_stream(encoded, body)
-        except PeerError as exc:
-            raise self._unreachable(target) from exc
-        call.maybe_run, before = True, call.maybe_run
-        call.link_bytes = len(encoded) + len(body or b"")
-        try:
-            if body is not None:
-                await call.pass_answer(stream)
-            else:
-                await send_and_receive(
-                    lambda: call.send_body(stream), lambda: call.pass_answer(stream)
-                )
-        except NotRunError:
-            call.maybe_run = before
-            stream.reset(ResultCode.REQUEST_CANCELLED)
-            raise
-        except BaseException:
-            stream.reset(ResultCode.REQUEST_CANCELLED)
-            raise
-        finally:
-            link.forget_stream(stream)
-            now = trio.current_time()
-            self._chooser.charge_link(target, call.link_bytes, now)
-
-    async def _open_link(self, target: Target) -> Link:
-        with trio.move_on_after(LINK_WAIT_S):
-            try:
-                return await self._traffic.get(target.member.name)
-            except (PeerError, AuthError) as exc:
-                raise self._unreachable(target) from exc
-        raise self._unreachable(target)
-
-    def _unreachable(self, target: Target) -> NotRunError:
-        target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
-        return NotRunError(f"{target.member.name} cannot be reached")
-
-    def _take_refusal(self, target: Target, exc: NotRunError) -> None:
-        if exc.code in SHED_CODES:
-            target.take_busy(trio.current_time())
-        elif exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
-            target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
-
     def _may_retry(self, call: Call, exc: MarigoldchuteError, now: float) -> bool:
         if call.responder.started or not call.body.rewindable:
             return False
@@ -360,48 +352,25 @@
             return False
         if call.maybe_run and not call.idempotent:
             return False
-        if call.tries >= call.entry.route.max_attempts or now >= call.deadline:
+        if now >= call.deadline:
             return False
-        if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
-            return True  # A planned stop is no sign of overload.
-        return self.retry_budget.take_retry(now)
-
-    def _observe(
-        self,
-        call: Call,
-        target: Target,
-        candidates: Candidates,
-        outcome: Outcome,
-        latency_ms: float,
-    ) -> None:
-        now_ms = self._clock.now_ms()
-        if outcome in (Outcome.OK, Outcome.ERROR):
-            target.take_answer(latency_ms, outcome is Outcome.ERROR)
-        if outcome in (Outcome.UNKNOWN, Outcome.NOT_RUN):
-            target.take_failure()
-        if outcome is not Outcome.OK:
-            self._chooser.take_failure(target, candidates, trio.current_time())
-        self._record(call, outcome, latency_ms, target.is_cold(now_ms), now_ms)
-
-    def _record(
-        self, call: Call, outcome: Outcome, latency_ms: float, cold: bool, now_ms: int
-    ) -> None:
-        self._sink.record(
-            call.entry.route.name,
-            call.entry.service.name,
-            call.release,
-            call.split.move_id,
-            outcome,
-            latency_ms,
-            call.answer.load_level if call.answer is not None else 0,
-            cold,
-            now_ms,
-        )
+        arrived = True
+        if isinstance(exc, NotRunError):
+            call.refusals += 1
+            arrived = exc.code is ResultCode.REQUEST_NOT_RUN_REFUSED
+            if call.refusals >= MAX_REFUSALS:
+                return False
+        if not arrived:
+            return True  # Only what reaches a backend server counts as a repeat.
+        call.sends += 1
+        if call.sends >= call.entry.route.max_attempts:
+            return False
+        return self.retry_budget.take_retry(now, call.service.name)
 
     def _measure(self, call: Call, outcome: Outcome, started: float) -> None:
         total_us = int((time.perf_counter() - started) * 1_000_000)
         if call.answer is not None:
             total_us -= call.answer.backend_us
-            if outcome is Outcome.OK and call.answer.status >= ERROR_STATUS:
+            if outcome is Outcome.OK and call.answer.status >= 500:
                 outcome = Outcome.ERROR
         self.metrics.record(call.entry.route.name, outcome.value, total_us)
--- a/marigoldchute/routing/headers.py
+++ b/marigoldchute/routing/headers.py
@@ -4,14 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from marigoldchute.routing.dialect import OWN_DIALECT
+
 if TYPE_CHECKING:
     from marigoldchute.routing.messages import HeaderList
 
-DEADLINE_HEADER = b"marigoldchute-deadline-ms"
-REQUEST_ID_HEADER = b"marigoldchute-request-id"
 CODE_HEADER = b"marigoldchute-code"
 OUTCOME_HEADER = b"marigoldchute-outcome"
-NOT_RUN_HEADER = b"marigoldchute-not-run"
 
 HOP_HEADERS = frozenset(
     {
@@ -27,25 +26,28 @@
         b"proxy-connection",
     }
 )
-_OWN_REQUEST_HEADERS = frozenset({DEADLINE_HEADER, REQUEST_ID_HEADER})
-_DROPPED = HOP_HEADERS | _OWN_REQUEST_HEADERS
 _NEVER_NOMINATED = frozenset({b"content-length", b"host", b"close", b"keep-alive"})
 
 
-def request_block(headers: HeaderList) -> bytes:
+def request_block(
+    headers: HeaderList,
+    own_headers: frozenset[bytes] = OWN_DIALECT.own_request_headers,
+) -> bytes:
     """Encode the end-to-end headers of a request.
 
     Parameters
     ----------
     headers : list of (bytes, bytes)
         Lower-case names and values as received.
+    own_headers : frozenset of bytes
+        Names that the mesh sets itself.
 
     Returns
     -------
     bytes
         Header lines, each ended by CR LF.
     """
-    dropped = _DROPPED
+    dropped = HOP_HEADERS | own_headers
     for name, value in headers:
         if name == b"connection":
             dropped = dropped | _nominated(value)
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -223,6 +223,7 @@
         self._reading = HttpRequest(self)
         self._head_bytes = 0
         self._in_head = True
+        self.max_head_bytes = MAX_HEAD_BYTES
         self._head_error: RequestError | None = None
         self._error: RequestError | None = None
 
@@ -306,7 +307,7 @@
             )
         if self._head_error is not None:
             self._error = self._head_error
-        elif self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+        elif self._in_head and self._head_bytes > self.max_head_bytes:
             self._error = RequestError(
                 "head is too large", ResultCode.REQUEST_TOO_LARGE
             )
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -4,7 +4,7 @@
 
 import select
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -17,8 +17,12 @@
 )
 from marigoldchute.util.tcp import TcpConn, serve_tcp
 
+if TYPE_CHECKING:
+    from marigoldchute.bundle.model import CallerLimits
+
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
+IDLE_MARGIN_S = 0.5  # A request that crosses the close would be lost.
 LINGER_S = 1.0
 LINGER_BYTES = 262_144
 WATCH_INTERVAL_S = 0.05
@@ -79,6 +83,7 @@
         self._conns: set[_CallerConn] = set()
         self._close_listener: Callable[[], None] | None = None
         self._draining = False
+        self.limits: CallerLimits | None = None
         self.last_request_at = 0.0
         self.max_connections = 0
 
@@ -158,10 +163,15 @@
 
     async def _read_head(self, conn: _CallerConn) -> None:
         now = trio.current_time()
-        conn.expires_at = now + IDLE_TIMEOUT_S
+        head_s, idle_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
+        if self.limits is not None:
+            conn.parser.max_head_bytes = self.limits.head_bytes
+            head_s = self.limits.head_timeout_ms / 1000
+            idle_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        conn.expires_at = now + idle_s
         while not conn.parser.requests:
             await conn.parser.read_more()
-            conn.expires_at = min(conn.expires_at, trio.current_time() + HEAD_TIMEOUT_S)
+            conn.expires_at = min(conn.expires_at, trio.current_time() + head_s)
 
     async def _answer(self, conn: _CallerConn, req: HttpRequest) -> bool:
         """Answer a request; return whether the connection can serve another."""
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -32,6 +32,10 @@
         Whether body data follows.
     chunked : bool
         Whether the body goes to the backend server in chunks.
+    caller_service : str
+        Service on whose VM the request began; empty when it is not told.
+    objective_ms : int
+        Time left in which an answer has its full worth; 0 when none is stated.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     idempotent: bool
     has_body: bool
     chunked: bool
+    caller_service: str = ""
+    objective_ms: int = 0
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
@@ -67,6 +73,10 @@
     backend_us : int
         Time from the last byte written to the backend server to its answer's head,
         in microseconds.
+    load : int
+        Requests that ran or waited at the backend server when it answered.
+    retry_after_ms : int
+        Time after which a refused request may find room; 0 when it is not known.
     """
 
     status: int
@@ -75,6 +85,8 @@
     code: int = 0
     load_level: int = 0
     backend_us: int = 0
+    load: int = 0
+    retry_after_ms: int = 0
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(RequestHead)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -18,9 +18,11 @@
 from marigoldchute.routing.admission import AdmissionGate
 from marigoldchute.routing.backend_conn import BackendConnPool
 from marigoldchute.routing.backend_response import BackendResponse
+from marigoldchute.routing.dialect import OWN_DIALECT, Dialect
 from marigoldchute.routing.duplex import send_and_receive
 from marigoldchute.routing.exchange import StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
+from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
 
 if TYPE_CHECKING:
     from marigoldchute.link.stream import Stream
@@ -48,9 +50,9 @@
 class OwnedServer:
     """One backend server of this VM with its slots and connections."""
 
-    def __init__(self, server: BackendServer, address: str) -> None:
+    def __init__(self, server: BackendServer, address: str, adaptive: bool) -> None:
         self.server = server
-        self.gate = AdmissionGate(server)
+        self.gate = AdmissionGate(server, adaptive)
         self.pool = BackendConnPool(address, server.port)
 
     def update(self, server: BackendServer) -> None:
@@ -70,11 +72,23 @@
         Announced backend servers.
     address : str
         IP number of the VM.
+    dialect : Dialect
+        Header names of the backend servers.
+    policy : PathPolicy
+        How answers and load are treated.
     """
 
-    def __init__(self, servers: LocalServers, address: str) -> None:
+    def __init__(
+        self,
+        servers: LocalServers,
+        address: str,
+        dialect: Dialect = OWN_DIALECT,
+        policy: PathPolicy = STREAMING_POLICY,
+    ) -> None:
         self._servers = servers
         self._address = address
+        self._dialect = dialect
+        self._policy = policy
         self._owned: dict[str, OwnedServer] = {}
         self._member: Member | None = None
         self._draining = False
@@ -131,7 +145,13 @@
             if scope.cancelled_caught:
                 stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE)
         except NotRunError as exc:
-            refusal = ResponseHead(503, code=exc.code)
+            owned = self._find(head.server_id)
+            refusal = ResponseHead(
+                503,
+                code=exc.code,
+                load=owned.gate.load if owned is not None else 0,
+                retry_after_ms=int(exc.retry_after_s * 1000),
+            )
             await stream.send_whole(ENCODER.encode(refusal), b"")
         except PeerError:
             stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN)
@@ -160,17 +180,27 @@
         remaining_ms = head.remaining_ms
         if not gate.try_enter():
             entered_at = trio.current_time()
-            await gate.enter(head.priority, remaining_ms / 1000)
+            await gate.enter(
+                head.priority, remaining_ms / 1000, head.objective_ms / 1000
+            )
             waited_ms = int((trio.current_time() - entered_at) * 1000)
             remaining_ms = max(1, remaining_ms - waited_ms)
-        load_level = gate.load_level
         running = gate.running
         try:
             conn = await owned.pool.take(head.idempotent, server.connections)
         except BaseException:
             gate.leave()
             raise
-        run = _Run(head, exchange, conn, load_level, remaining_ms)
+        run = _Run(
+            head,
+            exchange,
+            conn,
+            remaining_ms,
+            server.instance,
+            gate,
+            self._dialect,
+            self._policy,
+        )
         try:
             await run.execute()
         except BaseException as exc:
@@ -179,6 +209,7 @@
         now = trio.current_time()
         gate.take_sample(run.run_s, running, now)
         if run.reusable and not gate.draining:
+            conn.limit_idle(run.keep_alive_s)
             owned.pool.give_back(conn, now)
         else:
             owned.pool.discard(conn)
@@ -222,7 +253,9 @@
         for server_id, server in announced.items():
             owned = self._owned.get(server_id)
             if owned is None:
-                owned = self._owned[server_id] = OwnedServer(server, self._address)
+                adaptive = self._policy.adaptive_limit
+                owned = OwnedServer(server, self._address, adaptive)
+                self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
             if self._draining:
@@ -244,8 +277,11 @@
         head: RequestHead,
         exchange: Exchange,
         conn: BackendConn,
-        load_level: int,
         remaining_ms: int,
+        instance: str,
+        gate: AdmissionGate,
+        dialect: Dialect,
+        policy: PathPolicy,
     ) -> None:
         self.conn = conn
         self.run_s = 0.0
@@ -255,10 +291,22 @@
         self.refused = False
         self._head = head
         self._exchange = exchange
-        self._load_level = load_level
+        self._load_level = gate.load_level
         self._remaining_ms = remaining_ms
+        self._instance = instance
+        self._gate = gate
+        self._dialect = dialect
+        self._policy = policy
         self._sent_at = 0.0
-        self._response = BackendResponse(head.method == b"HEAD")
+        self._request_id = head.request_id.encode("latin-1")
+        self._response = BackendResponse(
+            head.method == b"HEAD", dialect, self._request_id
+        )
+
+    @property
+    def keep_alive_s(self) -> float | None:
+        """Time for which the backend server says that it keeps the connection."""
+        return self._response.keep_alive_s
 
     async def execute(self) -> None:
         """Write the request and pass the answer on."""
@@ -282,18 +330,23 @@
 
     def _request_bytes(self) -> bytes:
         head = self._head
+        dialect = self._dialect
         framing = b"transfer-encoding: chunked\r\n" if head.chunked else b""
-        return (
-            b"%s %s HTTP/1.1\r\n%s%smarigoldchute-deadline-ms: %d\r\n"
-            b"marigoldchute-request-id: %s\r\n\r\n"
-            % (
-                head.method,
-                head.target,
-                head.header_block,
-                framing,
-                self._remaining_ms,
-                head.request_id.encode("latin-1"),
-            )
+        own = b"%s: %d\r\n" % (dialect.deadline, self._remaining_ms)
+        if self._request_id:
+            own += b"%s: %s\r\n" % (dialect.request_id, self._request_id)
+        if dialect.expected_server and self._instance:
+            instance = self._instance.encode("latin-1")
+            own += b"%s: %s\r\n" % (dialect.expected_server, instance)
+        if dialect.caller_service and head.caller_service:
+            service = head.caller_service.encode("latin-1")
+            own += b"%s: %s\r\n" % (dialect.caller_service, service)
+        return b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
+            head.method,
+            head.target,
+            head.header_block,
+            framing,
+            own,
         )
 
     async def _send_first(self, data: bytes) -> None:
@@ -330,6 +383,9 @@
                 "backend server refused the request",
                 ResultCode.REQUEST_NOT_RUN_REFUSED,
             )
+        if 0 <= response.length <= self._policy.gather_bytes or response.is_unframed:
+            while not response.complete:
+                await self._read_more()
         head = ResponseHead(
             response.status,
             response.header_block,
@@ -337,6 +393,7 @@
             0,
             self._load_level,
             int((answered_at - self._sent_at) * 1_000_000),
+            self._gate.load,
         )
         exchange = self._exchange
         if response.complete:
--- a/marigoldchute/routing/refusal.py
+++ b/marigoldchute/routing/refusal.py
@@ -30,14 +30,35 @@
 )
 
 
-async def send_refusal(responder: HttpResponder, exc: MarigoldchuteError) -> None:
-    """Answer with the code, and whether the request certainly did not run."""
+DEFAULT_RETRY_AFTER_S = 0.25  # About a request's run time, when no wait is known.
+MAX_RETRY_AFTER_S = 2.0
+
+
+async def send_refusal(
+    responder: HttpResponder, exc: MarigoldchuteError, spread: float
+) -> None:
+    """Answer with the code, and whether the request certainly did not run.
+
+    Parameters
+    ----------
+    responder : HttpResponder
+        Takes the answer.
+    exc : MarigoldchuteError
+        Why the request is not answered.
+    spread : float
+        Random number in [0, 1) that keeps callers from coming back all at once.
+    """
     not_run = isinstance(exc, NotRunError)
     status = _STATUSES.get(exc.code, STATUS_NOT_RUN if not_run else STATUS_UNKNOWN)
     if exc.code in CALLER_FAULTS:
         responder.keep_alive = False
     body = f"{exc}\n".encode()
-    block = (
+    retry_after = b""
+    if status == STATUS_NOT_RUN and isinstance(exc, NotRunError):
+        wait_s = exc.retry_after_s or DEFAULT_RETRY_AFTER_S
+        wait_s = min(MAX_RETRY_AFTER_S, wait_s * (1.0 + spread))
+        retry_after = b"retry-after: %.2f\r\n" % wait_s
+    block = retry_after + (
         b"content-type: text/plain\r\ncontent-length: %d\r\n%s: %d\r\n%s: %s\r\n"
         % (
             len(body),
--- a/marigoldchute/routing/route_table.py
+++ b/marigoldchute/routing/route_table.py
@@ -1,4 +1,4 @@
-"""Routes of a bundle, prepared for lookup by path."""
+"""Routes of a bundle, prepared for lookup by host and path."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldchute.bundle.model import Route, Service
+from marigoldchute.routing.spread import WeightedChoice
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import Bundle
@@ -17,9 +18,20 @@
 
     route: Route
     service: Service
+    parts: WeightedChoice[Service] | None
     idempotent_methods: frozenset[bytes]
     sticky_header: bytes
 
+    def may_repeat(self, method: bytes) -> bool:
+        """Whether a request may run more than once."""
+        if self.route.repeatable is not None:
+            return self.route.repeatable
+        return method in self.idempotent_methods
+
+    def service_at(self, point: float) -> Service:
+        """Return the service that takes a point in [0, 1) of the requests."""
+        return self.service if self.parts is None else self.parts.at(point)
+
 
 class RouteTable:
     """Longest-prefix lookup: one look in a map for each length of a prefix.
@@ -33,24 +45,54 @@
     def __init__(self, bundle: Bundle) -> None:
         self.version = bundle.version
         services = {service.name: service for service in bundle.content.services}
-        self._by_prefix = {
-            route.path_prefix.encode(): _entry(route, services[route.service])
-            for route in bundle.content.routes
-        }
-        lengths = {len(prefix) for prefix in self._by_prefix}
-        self._lengths = tuple(sorted(lengths, reverse=True))
+        by_host: dict[bytes, dict[bytes, RouteEntry]] = {}
+        for route in bundle.content.routes:
+            prefixes = by_host.setdefault(route.host.lower().encode(), {})
+            prefixes[route.path_prefix.encode()] = _entry(route, services)
+        self._by_host = {host: _Prefixes(found) for host, found in by_host.items()}
+        self._any_host = self._by_host.get(b"")
 
-    def find(self, target: bytes) -> RouteEntry | None:
-        """Return the entry with the longest prefix of a request target."""
+    def find(self, target: bytes, host: bytes = b"") -> RouteEntry | None:
+        """Return the entry with the longest prefix of a request target.
+
+        Parameters
+        ----------
+        target : bytes
+            Request target; a query is no part of the path.
+        host : bytes
+            Value of the Host header, with or without a port.
+        """
         path = target.partition(b"?")[0]
-        by_prefix = self._by_prefix
+        prefixes = self._by_host.get(host.partition(b":")[0].lower())
+        found = prefixes.find(path) if prefixes is not None else None
+        if found is None and self._any_host is not None:
+            found = self._any_host.find(path)
+        return found
+
+
+class _Prefixes:
+    """The routes of one host."""
+
+    def __init__(self, by_prefix: dict[bytes, RouteEntry]) -> None:
+        self._by_prefix = by_prefix
+        lengths = {len(prefix) for prefix in by_prefix}
+        self._lengths = tuple(sorted(lengths, reverse=True))
+
+    def find(self, path: bytes) -> RouteEntry | None:
         for length in self._lengths:
-            entry = by_prefix.get(path[:length])
+            entry = self._by_prefix.get(path[:length])
             if entry is not None:
                 return entry
         return None
 
 
-def _entry(route: Route, service: Service) -> RouteEntry:
+def _entry(route: Route, services: dict[str, Service]) -> RouteEntry:
     methods = frozenset(method.encode() for method in route.idempotent_methods)
-    return RouteEntry(route, service, methods, route.sticky_header.lower().encode())
+    parts = None
+    if route.parts:
+        parts = WeightedChoice(
+            [services[part.service] for part in route.parts],
+            [part.weight for part in route.parts],
+        )
+    sticky = route.sticky_header.lower().encode()
+    return RouteEntry(route, services[route.service], parts, methods, sticky)
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -12,6 +12,9 @@
 BUSY_BACKOFF_S = 0.2
 SLOW_START_MS = 5000
 COLD_WEIGHT = 0.05
+LOAD_MEMORY_S = 1.0  # About the life of a request at the aimed-at latencies.
+SLOWNESS_WEIGHT = 0.1
+MAX_SLOWNESS_SAMPLE = 10.0
 EJECT_FAILURES = 3
 EJECT_ERROR_SHARE = 0.5
 EJECT_MIN_SAMPLES = 20
@@ -39,8 +42,12 @@
         "error_share",
         "in_flight",
         "latency_ms",
+        "load",
+        "load_at",
         "member",
+        "own_load",
         "server",
+        "slowness",
     )
 
     def __init__(self, member: Member, server: BackendServer) -> None:
@@ -48,6 +55,10 @@
         self.server = server
         self.in_flight = 0
         self.latency_ms: float | None = None
+        self.slowness = 1.0
+        self.load = 0
+        self.own_load = 0
+        self.load_at = float("-inf")
         self.error_share = 0.0
         self.busy_until = 0.0
         self.ejected_until = 0.0
@@ -95,6 +106,27 @@
         if not is_error and self.ejections and self.error_share < ERROR_WEIGHT:
             self.ejections = 0
 
+    def take_load(self, load: int, now: float) -> None:
+        """Take the number of requests that the owner says run or wait there."""
+        self.load = load
+        self.own_load = self.in_flight
+        self.load_at = now
+
+    def expected_load(self, now: float) -> float:
+        """Return how many requests are expected to run or wait there now.
+
+        What other nodes have there is known from the last answer and believed less
+        with its age; what this node has there is known exactly.
+        """
+        others = max(0, self.load - self.own_load)
+        age_s = now - self.load_at
+        return self.in_flight + others * max(0.0, 1.0 - age_s / LOAD_MEMORY_S)
+
+    def take_slowness(self, ratio: float) -> None:
+        """Take the run time of an answer as a ratio to its route's usual one."""
+        bounded = min(ratio, MAX_SLOWNESS_SAMPLE)
+        self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
+
     def take_busy(self, now: float) -> None:
         """Take note of a refusal for lack of capacity."""
         self.busy_until = now + BUSY_BACKOFF_S
@@ -103,10 +135,20 @@
         """Take note of a try that ended without an answer."""
         self._failures += 1
 
+    @property
+    def samples(self) -> int:
+        """Answers since the start or the last ejection."""
+        return self._samples
+
+    @property
+    def fails_in_a_row(self) -> bool:
+        """Whether the last ``EJECT_FAILURES`` tries or more had no answer."""
+        return self._failures >= EJECT_FAILURES
+
     @property
     def is_outlier(self) -> bool:
         """Whether it fails so often that it should be ejected."""
-        if self._failures >= EJECT_FAILURES:
+        if self.fails_in_a_row:
             return True
         return (
             self._samples >= EJECT_MIN_SAMPLES and self.error_share > EJECT_ERROR_SHARE
--- a/marigoldchute/standins/backend.py
+++ b/marigoldchute/standins/backend.py
@@ -14,7 +14,7 @@
 
 from marigoldchute.errors import RequestError
 from marigoldchute.membership.announcement import ANNOUNCE_TARGET, Announcement
-from marigoldchute.routing.headers import DEADLINE_HEADER
+from marigoldchute.routing.dialect import OWN_DIALECT
 from marigoldchute.routing.http_server import HttpEdge
 from marigoldchute.standins.backend_faults import (
     FAULTS_TARGET,
@@ -168,7 +168,7 @@
     async def _call_deeper(self, req: HttpRequest, depth: int) -> int:
         """Call the same path through the node of this VM; return the status."""
         settings = self._settings
-        deadline_ms = req.header(DEADLINE_HEADER) or b"1000"
+        deadline_ms = req.header(OWN_DIALECT.deadline) or b"1000"
         address, port = settings.address, settings.node_port
         async with httpcore.AsyncHTTPConnection(
             httpcore.Origin(b"http", address.encode(), port)
@@ -179,7 +179,7 @@
                 headers=[
                     (b"host", address.encode()),
                     (DEPTH_HEADER, str(depth).encode()),
-                    (DEADLINE_HEADER, deadline_ms),
+                    (OWN_DIALECT.deadline, deadline_ms),
                 ],
             )
         return response.status
--- a/tests/support/fake_store.py
+++ b/tests/support/fake_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from marigoldchute.errors import ConflictError, NotFoundError
-from marigoldchute.platform.api import StoredObject
+from marigoldchute.objectstore.api import StoredObject
 
 Step = Callable[["FakeStore", str, bytes], None]
 
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -8,8 +8,8 @@
 
 import trio
 
-from marigoldchute.config import StoreSettings
-from marigoldchute.platform.client import HttpObjectStore
+from marigoldchute.objectstore.client import HttpObjectStore
+from marigoldchute.objectstore.settings import StoreSettings
 from marigoldchute.standins.mesh import STORE_PORT, LoopbackBlock
 from marigoldchute.standins.store import Store, StoreApp
 from marigoldchute.util.asgi import serve_app
--- a/tests/test_distribution/test_fetch.py
+++ b/tests/test_distribution/test_fetch.py
@@ -25,7 +25,7 @@
 from marigoldchute.events import EventSink
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.methods import Method
-from marigoldchute.platform.api import StoredObject
+from marigoldchute.objectstore.api import StoredObject
 
 CHUNKS = [f"chunk {number}".encode() * 10 for number in range(20)]
 BY_DIGEST = {chunk_digest(chunk): chunk for chunk in CHUNKS}
--- a/tests/test_distribution/test_replicator.py
+++ b/tests/test_distribution/test_replicator.py
@@ -28,8 +28,8 @@
 from marigoldchute.errors import NotFoundError, PlatformError
 from marigoldchute.events import EventSink
 from marigoldchute.link.handlers import Handlers
+from marigoldchute.objectstore.api import StoredObject, WatchEvent
 from marigoldchute.overlay.records import Record, RecordKind, RecordTable
-from marigoldchute.platform.api import StoredObject, WatchEvent
 from tests.support.invariants import IN_FORCE, find_violations
 from tests.test_bundle.bundles import content
 
--- a/tests/test_distribution/test_store_faults.py
+++ b/tests/test_distribution/test_store_faults.py
@@ -9,11 +9,11 @@
 
 from marigoldchute.bundle.codec import decode_manifest, encode_manifest
 from marigoldchute.bundle.signing import generate_private_key, sign_manifest
-from marigoldchute.config import StoreSettings
 from marigoldchute.distribution.keys import bundle_key
 from marigoldchute.errors import MarigoldchuteError, ResultCode
-from marigoldchute.platform.api import CREATE_ONLY
-from marigoldchute.platform.client import HttpObjectStore
+from marigoldchute.objectstore.api import CREATE_ONLY
+from marigoldchute.objectstore.client import HttpObjectStore
+from marigoldchute.objectstore.settings import StoreSettings
 from marigoldchute.standins.mesh import STORE_PORT
 from marigoldchute.standins.store import READS_PER_S, StoreFaults
 from tests.support.rolls import TEST_LIMIT_S, WAIT_LIMIT_S, RollTestCase
--- a/tests/test_membership/test_gone_safety.py
+++ b/tests/test_membership/test_gone_safety.py
@@ -16,7 +16,7 @@
 from marigoldchute.membership.exchange import ContactExchange
 from marigoldchute.membership.model import Member, MemberState
 from marigoldchute.membership.silence import SilenceJudge
-from marigoldchute.platform.api import StoredObject
+from marigoldchute.objectstore.api import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/test_membership/test_seed_slots.py
+++ b/tests/test_membership/test_seed_slots.py
@@ -13,7 +13,7 @@
 from tests.support.fake_store import FakeStore
 
 if TYPE_CHECKING:
-    from marigoldchute.platform.api import StoredObject
+    from marigoldchute.objectstore.api import StoredObject
 
 
 class _CountingStore(FakeStore):
--- a/tests/test_platform/test_client.py
+++ b/tests/test_objectstore/test_client.py
@@ -14,9 +14,9 @@
     ResultCode,
     UnknownOutcomeError,
 )
-from marigoldchute.platform.api import CREATE_ONLY
-from marigoldchute.platform.client import HttpObjectStore
-from marigoldchute.platform.conditional import Creation, create_once
+from marigoldchute.objectstore.api import CREATE_ONLY
+from marigoldchute.objectstore.client import HttpObjectStore
+from marigoldchute.objectstore.conditional import Creation, create_once
 from marigoldchute.standins.store import READS_PER_S, Store, StoreFaults
 from tests.support.stores import served_store
 
--- a/tests/test_platform/test_conditional.py
+++ b/tests/test_objectstore/test_conditional.py
@@ -7,7 +7,7 @@
 import trio
 
 from marigoldchute.errors import PlatformError, UnknownOutcomeError
-from marigoldchute.platform.conditional import Creation, create_once
+from marigoldchute.objectstore.conditional import Creation, create_once
 from tests.support.fake_store import FakeStore
 
 KEY = "verdicts/turnos-r2"
--- a/tests/test_platform/test_limits.py
+++ b/tests/test_objectstore/test_limits.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from marigoldchute.errors import PlatformError, ResultCode
-from marigoldchute.platform.backoff import Backoff
-from marigoldchute.platform.budget import CallBudget
-from marigoldchute.platform.circuit import FAILURES_TO_OPEN, OPEN_MAX_S, Circuit
+from marigoldchute.objectstore.backoff import Backoff
+from marigoldchute.objectstore.budget import CallBudget
+from marigoldchute.objectstore.circuit import FAILURES_TO_OPEN, OPEN_MAX_S, Circuit
 
 
 class CallBudgetTest(unittest.TestCase):
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_objectstore/test_watch.py
@@ -12,8 +12,8 @@
 from hypothesis import strategies as st
 
 from marigoldchute.errors import CompactedError, PlatformError
-from marigoldchute.platform.messages import Item, Items
-from marigoldchute.platform.watch import RELIST_INTERVAL_S, Watch
+from marigoldchute.objectstore.messages import Item, Items
+from marigoldchute.objectstore.watch import RELIST_INTERVAL_S, Watch
 
 ACTIONS = st.sampled_from(["write", "delete", "fail", "compact", "past", "present"])
 
