Answer each try once, test orders on few answers, share links

The entry stops once an answer is sent; an unsent body ends its connection; failed and far slower answers count together in a likelihood ratio against the old release's own rate, over all answers and over the latest ones, without the window in which most failed.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -50,10 +50,12 @@
 
 # Nodes of a hosted mesh are alone on their network; the secret tells meshes apart.
 MESH_SECRET = b"marigoldchute hosted mesh"
-LINK_HEARTBEAT_MS = 400  # A link that misses three is given up, after 1.2 s.
+LINK_HEARTBEAT_MS = 500  # A link that misses three is given up, after 1.5 s.
 GATHER_BYTES = 262_144
 TICK_S = 0.25
 DRAIN_ACCEPT_S = 2.6  # Callers are led away after two missed questions, one a second.
+DRAIN_QUIET_S = 0.4
+DRAIN_RUN_S = 2.0  # Left of the grace for requests that were taken last.
 DRAIN_POLL_S = 0.05
 DRAIN_RESERVE_S = 0.7  # Left of the grace for the last messages.
 LEAVE_FLOOD_S = 0.05
@@ -136,8 +138,9 @@
         )
         self._overlay = Overlay(cfg.name, self._endpoint, handlers, table, rng)
         address_of = self.directory.address_of
-        self._control = LinkPool(self._endpoint, "control-call", address_of)
-        self._traffic = LinkPool(self._endpoint, "traffic", address_of)
+        shared = self._overlay.link_to
+        self._control = LinkPool(self._endpoint, "control-call", address_of, shared)
+        self._traffic = LinkPool(self._endpoint, "traffic", address_of, shared)
         self._registry = LocalRegistry(
             cfg.name,
             table,
@@ -257,6 +260,7 @@
         self._caller_edge.drain()
         with trio.move_on_at(started + self._cfg.bounds.grace_s - DRAIN_RESERVE_S):
             await trio.sleep(DRAIN_ACCEPT_S)
+            await self._wait_for_callers_to_leave(started)
             self._caller_edge.stop_accepting()
             while self._caller_edge.connections or self._owner.running:
                 await trio.sleep(DRAIN_POLL_S)
@@ -268,6 +272,15 @@
         await self._endpoint.flush()
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
+    async def _wait_for_callers_to_leave(self, started: float) -> None:
+        """Serve on while callers are still led here, as others may be out as well."""
+        last_s = self._cfg.bounds.grace_s - DRAIN_RUN_S
+        while trio.current_time() < started + last_s:
+            quiet_s = trio.current_time() - self._caller_edge.last_request_at
+            if quiet_s > DRAIN_QUIET_S:
+                return
+            await trio.sleep(DRAIN_POLL_S)
+
     async def _serve(
         self,
         edge: HttpEdge,
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -282,6 +282,7 @@
             self.close()
             raise PeerError(f"connection to the peer broke: {exc}") from exc
         self.bytes_sent += sent
+        self._sent_at = trio.current_time()
         if sent < len(frames):
             self._queue(frames[sent:])
 
--- a/marigoldchute/link/pool.py
+++ b/marigoldchute/link/pool.py
@@ -29,6 +29,9 @@
         ``control`` or ``traffic``.
     address_of : callable
         Returns the address and port of a member by name, or None.
+    shared : callable, optional
+        Returns a link to a member that is held for another purpose and can be used,
+        or None.
     """
 
     def __init__(
@@ -36,10 +39,12 @@
         endpoint: LinkEndpoint,
         purpose: str,
         address_of: Callable[[str], tuple[str, int] | None],
+        shared: Callable[[str], Link | None] | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._purpose = purpose
         self._address_of = address_of
+        self._shared = shared
         self._links: dict[str, Link] = {}
         self._locks: dict[str, trio.Lock] = {}
         self._used_at: dict[str, float] = {}
@@ -48,6 +53,9 @@
 
     def live(self, name: str) -> Link | None:
         """Return the open link to a member, if one is heard."""
+        link = self._shared(name) if self._shared is not None else None
+        if link is not None:
+            return link
         link = self._links.get(name)
         if link is None or not link.alive or link.suspect:
             return None
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -34,6 +34,7 @@
     from marigoldchute.util.clock import Clock
 
 TICK_S = 0.1
+IDLE_TICK_S = 0.5
 REPORT_S = 0.25
 REPORT_TIMEOUT_S = 0.5
 WRITE_PAUSE_S = 0.3
@@ -185,10 +186,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._report)
             while True:
-                await trio.sleep(TICK_S)
-                for state in self._book.states():
-                    if state.is_open:
-                        await self._advance(state)
+                open_orders = [s for s in self._book.states() if s.is_open]
+                for state in open_orders:
+                    await self._advance(state)
+                await trio.sleep(TICK_S if open_orders else IDLE_TICK_S)
 
     async def _advance(self, state: OrderState) -> None:
         now = trio.current_time()
@@ -198,7 +199,7 @@
         assert self.reader is not None
         if not self._duty.leads(self.reader.reads(now), now):
             return
-        fault = evidence.fault(state.share >= 1.0, now_ms)
+        fault = evidence.fault()
         if fault and not self._book.is_faulty(state):
             self._book.report_fault(state, fault)
         if self._book.is_faulty(state):
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -3,31 +3,30 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from marigoldchute.bundle.model import Thresholds
-from marigoldchute.moves.evidence import (
-    CellKey,
-    Counts,
-    MoveEvidence,
-    log_e_value,
-    worst_stream,
-)
-from marigoldchute.moves.sequential import log_threshold
 from marigoldchute.routing.outcomes import Outcome
 
 if TYPE_CHECKING:
     from marigoldchute.orders.book import OrderBook
     from marigoldchute.orders.model import OrderState
 
-SLOW_FACTOR = 3.0
+SLOW_FACTOR = 4.0
 USUAL_WEIGHT = 0.05
 MIN_USUAL_SAMPLES = 5
-# A faulty release fails a large part of its answers; backend servers that lose or spoil
-# a few in a hundred are no reason to take a release back.
-THRESHOLDS = Thresholds(max_error_increase=0.08, max_slow_increase=0.2)
+# A faulty release fails or delays a large part of its answers; backend servers that
+# lose or spoil a few in a hundred are no reason to take a release back.
+TOLERANCE = 0.06
+BAD_RATES = (0.3, 0.6)
+LOG_LIMIT = 7.0  # One false alarm in about 1,000 looks at independent answers.
+WINDOW_MS = 500
+MIN_WINDOWS = 3
+RECENT_WINDOWS = (4, 10)
+PRIOR_BAD = 0.2
+PRIOR_ANSWERED = 10.0
 LOCAL_MIN_FAILURES = 6
 LOCAL_MIN_SHARE = 0.25
 LOCAL_MIN_RATIO = 3.0
@@ -42,15 +41,15 @@
         Route name.
     new : bool
         Whether the order's target answered.
-    answered, errors, timed, slow : int
-        Answers, failures among them, answers whose time was judged, slow ones.
+    answered, failed, slow : int
+        Answers, those among them that failed, and others that took far longer than
+        usual.
     """
 
     route: str
     new: bool
     answered: int
-    errors: int
-    timed: int
+    failed: int
     slow: int
 
 
@@ -66,10 +65,18 @@
 @dataclasses.dataclass
 class _Cell:
     answered: int = 0
-    errors: int = 0
-    timed: int = 0
+    failed: int = 0
     slow: int = 0
 
+    @property
+    def bad(self) -> int:
+        return self.failed + self.slow
+
+    def add(self, other: _Cell) -> None:
+        self.answered += other.answered
+        self.failed += other.failed
+        self.slow += other.slow
+
 
 class _OrderCounts:
     """Counts of one order on this node."""
@@ -83,14 +90,12 @@
     ) -> None:
         cell = self.cells.setdefault((route, new), _Cell())
         cell.answered += 1
-        cell.errors += failed
-        if failed or cold:
-            return
         usual_ms, samples = self.usual_ms.get(route, (latency_ms, 0))
-        if samples >= MIN_USUAL_SAMPLES:
-            cell.timed += 1
-            cell.slow += latency_ms > SLOW_FACTOR * usual_ms
-        if not new:
+        known = samples >= MIN_USUAL_SAMPLES and not cold
+        slow = known and latency_ms > SLOW_FACTOR * usual_ms
+        cell.slow += slow
+        cell.failed += failed and not slow
+        if not (new or failed or cold):
             weight = max(USUAL_WEIGHT, 1.0 / (samples + 1))
             usual_ms += weight * (latency_ms - usual_ms)
             self.usual_ms[route] = (usual_ms, samples + 1)
@@ -102,29 +107,20 @@
             if not new:
                 continue
             old = self.cells.get((route, False), _Cell())
-            for what in ("errors", "slow"):
-                if _is_worse(cell, old, what):
-                    return f"route {route!r} has {getattr(cell, what)} {what}"
-            _add(new_all, cell)
-            _add(old_all, old)
-        if _is_worse(new_all, old_all, "errors"):
-            return f"{new_all.errors} of {new_all.answered} answers fail"
+            if _is_worse(cell, old):
+                return f"{cell.bad} of {cell.answered} answers are bad on {route!r}"
+            new_all.add(cell)
+            old_all.add(old)
+        if _is_worse(new_all, old_all):
+            return f"{new_all.bad} of {new_all.answered} answers are bad"
         return ""
 
 
-def _add(total: _Cell, cell: _Cell) -> None:
-    total.answered += cell.answered
-    total.errors += cell.errors
-
-
-def _is_worse(new: _Cell, old: _Cell, what: str) -> bool:
-    new_total = new.answered if what == "errors" else new.timed
-    old_total = old.answered if what == "errors" else old.timed
-    failures, before = getattr(new, what), getattr(old, what)
-    if failures < LOCAL_MIN_FAILURES:
+def _is_worse(new: _Cell, old: _Cell) -> bool:
+    if new.bad < LOCAL_MIN_FAILURES:
         return False
-    share = failures / max(1, new_total)
-    usual = (before + 0.5) / (old_total + 5.0)
+    share = new.bad / new.answered
+    usual = (old.bad + 0.5) / (old.answered + 5.0)
     return share >= LOCAL_MIN_SHARE and share >= LOCAL_MIN_RATIO * usual
 
 
@@ -177,7 +173,7 @@
         if counts is None:
             return []
         return [
-            RouteCounts(route, new, c.answered, c.errors, c.timed, c.slow)
+            RouteCounts(route, new, c.answered, c.failed, c.slow)
             for (route, new), c in counts.cells.items()
         ]
 
@@ -199,38 +195,88 @@
     def __init__(self, state: OrderState) -> None:
         self.order_id = state.order_id
         self.new_answers = 0
-        self._evidence = MoveEvidence(THRESHOLDS)
-        self._routes: dict[str, int] = {}
-        self._taken: dict[tuple[str, int, str, bool], Counts] = {}
-        self._limit = log_threshold(THRESHOLDS.false_alarm, 1)
+        self._routes: dict[str, RouteEvidence] = {}
+        self._taken: dict[tuple[str, int, str, bool], RouteCounts] = {}
 
     def take(self, report: NodeOutcomes, now_ms: int) -> None:
         """Take what a node has counted so far."""
         for counts in report.counts:
             key = (report.node, report.incarnation, counts.route, counts.new)
-            total = Counts(counts.answered, counts.errors, counts.timed, counts.slow)
-            added = total.minus(self._taken.get(key, Counts()))
+            before = self._taken.get(key)
+            added = _Cell(counts.answered, counts.failed, counts.slow)
+            if before is not None:
+                added.answered -= before.answered
+                added.failed -= before.failed
+                added.slow -= before.slow
             if added.answered <= 0:
                 continue
-            self._taken[key] = total
+            self._taken[key] = counts
+            evidence = self._routes.setdefault(counts.route, RouteEvidence())
+            evidence.add(counts.new, added, now_ms)
             if counts.new:
                 self.new_answers += added.answered
-            route = self._routes.setdefault(counts.route, len(self._routes))
-            self._evidence.add(CellKey(route, counts.new, 0), added, now_ms)
-
-    def fault(self, alone: bool, now_ms: int) -> str:
-        """Return why the target is faulty, empty while nothing says so.
-
-        Parameters
-        ----------
-        alone : bool
-            Whether the target takes all requests.
-        now_ms : int
-            Wall-clock time in milliseconds since the epoch.
+
+    def fault(self) -> str:
+        """Return why the target is faulty, empty while nothing says so."""
+        pooled = RouteEvidence()
+        for route, evidence in self._routes.items():
+            value = evidence.log_value()
+            if value > LOG_LIMIT:
+                return f"evidence {value:.1f} on route {route!r}"
+            pooled.merge(evidence)
+        value = pooled.log_value()
+        return f"evidence {value:.1f} over all routes" if value > LOG_LIMIT else ""
+
+
+class RouteEvidence:
+    """Answers of both releases on one route, those of the new one by window."""
+
+    def __init__(self) -> None:
+        self._old = _Cell()
+        self._windows: dict[int, _Cell] = {}
+
+    def add(self, new: bool, added: _Cell, now_ms: int) -> None:
+        """Add answers that were counted of late."""
+        if new:
+            self._windows.setdefault(now_ms // WINDOW_MS, _Cell()).add(added)
+        else:
+            self._old.add(added)
+
+    def merge(self, other: RouteEvidence) -> None:
+        """Add the answers of another route."""
+        self._old.add(other._old)
+        for window, cell in other._windows.items():
+            self._windows.setdefault(window, _Cell()).add(cell)
+
+    def log_value(self) -> float:
+        """Return the logarithm of the evidence that the new release is worse.
+
+        The greatest over all answers and over the latest windows alone, as a release
+        may turn bad late or under load.
         """
-        self._evidence.close_windows(now_ms, alone)
-        streams = self._evidence.streams()
-        value = log_e_value(streams)
-        if value > self._limit:
-            return f"evidence {value:.1f} at {worst_stream(streams)}"
-        return "more failures than before" if self._evidence.suspicious else ""
+        old = self._old
+        usual = (old.bad + PRIOR_BAD) / (old.answered + PRIOR_ANSWERED)
+        latest = [cell for _, cell in sorted(self._windows.items(), reverse=True)]
+        spans = {min(span, len(latest)) for span in (*RECENT_WINDOWS, len(latest))}
+        return max((_log_ratio(latest[:span], usual) for span in spans), default=0.0)
+
+
+def _log_ratio(windows: list[_Cell], usual: float) -> float:
+    """Return the log likelihood ratio of some worse rates to the tolerated one.
+
+    The window with the most failures does not count them: a backend server that dies
+    takes its running requests with it, all at once, and that convicts no release.
+    """
+    if len(windows) < MIN_WINDOWS:
+        return 0.0
+    sudden = max(cell.failed for cell in windows)
+    answered = sum(cell.answered for cell in windows) - sudden
+    bad = sum(cell.bad for cell in windows) - sudden
+    tolerated = min(0.9, usual + TOLERANCE)
+    values = [
+        bad * math.log(rate / tolerated)
+        + (answered - bad) * math.log((1.0 - rate) / (1.0 - tolerated))
+        for rate in BAD_RATES
+        if rate > tolerated
+    ]
+    return max(values, default=0.0) - math.log(len(BAD_RATES))
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -17,25 +17,32 @@
         Part of the requests for the target.
     until : float
         Part of the order's duration after which the next one may begin.
-    min_hold_s : float
-        Shortest time at this share.
+    hold : float
+        Part of the order's duration for which the share is held at least.
+    max_hold_s : float
+        Longest such time.
     min_answers : int
         Answers of the target that must have been seen by its end.
     """
 
     share: float
     until: float
-    min_hold_s: float
+    hold: float
+    max_hold_s: float
     min_answers: int
 
+    def hold_s(self, duration_s: float) -> float:
+        """Return the shortest time at this share."""
+        return min(self.max_hold_s, self.hold * duration_s)
+
 
 # The first shares find a release that fails from the start, later or under load before
 # it has had a tenth of all requests; the last one lets requests to the old one end.
 STAGES = (
-    Stage(0.05, 0.42, 3.5, 25),
-    Stage(0.15, 0.56, 1.5, 50),
-    Stage(0.4, 0.66, 1.2, 90),
-    Stage(1.0, 0.82, 2.2, 120),
+    Stage(0.07, 0.42, 0.26, 3.5, 25),
+    Stage(0.15, 0.56, 0.1, 1.5, 50),
+    Stage(0.35, 0.66, 0.08, 1.2, 90),
+    Stage(1.0, 0.82, 0.16, 2.2, 120),
 )
 LAST_CALL = 0.97  # Part of the duration by which a verdict must be written.
 
@@ -75,7 +82,7 @@
         return _at(state, STAGES[0].share)
     stage = _stage_of(state.share)
     duration_s = state.duration_s
-    if progress.held_s < stage.min_hold_s:
+    if progress.held_s < stage.hold_s(duration_s):
         return None
     if not progress.has_servers:
         return None
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -24,6 +24,8 @@
 MAINTAIN_S = 0.25
 SIMULTANEOUS_S = 7.5
 UNWANTED_CLOSE_S = 15.0
+RETIRE_LIMIT_S = 10.0  # Longer than requests last.
+RETIRE_POLL_S = 0.1
 
 
 class PeerDirectory(Protocol):
@@ -82,12 +84,15 @@
 
     def is_linked(self, name: str) -> bool:
         """Whether a control link to a peer is up and heard."""
+        return self.link_to(name) is not None
+
+    def link_to(self, name: str) -> Link | None:
+        """Return the control link to a peer if it is up and heard."""
         neighbour = self._neighbours.get(name)
-        return (
-            neighbour is not None
-            and neighbour.link.alive
-            and not neighbour.link.suspect
-        )
+        if neighbour is None:
+            return None
+        link = neighbour.link
+        return link if link.alive and not link.suspect else None
 
     def accept(self, link: Link) -> None:
         """Use a control link that a peer opened."""
@@ -197,9 +202,17 @@
         lower_opened_old = old.opened_here == (self._name < name)
         if simultaneous and lower_opened_old:
             return False
-        old.close()
+        self._retire(old)
         return True
 
+    def _retire(self, link: Link) -> None:
+        """Close a link that was replaced, once the requests on it have ended."""
+        if link.suspect or not link.stream_count:
+            link.close()
+        else:
+            assert self._nursery is not None
+            self._nursery.start_soon(_close_when_idle, link)
+
     def _flood(self, record: Record, source: str) -> None:
         for name, neighbour in self._neighbours.items():
             if name != source:
@@ -225,6 +238,13 @@
             await trio.sleep(ANTI_ENTROPY_S * self._rng.uniform(0.5, 1.5))
 
 
+async def _close_when_idle(link: Link) -> None:
+    with trio.move_on_after(RETIRE_LIMIT_S):
+        while link.alive and link.stream_count:
+            await trio.sleep(RETIRE_POLL_S)
+    link.close()
+
+
 class _Neighbour:
     """A linked peer and the records that wait to be pushed to it."""
 
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -288,7 +288,7 @@
                     await self._pass_held(call)
                     return
             else:
-                if call.held is None:
+                if call.responder.started:
                     return
                 call.maybe_run = True
                 if not self.retry_budget.take_retry(trio.current_time(), service):
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -325,8 +325,18 @@
         await self._pass_both_ways()
 
     async def _pass_both_ways(self) -> None:
-        sent = await send_and_receive(self._pass_body, self._pass_answer)
-        self.reusable = self.reusable and sent
+        sent = False
+
+        async def pass_body() -> None:
+            nonlocal sent
+            await self._pass_body()
+            sent = True
+
+        try:
+            await send_and_receive(pass_body, self._pass_answer)
+        finally:
+            # What follows on the connection would be read as the rest of the body.
+            self.reusable = self.reusable and sent
 
     def _request_bytes(self) -> bytes:
         head = self._head
--- /dev/null
+++ b/tests/test_hosted/test_reader.py
@@ -0,0 +1,70 @@
+"""Who reads the store for a mesh, as members come, go and fall silent."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldchute.hosted.reader import (
+    BACKUP_AFTER_S,
+    BEACON_FRESH_S,
+    READERS,
+    ReaderDuty,
+)
+from marigoldchute.membership.model import Member
+
+NAMES = [f"vm-{i}" for i in range(8)]
+
+
+class FakeDirectory:
+    """Members that one node can reach."""
+
+    def __init__(self, name: str, names: list[str], near: set[str]) -> None:
+        self._members = [
+            Member(n, 1, 1, "a", 1, "dc", "r", store_ms=5 if n in near else 65)
+            for n in names
+        ]
+        self.local = next(m for m in self._members if m.name == name)
+
+    def reachable(self) -> list[Member]:
+        return self._members
+
+
+def duties(names: list[str], near: set[str]) -> dict[str, ReaderDuty]:
+    return {n: ReaderDuty(FakeDirectory(n, names, near), 0.0) for n in names}  # type: ignore[arg-type]
+
+
+class ReaderDutyTest(unittest.TestCase):
+    def test_two_members_near_the_store_read(self) -> None:
+        near = set(NAMES[:4])
+        found = duties(NAMES, near)
+        readers = {n for n, duty in found.items() if duty.is_reader(0.1)}
+        self.assertEqual(len(readers), READERS)
+        self.assertLessEqual(readers, near)
+
+    def test_others_step_in_when_no_beacon_is_heard(self) -> None:
+        found = duties(NAMES, set(NAMES))
+        for duty in found.values():
+            duty.take_beacon("vm-0", 10.0)
+        self.assertEqual(sum(d.is_reader(10.1) for d in found.values()), READERS)
+        soon = 10.0 + BEACON_FRESH_S + 0.1
+        some = sum(d.is_reader(soon) for d in found.values())
+        self.assertGreater(some, READERS)
+        self.assertLess(some, len(NAMES))
+        late = 10.0 + BACKUP_AFTER_S + 0.1
+        self.assertTrue(all(d.is_reader(late) for d in found.values()))
+
+    def test_a_node_that_is_cut_off_reads_by_itself(self) -> None:
+        duty = duties(["vm-7"], set())["vm-7"]
+        self.assertTrue(duty.is_reader(0.0))
+
+    def test_one_of_the_active_readers_leads(self) -> None:
+        found = duties(NAMES, set(NAMES))
+        readers = [n for n, duty in found.items() if duty.is_reader(0.1)]
+        for name in readers:
+            for other in readers:
+                if other != name:
+                    found[name].take_beacon(other, 1.0)
+        self.assertEqual(sum(found[n].leads(True, 1.1) for n in readers), 1)
+        gone = 1.0 + BEACON_FRESH_S + 0.1
+        self.assertTrue(all(found[n].leads(True, gone) for n in readers))
+        self.assertFalse(any(found[n].leads(False, gone) for n in readers))
--- /dev/null
+++ b/tests/test_platform/test_adapter.py
@@ -0,0 +1,172 @@
+"""What the platform says, decoded into the project's own types."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import unittest
+from typing import Any
+
+from marigoldchute.errors import BundleError, MoveError, SettingsError
+from marigoldchute.objectstore.documents import Document
+from marigoldchute.orders.model import OrderStage
+from marigoldchute.platform.bundle import PlatformBundleApi
+from marigoldchute.platform.orders import PlatformOrderApi
+from marigoldchute.platform.settings import parse_settings
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+def make_settings(**changes: Any) -> bytes:
+    value: dict[str, Any] = {
+        "node": "vm-1",
+        "ip": "10.1.0.41",
+        "zone": "a",
+        "region": "r",
+        "listen": {
+            "inbound": "10.1.0.41:8624",
+            "outbound": "10.1.0.41:8629",
+            "ready": "10.1.0.41:8625",
+            "control": "10.1.0.41:8620",
+        },
+        "internal_port_range": [7600, 7615],
+        "heartbeat_ms": 1500,
+        "bounds": ["retry_ratio=0.3", "fenced=false", "grace_s=9"],
+        "app_addr": "10.1.0.41:8628",
+        "service": "turnos",
+        "platform": {"address": "10.200.1.7:8627", "form": "objects"},
+        "something_new": {"a": 1},
+    }
+    value.update(changes)
+    return json.dumps(value).encode()
+
+
+class SettingsTest(unittest.TestCase):
+    def test_a_file_becomes_settings_and_unknown_fields_are_ignored(self) -> None:
+        cfg = parse_settings(make_settings(), "f")
+        self.assertEqual((cfg.callers.port, cfg.backend.port), (8629, 8628))
+        self.assertEqual((cfg.bounds.retry_share, cfg.bounds.grace_s), (0.3, 9.0))
+        self.assertEqual((cfg.store.address, cfg.store.port), ("10.200.1.7", 8627))
+
+    def test_bad_settings_end_with_one_numbered_line(self) -> None:
+        cases = [b"{", make_settings(app_addr="nowhere"), make_settings(listen={})]
+        cases += [make_settings(internal_port_range=[1]), make_settings(node=5)]
+        for data in cases:
+            with self.subTest(data[:60]), self.assertRaises(SettingsError) as caught:
+                parse_settings(data, "node.json")
+            self.assertTrue(str(caught.exception).startswith("[101 SETTINGS_INVALID]"))
+
+
+def make_configuration() -> dict[str, Any]:
+    path = {
+        "name": "r-1",
+        "path_prefix": "/a/",
+        "route_kind": "non_idempotent",
+        "timeout_ms": 1500,
+        "target_latency_ms": 800,
+        "priority": 1,
+        "service": "turnos",
+        "max_attempts": 2,
+    }
+    split = {**path, "name": "r-2", "path_prefix": "/a/b/", "route_kind": "idempotent"}
+    del split["service"]
+    split["weighted_services"] = [
+        {"service": "turnos", "weight": 90},
+        {"service": "reservas", "weight": 10},
+    ]
+    service = {"health_path": "/health", "max_connections": 110, "protocol": "h1"}
+    return {
+        "version": "0000000c",
+        "base_version": "00000005",
+        "services": [{"name": n, **service} for n in ("turnos", "reservas")],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "virtual_hosts": [{"host": "h.example", "paths": [path, split]}],
+    }
+
+
+class ConfigurationTest(unittest.TestCase):
+    def decode(self, value: Any) -> Any:
+        return PlatformBundleApi().decode(Document("config", "main", 8, value))
+
+    def test_routes_keep_their_kind_parts_and_times(self) -> None:
+        version, content = self.decode(make_configuration())
+        self.assertEqual(version, 12)
+        once, split = content.routes
+        self.assertFalse(once.repeatable)
+        self.assertEqual((once.timeout_ms, once.objective_ms), (1500, 800))
+        self.assertTrue(split.repeatable)
+        self.assertEqual([part.weight for part in split.parts], [90, 10])
+        self.assertEqual(content.limits.idle_timeout_ms, 15000)
+        self.assertEqual(content.services[0].max_connections, 110)
+
+    def test_malformed_configurations_are_refused(self) -> None:
+        for change in (
+            {"version": "twelve"},
+            {"virtual_hosts": [{"host": "h", "paths": [{"name": "r"}]}]},
+            {"services": None},
+        ):
+            with self.subTest(change), self.assertRaises(BundleError):
+                self.decode({**make_configuration(), **change})
+        odd = make_configuration()
+        odd["virtual_hosts"][0]["paths"][0]["route_kind"] = "sometimes"
+        with self.assertRaises(BundleError):
+            self.decode(odd)
+
+
+class OrderTest(unittest.TestCase):
+    def decode(self, spec: Any, status: Any) -> Any:
+        api = PlatformOrderApi(None)  # type: ignore[arg-type]
+        return api.decode(Document("rollouts", "turnos", 8, spec, status))
+
+    def test_a_status_counts_only_for_its_own_target(self) -> None:
+        spec = {"service": "turnos", "target_version": "v3", "duration_s": 16}
+        done = {"state": "succeeded", "target_version": "v3"}
+        self.assertEqual(self.decode(spec, done).stage, OrderStage.DONE)
+        back = {"state": "rolled_back", "target_version": "v2", "rejected": ["v0"]}
+        order = self.decode(spec, back)
+        self.assertEqual(order.stage, OrderStage.WAITING)
+        self.assertEqual(order.rejected, ("v0", "v2"))
+
+    def test_another_writers_status_decides_nothing(self) -> None:
+        spec = {"service": "turnos", "target_version": "v3", "duration_s": 16}
+        for status in (
+            None,
+            "?",
+            {"state": 5},
+            {"state": "odd", "target_version": "v3"},
+        ):
+            with self.subTest(status):
+                self.assertEqual(self.decode(spec, status).stage, OrderStage.WAITING)
+
+    def test_what_is_no_order_is_refused(self) -> None:
+        with self.assertRaises(MoveError):
+            self.decode({"service": "turnos"}, None)
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_the_platforms_names_stay_in_the_adapter(self) -> None:
+        names = ("Attempt-Id", "attempt-id", "virtual_hosts", "weighted_services")
+        names += (
+            "Expected-Instance",
+            "expected-instance",
+            "path_prefix_",
+            "rolled_back",
+        )
+        names += ("allow_stale", "api/objects", "MARIGOLDCHUTE_BOOT")
+        for path in (ROOT / "marigoldchute").rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text(encoding="utf-8")
+            for name in names:
+                self.assertNotIn(name, text, path.name)
+
+    def test_the_adapters_libraries_are_those_of_the_project(self) -> None:
+        project = (ROOT / "pyproject.toml").read_text(encoding="utf-8")
+        for line in (ROOT / "requirements.txt").read_text().splitlines():
+            if line and not line.startswith("#"):
+                self.assertIn(f'"{line}"', project)
