Refuse at once what would be late, log the way of each failed request, serve metrics

Ruled out: idle servers elsewhere (none refused with servers free).

Lines about requests name each try with its VM, outcome, time and expected load; they are bounded by kind and never block. Metrics are served on port 9464.

--- a/marigoldchute/events.py
+++ b/marigoldchute/events.py
@@ -9,6 +9,8 @@
 
 import eliot
 
+from marigoldchute.util.lineout import LineOut
+
 COUNTER_BITS = 20
 
 
@@ -77,7 +79,8 @@
     process : str
         Name written into every event.
     out : file object, optional
-        Text stream to which the lines go; standard output by default.
+        Stream to which the lines go; by default standard output, which then never
+        blocks the process: a reader that stands still costs lines.
     clock : HybridClock, optional
         Clock shared with the links of the process.
     """
@@ -85,13 +88,14 @@
     def __init__(
         self,
         process: str,
-        out: IO[str] | None = None,
+        out: IO[Any] | None = None,
         clock: HybridClock | None = None,
     ) -> None:
         self.process = process
         self.clock = clock if clock is not None else HybridClock()
         self._logger = eliot.Logger()
-        eliot.to_file(out if out is not None else sys.stdout)
+        self.line_out = None if out is not None else LineOut(sys.stdout.fileno())
+        eliot.to_file(out if out is not None else self.line_out)  # type: ignore[arg-type]
 
     def emit(self, part: str, event: str, text: str, **fields: object) -> None:
         """Log one event.
--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -167,6 +167,11 @@
         """Revision of the bundle in force, 0 before the first one."""
         return self.newest.revision if self.newest is not None else 0
 
+    @property
+    def version(self) -> int:
+        """Version of the bundle in force, 0 before the first one."""
+        return self.newest.version if self.newest is not None else 0
+
     def kept(self, revision: int) -> Snapshot | None:
         """Return a snapshot that is still kept, for differences from it."""
         return self._kept.get(revision)
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -12,13 +12,16 @@
 from marigoldchute.hosted.config_topic import BundleTopic
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.discovery import Discovery
+from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import ReaderDuty, StoreReader
 from marigoldchute.hosted.registry import MISSED_REPORTS, LocalRegistry
 from marigoldchute.hosted.relay import BundleRelay
+from marigoldchute.hosted.settings import Endpoint
 from marigoldchute.link.endpoint import LinkEndpoint
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.pool import LinkPool
+from marigoldchute.link.stats import collect_stats
 from marigoldchute.membership.model import Member
 from marigoldchute.orders.book import OrderBook
 from marigoldchute.orders.driver import OrderDriver
@@ -31,17 +34,19 @@
 from marigoldchute.routing.least_time import LeastExpectedTime
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.policy import PathPolicy
+from marigoldchute.routing.request_log import RequestLog
 from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    from marigoldchute.admin.metrics import NodeSnapshot
     from marigoldchute.bundle.model import Bundle
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.config_topic import BundleApi
     from marigoldchute.hosted.reader import Topic
-    from marigoldchute.hosted.settings import Endpoint, HostedSettings
+    from marigoldchute.hosted.settings import HostedSettings
     from marigoldchute.link.link import Link
     from marigoldchute.objectstore.documents import DocumentStore
     from marigoldchute.orders.driver import OrderApi
@@ -119,6 +124,8 @@
         self._log = log
         self._clock = Clock()
         self._draining = False
+        self._started_at = 0.0
+        self._store = adapter.store
         now_ms = self._clock.now_ms()
         handlers = Handlers()
         table = RecordTable()
@@ -172,7 +179,9 @@
         )
         self._driver.reader = self._reader
         self._discovery = Discovery(adapter.store, self.directory, log, rng)
-        self._owner = Owner(self.directory, cfg.address, adapter.dialect, POLICY)
+        self._owner = Owner(
+            self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
+        )
         bounds = cfg.bounds
         self.entry = Entry(
             self._in_force,
@@ -199,6 +208,8 @@
         control, readiness = adapter.control_handlers(
             self._registry, lambda: self._cfg.backend, self.is_ready, self._clock
         )
+        page = MetricsPage(self._snapshot)
+        self._metrics_edge = HttpEdge(page.handle, self._log_failure)
         self._caller_edge = HttpEdge(self.entry.handle_external, self._log_failure)
         self._control_edge = HttpEdge(control, self._log_failure)
         self._readiness_edge = HttpEdge(readiness, self._log_failure)
@@ -227,6 +238,7 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         cfg = self._cfg
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             await nursery.start(self._owner.run)
             await nursery.start(self._serve, self._control_edge, cfg.control)
@@ -239,6 +251,9 @@
             nursery.start_soon(self._tick)
             await nursery.start(self._serve, self._caller_edge, cfg.callers)
             await nursery.start(self._serve, self._readiness_edge, cfg.readiness)
+            await nursery.start(
+                self._serve, self._metrics_edge, Endpoint(cfg.address, cfg.metrics_port)
+            )
             nursery.start_soon(self._driver.run)
             self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
             await self._wait_for_peers()
@@ -294,6 +309,32 @@
             self._registry.expire(trio.current_time())
             await trio.sleep(TICK_S)
 
+    def _snapshot(self) -> NodeSnapshot:
+        from marigoldchute.admin.metrics import MoveShare, NodeCounts, NodeSnapshot
+
+        members = self.directory.all()
+        budget = self.entry.retry_budget
+        states = self._book.states()
+        uptime_s = trio.current_time() - self._started_at
+        line_out = self._log.line_out
+        return NodeSnapshot(
+            self._catalog.version,
+            self._catalog.version,
+            count_states(members),
+            tuple(MoveShare(s.order_id, s.service, s.share) for s in states),
+            collect_stats(self._endpoint, len(members), uptime_s),
+            NodeCounts(
+                self._store.calls,
+                self.entry.metrics.snapshot(),
+                {
+                    "requests": budget.requests,
+                    "retries": budget.retries,
+                    "refused_retries": budget.refused_retries,
+                    "log_lines_dropped": line_out.dropped if line_out else 0,
+                },
+            ),
+        )
+
     def _take_link(self, link: Link) -> None:
         if link.purpose == "control":
             self._overlay.accept(link)
--- a/marigoldchute/platform/settings.py
+++ b/marigoldchute/platform/settings.py
@@ -16,6 +16,7 @@
 STORE_CALLS_PER_S = 8.0  # Two watches of a reader in a storm, and some to spare.
 STORE_BURST_CALLS = 40.0
 STORE_TIMEOUT_MS = 1_500
+METRICS_PORT = 9_464  # The deploy file names it too; it does not change by the day.
 
 DIALECT = Dialect(
     deadline=b"deadline-ms",
@@ -118,7 +119,7 @@
         parse_endpoint(f"{source}: listen.control", listen.get("control")),
         parse_endpoint(f"{source}: listen.ready", listen.get("ready")),
         ports[0],
-        ports[0] + 1,
+        METRICS_PORT,
         StoreSettings(
             store.address,
             store.port,
--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -20,6 +20,9 @@
 QUEUE_SHARES = (1.0, 0.75, 0.5)  # By priority: the last class is shed first.
 RUN_TIME_WEIGHT = 0.1
 INITIAL_RUN_S = 0.002
+# Seven in eight runs take less than this many times the mean, at the spread of run
+# times that backend servers show.
+RUN_MARGIN = 1.6
 
 
 class _Waiter:
@@ -139,7 +142,9 @@
         priority = min(max(priority, 0), PRIORITIES - 1)
         due = trio.current_time() + objective_s if objective_s else 0.0
         waiter = _Waiter((due, next(self._arrivals)))
-        allowed_s = min(remaining_s, objective_s) if objective_s else remaining_s
+        allowed_s = remaining_s - self._run_s
+        if objective_s:
+            allowed_s = min(allowed_s, objective_s - RUN_MARGIN * self._run_s)
         self._check_wait(priority, waiter, allowed_s)
         self._make_room(priority)
         bisect.insort(self._queues[priority], waiter, key=_order_of)
@@ -184,11 +189,11 @@
         ahead = sum(len(queue) for queue in self._queues[:priority])
         ahead += bisect.bisect(self._queues[priority], waiter.order, key=_order_of)
         wait_s = (ahead + 1) * self._run_s / self.limit
-        if wait_s + self._run_s > allowed_s:
+        if wait_s > allowed_s:
             raise NotRunError(
                 "no slot in time",
                 ResultCode.REQUEST_NOT_RUN_DEADLINE,
-                max(self._run_s, wait_s + self._run_s - allowed_s),
+                max(self._run_s, wait_s - allowed_s),
             )
 
     def _make_room(self, priority: int) -> None:
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -35,6 +35,8 @@
         Head of the answer passed to the caller.
     objective : float
         Monotonic time until which an answer has its full worth; 0 when none is stated.
+    trail : list of str
+        Each try with its VM, outcome, time and the load that was expected there.
     sends : int
         Tries that may have reached a backend server.
     refusals : int
@@ -62,6 +64,8 @@
         deadline: float,
         objective: float = 0.0,
         caller_service: str = "",
+        started_at: float = 0.0,
+        bundle_version: int = 0,
     ) -> None:
         self.req = req
         self.responder = responder
@@ -73,6 +77,9 @@
         self.deadline = deadline
         self.objective = objective
         self.caller_service = caller_service
+        self.started_at = started_at
+        self.bundle_version = bundle_version
+        self.trail: list[str] = []
         self.idempotent = entry.may_repeat(req.method)
         self.body = RequestBody(req)
         self.tried: set[Target] = set()
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -87,6 +87,8 @@
         started = time.perf_counter()
         outcome = Outcome.UNKNOWN
         call.answer = None
+        expected_load = target.expected_load(trio.current_time())
+        code = ResultCode.OK
         target.in_flight += 1
         try:
             head = call.head_for(target, trio.current_time())
@@ -108,12 +110,18 @@
             raise
         except (RequestError, PeerError, AuthError) as exc:
             outcome = outcome_of(exc)
+            code = exc.code
             if isinstance(exc, NotRunError):
                 _take_refusal(target, exc)
             raise
         finally:
             target.in_flight -= 1
             latency_ms = (time.perf_counter() - started) * 1000
+            call.trail.append(
+                f"{target.member.name} {target.server.server_id} {outcome.value}"
+                f" code={code.value} ms={latency_ms:.0f} load={expected_load:.1f}"
+                f"/{target.server.slots}"
+            )
             self._observe(call, target, candidates, outcome, latency_ms)
 
     async def _try_remote(self, call: Call, target: Target, head: RequestHead) -> None:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -21,13 +21,13 @@
 from marigoldchute.routing.dialect import OWN_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
 from marigoldchute.routing.failure import outcome_of, truthful
-from marigoldchute.routing.failure_log import FailureLog
 from marigoldchute.routing.headers import parse_deadline_ms, request_block
 from marigoldchute.routing.http_request import CallerGoneError
 from marigoldchute.routing.metrics import RouteMetrics
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
+from marigoldchute.routing.request_log import RequestLog
 from marigoldchute.routing.route_table import RouteTable
 from marigoldchute.routing.spread import Spread
 from marigoldchute.routing.sticky import sticky_point
@@ -134,7 +134,7 @@
         self._policy = policy
         self._caller_service = caller_service
         self._spreads: dict[str, Spread] = {}
-        self._failures = FailureLog(log)
+        self._request_log = RequestLog(log)
         self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
         in_force.on_swap(self._take_bundle)
 
@@ -158,16 +158,31 @@
         try:
             call = self._make_call(req, responder, internal)
             await self._run_call(call)
+            if call.answer is not None:
+                now = trio.current_time()
+                self._request_log.emit_answered(call, call.answer.status, now)
         except CallerGoneError:
             outcome = Outcome.CANCELLED
         except (RequestError, PeerError, AuthError) as exc:
             outcome = outcome_of(exc)
-            self._failures.emit(req, call, outcome, exc, trio.current_time())
+            self._log_failed(req, call, outcome, exc)
             if not responder.started:
                 await send_refusal(responder, exc, self._rng.random())
         if call is not None:
             self._measure(call, outcome, started)
 
+    def _log_failed(
+        self,
+        req: HttpRequest,
+        call: Call | None,
+        outcome: Outcome,
+        exc: MarigoldchuteError,
+    ) -> None:
+        given = req.header(self._dialect.request_id) or b""
+        request_id = call.request_id if call is not None else given.decode("latin-1")
+        now = trio.current_time()
+        self._request_log.emit_failed(req, call, request_id, outcome, exc, now)
+
     def _make_call(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
     ) -> Call:
@@ -202,6 +217,8 @@
             now + timeout_ms / 1000,
             now + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
+            now,
+            self._routes.version if self._routes is not None else 0,
         )
 
     def _find_route(self, req: HttpRequest, internal: bool) -> RouteEntry:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -30,6 +30,7 @@
     from marigoldchute.routing.backend_conn import BackendConn
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.request_log import RequestLog
 
 SWEEP_S = 1.0
 DRAIN_POLL_S = 0.02
@@ -76,6 +77,8 @@
         Header names of the backend servers.
     policy : PathPolicy
         How answers and load are treated.
+    log : RequestLog, optional
+        Takes what became of other nodes' requests.
     """
 
     def __init__(
@@ -84,7 +87,9 @@
         address: str,
         dialect: Dialect = OWN_DIALECT,
         policy: PathPolicy = STREAMING_POLICY,
+        log: RequestLog | None = None,
     ) -> None:
+        self._log = log
         self._servers = servers
         self._address = address
         self._dialect = dialect
@@ -145,6 +150,7 @@
             if scope.cancelled_caught:
                 stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE)
         except NotRunError as exc:
+            self._note(head, exc)
             owned = self._find(head.server_id)
             refusal = ResponseHead(
                 503,
@@ -153,11 +159,19 @@
                 retry_after_ms=int(exc.retry_after_s * 1000),
             )
             await stream.send_whole(ENCODER.encode(refusal), b"")
-        except PeerError:
+        except PeerError as exc:
+            self._note(head, exc)
             stream.reset(ResultCode.REQUEST_OUTCOME_UNKNOWN)
         except MarigoldchuteError as exc:
+            self._note(head, exc)
             stream.reset(exc.code)
 
+    def _note(self, head: RequestHead, exc: MarigoldchuteError) -> None:
+        if self._log is not None:
+            owned = self._find(head.server_id)
+            load = owned.gate.load if owned is not None else 0
+            self._log.emit_owner(head, exc, load, trio.current_time())
+
     async def execute(self, head: RequestHead, exchange: Exchange) -> None:
         """Run one request on the backend server that its head names.
 
