--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -4,7 +4,9 @@
 
 import os
 import pathlib
+import socket
 import tempfile
+import time
 import unittest
 from typing import TYPE_CHECKING
 
@@ -15,6 +17,7 @@
 from marigoldchute.standins.mesh import (
     BACKEND_PORT,
     INTERNAL_PORT,
+    STORE_PORT,
     LoopbackBlock,
     Mesh,
     plan_mesh,
@@ -25,6 +28,9 @@
     from collections.abc import Awaitable, Callable
 
 
+STORE_START_LIMIT_S = 30.0
+
+
 class MeshTestCase(unittest.TestCase):
     """A test with a mesh of its own, stopped at the end."""
 
@@ -62,11 +68,26 @@
     def start_nodes(self) -> None:
         """Start the store, the proxy if wanted, and every node."""
         self.mesh.start_store()
+        self._wait_for_store()
         if self.proxied:
             self.mesh.start_proxy()
         for vm in self.mesh.plan.vms:
             self.mesh.start_node(vm.name)
 
+    def _wait_for_store(self) -> None:
+        """Wait until the store listens; a busy machine takes seconds to start it.
+
+        Nodes that find no store open their circuits, and refuse what a test rolls.
+        """
+        deadline = time.monotonic() + STORE_START_LIMIT_S
+        place = (self.mesh.plan.store_address, STORE_PORT)
+        while time.monotonic() < deadline:
+            with socket.socket() as sock:
+                if sock.connect_ex(place) == 0:
+                    return
+            time.sleep(0.05)
+        self.fail(f"the store did not listen within {STORE_START_LIMIT_S} s")
+
     def start_backends(self, service: str, releases: dict[str, str]) -> None:
         """Start one backend server on each named VM with a release."""
         for name, release in releases.items():
