--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -126,7 +126,7 @@
             "state",
             f"{state.service!r} gives {state.share:.0%} to {state.target!r}, "
             f"{OrderStage(state.stage).name.lower()}.",
-            order=state.order_id,
+            move=state.order_id,
             step=state.step,
             share=state.share,
             stage=OrderStage(state.stage).name,
@@ -141,5 +141,5 @@
             "orders",
             "faulty",
             f"{record.key} gets no requests: {record.body.decode(errors='replace')}.",
-            order=record.key,
+            move=record.key,
         )
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -240,7 +240,7 @@
                 "orders",
                 "verdict",
                 f"{state.order_id} is {OrderStage(following.stage).name.lower()}.",
-                order=state.order_id,
+                move=state.order_id,
                 elapsed_s=round(elapsed_s, 2),
                 revision=written.revision,
             )
@@ -263,7 +263,7 @@
             "orders",
             "write_failed",
             f"The status of {state.order_id} was not written: {exc.message}.",
-            order=state.order_id,
+            move=state.order_id,
             code=exc.code.value,
         )
 
--- /dev/null
+++ b/tests/support/hosted.py
@@ -0,0 +1,253 @@
+"""A hosted mesh of real node processes beside backend servers in the test."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING, Any
+
+import httpcore
+import trio
+
+from marigoldchute.routing.http_server import HttpEdge
+from marigoldchute.standins.documents import DocumentStandIn
+from marigoldchute.standins.mesh import LoopbackBlock
+
+if TYPE_CHECKING:
+    import signal
+    from collections.abc import AsyncIterator
+
+    from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+
+STORE_PORT, CALLER_PORT, CONTROL_PORT, READY_PORT, BACKEND_PORT = range(8620, 8625)
+PEER_PORT = 7600
+REPORT_MS = 400
+END_LIMIT_S = 12.0
+HOST = "h.example"
+
+
+class Backend:
+    """Backend server beside a node: counts what it runs and reports its state."""
+
+    def __init__(self, name: str, service: str, address: str, release: str) -> None:
+        self.name = name
+        self.service = service
+        self.address = address
+        self.release = release
+        self.state = "ready"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.acknowledged = 0
+        self.seen: list[dict[str, str]] = []
+        self.run_s = 0.02
+        self._edge = HttpEdge(self._handle)
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._edge.serve, self.address, BACKEND_PORT)
+            nursery.start_soon(self._report)
+            task_status.started()
+
+    async def _report(self) -> None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                self.sequence += 1
+                state, sequence = self.state, self.sequence
+                value = {
+                    "address": f"{self.address}:{BACKEND_PORT}",
+                    "info": {
+                        "service": self.service,
+                        "version": self.release,
+                        "zone": "z",
+                        "slots": 8,
+                    },
+                    "status": {
+                        "state": state,
+                        "sequence": sequence,
+                        "warmup_left_ms": 0,
+                    },
+                    "born": self.born,
+                }
+                url = f"http://{self.address}:{CONTROL_PORT}/api/instances/{self.name}"
+                with contextlib.suppress(httpcore.ConnectError, httpcore.NetworkError):
+                    answer = await pool.request(
+                        "POST", f"{url}/heartbeat", content=json.dumps(value).encode()
+                    )
+                    if answer.status == 200 and state == self.state:
+                        self.acknowledged = sequence
+                await trio.sleep(REPORT_MS / 1000)
+
+    async def _handle(self, req: HttpRequest, responder: HttpResponder) -> None:
+        body = b""
+        while (data := await req.receive()) is not None:
+            body += data
+        headers = {k.decode(): v.decode() for k, v in req.headers}
+        self.seen.append(headers | {"path": req.target.decode()})
+        await trio.sleep(self.run_s)
+        text = f"{self.name} {len(body)}".encode()
+        fields = [
+            (b"attempt-id", headers.get("attempt-id", "").encode()),
+            (b"content-length", str(len(text)).encode()),
+        ]
+        await responder.start(200, fields, text)
+        await responder.finish()
+
+
+class HostedMesh:
+    """Nodes as processes; the store and the backend servers run in the test."""
+
+    def __init__(self, services: list[str]) -> None:
+        self.block = LoopbackBlock()
+        self.store_address = f"127.{self.block.number}.200.1"
+        self.store = DocumentStandIn()
+        self.services = services
+        self.names = [f"vm-{i}" for i in range(len(services))]
+        self.backends: dict[str, Backend] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
+        self.version = 1
+
+    def address(self, name: str) -> str:
+        return f"127.{self.block.number}.1.{int(name[3:]) + 1}"
+
+    def write_settings(self, name: str, service: str) -> pathlib.Path:
+        address = self.address(name)
+        value = {
+            "node": name,
+            "ip": address,
+            "zone": f"z{int(name[3:]) % 2}",
+            "region": "r",
+            "listen": {
+                "outbound": f"{address}:{CALLER_PORT}",
+                "control": f"{address}:{CONTROL_PORT}",
+                "ready": f"{address}:{READY_PORT}",
+            },
+            "internal_port_range": [PEER_PORT, PEER_PORT + 15],
+            "heartbeat_ms": REPORT_MS,
+            "bounds": ["grace_s=6"],
+            "app_addr": f"{address}:{BACKEND_PORT}",
+            "service": service,
+            "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
+        }
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(value))
+        return path
+
+    def start_node(self, name: str) -> None:
+        path = self.write_settings(name, self.services[int(name[3:])])
+        with open(self.directory / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "marigoldchute.platform"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"MARIGOLDCHUTE_BOOT": str(path)},
+            )
+
+    def signal_node(self, name: str, number: signal.Signals) -> None:
+        self.processes[name].send_signal(number)
+
+    def put_configuration(self, timeout_ms: int = 2000, prefix: str = "/a/") -> None:
+        self.version += 3
+        path = {
+            "name": "r",
+            "path_prefix": prefix,
+            "route_kind": "non_idempotent",
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 1000,
+            "priority": 1,
+            "service": "turnos",
+            "max_attempts": 2,
+        }
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 26,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": f"{self.version:08x}",
+                "services": [{"name": n, "max_connections": 100} for n in ("turnos",)],
+                "limits": limits,
+                "virtual_hosts": [{"host": HOST, "paths": [path]}],
+            },
+        )
+
+    async def ask(
+        self, name: str, path: str = "/a/1", content: bytes = b"", request_id: str = "1"
+    ) -> httpcore.Response:
+        """Send one request on a connection of its own."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                "POST",
+                f"http://{self.address(name)}:{CALLER_PORT}{path}",
+                headers={
+                    "host": HOST,
+                    "attempt-id": request_id,
+                    "deadline-ms": "3000",
+                    "content-length": str(len(content)),
+                },
+                content=content,
+            )
+
+    async def is_ready(self, name: str) -> bool:
+        url = f"http://{self.address(name)}:{READY_PORT}/api/readiness"
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                return (await pool.request("GET", url)).status == 200
+            except (httpcore.ConnectError, httpcore.NetworkError):
+                return False
+
+    async def wait_served(self, *names: str) -> None:
+        """Wait until the named nodes are ready and serve a request."""
+        with trio.fail_after(30):
+            for name in names or self.names:
+                while not await self.is_ready(name):
+                    await trio.sleep(0.05)
+                while (await self.ask(name)).status != 200:
+                    await trio.sleep(0.05)
+
+    async def wait_ended(self, name: str) -> int:
+        """Wait for the end of a node's process; return its status."""
+        with trio.fail_after(END_LIMIT_S):
+            while (status := self.processes[name].poll()) is None:
+                await trio.sleep(0.05)
+        return status
+
+    def log_of(self, name: str) -> str:
+        return (self.directory / f"{name}.log").read_text()
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.block.release()
+
+
+@contextlib.asynccontextmanager
+async def hosted_mesh(*services: str) -> AsyncIterator[HostedMesh]:
+    """Run a mesh with one VM for each named service, and its backend servers."""
+    mesh = HostedMesh(list(services))
+    try:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
+            mesh.put_configuration()
+            for name, service in zip(mesh.names, services, strict=True):
+                backend = Backend(f"i-{name}", service, mesh.address(name), "v1")
+                mesh.backends[name] = backend
+                await nursery.start(backend.run)
+                mesh.start_node(name)
+            yield mesh
+            nursery.cancel_scope.cancel()
+    finally:
+        mesh.stop()
--- /dev/null
+++ b/tests/test_platform/test_store.py
@@ -0,0 +1,115 @@
+"""The client of the platform's store against a stand-in with faults."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldchute.errors import (
+    CompactedError,
+    ConflictError,
+    NotFoundError,
+    PlatformError,
+    UnknownOutcomeError,
+)
+from marigoldchute.objectstore.settings import StoreSettings
+from marigoldchute.platform.store import PlatformDocumentStore
+from marigoldchute.standins.documents import DocumentStandIn
+from marigoldchute.standins.mesh import LoopbackBlock
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+PORT = 8627
+
+
+class StoreTestCase(unittest.TestCase):
+    def run_with(
+        self,
+        body: Callable[[DocumentStandIn, PlatformDocumentStore], Awaitable[None]],
+    ) -> None:
+        async def main() -> None:
+            block = LoopbackBlock()
+            address = f"127.{block.number}.200.1"
+            settings = StoreSettings(address, PORT, 1000.0, 1000.0, 500)
+            standin = DocumentStandIn()
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(standin.serve, address, PORT)
+                    store = PlatformDocumentStore(settings, random.Random(1), address)
+                    await body(standin, store)
+                    nursery.cancel_scope.cancel()
+            block.release()
+
+        trio.run(main)
+
+
+class DocumentTest(StoreTestCase):
+    def test_documents_are_created_listed_replaced_and_deleted(self) -> None:
+        async def body(standin: DocumentStandIn, store: PlatformDocumentStore) -> None:
+            first = await store.create("members", "a b/c", {"x": 1})
+            with self.assertRaises(ConflictError):
+                await store.create("members", "a b/c", {"x": 2})
+            second = await store.replace("members", "a b/c", {"x": 3}, first.revision)
+            with self.assertRaises(ConflictError):
+                await store.replace("members", "a b/c", {"x": 4}, first.revision)
+            page = await store.list("members")
+            self.assertEqual([d.content for d in page.documents], [{"x": 3}])
+            self.assertEqual(page.documents[0].revision, second.revision)
+            await store.delete("members", "a b/c")
+            await store.delete("members", "a b/c")
+            with self.assertRaises(NotFoundError):
+                await store.get("members", "a b/c")
+
+        self.run_with(body)
+
+    def test_a_status_is_written_under_the_revision_that_was_read(self) -> None:
+        async def body(standin: DocumentStandIn, store: PlatformDocumentStore) -> None:
+            standin.put("orders", "s", {"to": "v2"})
+            read = await store.get("orders", "s")
+            written = await store.write_status("orders", "s", {"a": 1}, read.revision)
+            self.assertEqual(written.content, {"to": "v2"})
+            with self.assertRaises(ConflictError):
+                await store.write_status("orders", "s", {"a": 2}, read.revision)
+            self.assertEqual(standin.status_of("orders", "s"), {"a": 1})
+
+        self.run_with(body)
+
+    def test_a_watch_goes_on_and_tells_when_history_is_gone(self) -> None:
+        async def body(standin: DocumentStandIn, store: PlatformDocumentStore) -> None:
+            standin.put("config", "main", {"v": 1})
+            page = await store.list("config")
+            empty = await store.changes("config", page.revision, 50)
+            self.assertEqual(empty.documents, ())
+            standin.put("config", "main", {"v": 2})
+            changed = await store.changes("config", page.revision, 1000)
+            self.assertEqual([d.content for d in changed.documents], [{"v": 2}])
+            standin.compact()
+            with self.assertRaises(CompactedError):
+                await store.changes("config", page.revision, 1000)
+
+        self.run_with(body)
+
+
+class FaultTest(StoreTestCase):
+    def test_a_lost_reply_to_a_write_is_an_unknown_outcome(self) -> None:
+        async def body(standin: DocumentStandIn, store: PlatformDocumentStore) -> None:
+            standin.faults.lose_replies = 1
+            with self.assertRaises(UnknownOutcomeError):
+                await store.create("members", "a", {})
+            self.assertEqual(standin.names("members"), ["a"])
+
+        self.run_with(body)
+
+    def test_a_silent_store_and_a_refusing_one_end_in_time(self) -> None:
+        async def body(standin: DocumentStandIn, store: PlatformDocumentStore) -> None:
+            for faults in ({"silent": True}, {"refused_status": 503}):
+                for name, value in faults.items():
+                    setattr(standin.faults, name, value)
+                with self.assertRaises(PlatformError), trio.fail_after(2.0):
+                    await store.list("members")
+
+        self.run_with(body)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -25,7 +25,7 @@
     from collections.abc import Iterable, Sequence
 
 TEST_DIRECTORY = "tests"
-MESH_SUPPORT = ("tests.support.meshes", "tests.support.rolls")
+MESH_SUPPORT = ("tests.support.meshes", "tests.support.rolls", "tests.support.hosted")
 DEFAULT_JOBS = 3
 SHARD_TIMEOUT_S = 400.0
 
