--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -18,8 +18,6 @@
     from marigoldchute.membership.model import Members
     from marigoldchute.overlay.records import RecordTable
 
-VERDICT_STEP = 1_000_000
-
 _STATE = msgspec.msgpack.Decoder(OrderState)
 
 
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -16,10 +16,14 @@
     UnknownOutcomeError,
 )
 from marigoldchute.link.methods import Method
-from marigoldchute.orders.book import VERDICT_STEP
 from marigoldchute.orders.model import OrderDocument, OrderStage, OrderState
 from marigoldchute.orders.outcomes import NodeOutcomes, OrderEvidence
-from marigoldchute.orders.schedule import Progress, next_state
+from marigoldchute.orders.schedule import (
+    Progress,
+    advance,
+    is_too_late,
+    next_state,
+)
 
 if TYPE_CHECKING:
     from marigoldchute.events import EventLog
@@ -150,7 +154,7 @@
         held = self._book.state(order.service)
         if held is not None and held.target == order.target:
             if order.stage > held.stage:
-                self._book.put(_with_stage(held, order.stage))
+                self._book.put(_decided(held, order.stage))
             return
         rejected = set(order.rejected)
         if held is not None:
@@ -169,7 +173,7 @@
             tuple(sorted(rejected)),
         )
         if order.stage > OrderStage.RUNNING:
-            state = _with_stage(state, order.stage)
+            state = _decided(state, order.stage)
         self._seen_at[state.order_id] = trio.current_time() - order.elapsed_ms / 1000
         self._book.put(state)
 
@@ -205,8 +209,11 @@
         if self._book.is_faulty(state):
             await self._take_back(state)
             return
-        following = next_state(state, self._progress(state, evidence, now))
+        progress = self._progress(state, evidence, now)
+        following = next_state(state, progress)
         if following is None:
+            if is_too_late(state, progress.elapsed_s):
+                self._book.report_fault(state, "its full share is not reached in time")
             return
         if following.stage == OrderStage.DONE:
             await self._write(state, following)
@@ -214,7 +221,7 @@
             await self._write(following, following)
 
     async def _take_back(self, state: OrderState) -> None:
-        stopped = _with_stage(state, OrderStage.TAKEN_BACK)
+        stopped = _decided(state, OrderStage.TAKEN_BACK)
         await self._write(state, stopped)
 
     async def _write(self, state: OrderState, following: OrderState) -> None:
@@ -331,16 +338,5 @@
         return b""
 
 
-def _with_stage(state: OrderState, stage: OrderStage) -> OrderState:
-    step = state.step + 1 + (VERDICT_STEP if stage > OrderStage.RUNNING else 0)
-    share = 1.0 if stage == OrderStage.DONE else 0.0
-    return OrderState(
-        state.service,
-        state.target,
-        state.number,
-        step,
-        share,
-        stage,
-        state.duration_s,
-        state.rejected,
-    )
+def _decided(state: OrderState, stage: OrderStage) -> OrderState:
+    return advance(state, 1.0 if stage == OrderStage.DONE else 0.0, stage)
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+import msgspec
+
 from marigoldchute.orders.model import OrderStage, OrderState
 
 
@@ -44,7 +46,8 @@
     Stage(0.35, 0.66, 0.08, 1.2, 90),
     Stage(1.0, 0.82, 0.16, 2.2, 120),
 )
-LAST_CALL = 0.97  # Part of the duration by which a verdict must be written.
+LAST_CALL = 0.95  # Part of the duration by which the full share must be reached.
+VERDICT_STEP = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,7 +82,7 @@
     if state.stage == OrderStage.WAITING or state.share <= 0.0:
         if not progress.has_servers:
             return None
-        return _at(state, STAGES[0].share)
+        return advance(state, STAGES[0].share, OrderStage.RUNNING)
     stage = _stage_of(state.share)
     duration_s = state.duration_s
     if progress.held_s < stage.hold_s(duration_s):
@@ -94,17 +97,21 @@
         return None
     later = [s for s in STAGES if s.share > state.share]
     if later:
-        return _at(state, later[0].share)
-    return OrderState(
-        state.service,
-        state.target,
-        state.number,
-        state.step + 1,
-        1.0,
-        OrderStage.DONE,
-        state.duration_s,
-        state.rejected,
-    )
+        return advance(state, later[0].share, OrderStage.RUNNING)
+    return advance(state, 1.0, OrderStage.DONE)
+
+
+def advance(state: OrderState, share: float, stage: OrderStage) -> OrderState:
+    """Return the state that follows another one."""
+    step = state.step + 1
+    if stage > OrderStage.RUNNING:
+        step += VERDICT_STEP  # No share that is raised meanwhile ranks above it.
+    return msgspec.structs.replace(state, step=step, share=share, stage=stage)
+
+
+def is_too_late(state: OrderState, elapsed_s: float) -> bool:
+    """Return whether an order can no longer be done in time, so it is taken back."""
+    return state.share < 1.0 and elapsed_s >= LAST_CALL * state.duration_s
 
 
 def _stage_of(share: float) -> Stage:
@@ -112,16 +119,3 @@
         if share <= stage.share:
             return stage
     return STAGES[-1]
-
-
-def _at(state: OrderState, share: float) -> OrderState:
-    return OrderState(
-        state.service,
-        state.target,
-        state.number,
-        state.step + 1,
-        share,
-        OrderStage.RUNNING,
-        state.duration_s,
-        state.rejected,
-    )
--- a/tests/test_orders/test_schedule.py
+++ b/tests/test_orders/test_schedule.py
@@ -5,7 +5,13 @@
 import unittest
 
 from marigoldchute.orders.model import OrderStage, OrderState
-from marigoldchute.orders.schedule import LAST_CALL, Progress, next_state
+from marigoldchute.orders.schedule import (
+    LAST_CALL,
+    Progress,
+    advance,
+    is_too_late,
+    next_state,
+)
 
 
 def make_state(
@@ -49,6 +55,18 @@
         state = make_state(0.15, OrderStage.RUNNING)
         self.assertIsNone(next_state(state, Progress(15.0, 5.0, False, 500)))
 
+    def test_an_order_that_cannot_be_done_in_time_is_taken_back(self) -> None:
+        running = make_state(0.35, OrderStage.RUNNING)
+        self.assertFalse(is_too_late(running, 15.0))
+        self.assertTrue(is_too_late(running, 15.3))
+        self.assertTrue(is_too_late(make_state(), 15.3))
+        self.assertFalse(is_too_late(make_state(1.0, OrderStage.RUNNING), 15.3))
+
+    def test_no_share_ranks_above_a_verdict(self) -> None:
+        running = make_state(0.35, OrderStage.RUNNING)
+        verdict = advance(running, 0.0, OrderStage.TAKEN_BACK)
+        self.assertGreater(verdict.step, advance(running, 1.0, OrderStage.RUNNING).step)
+
     def test_a_verdict_is_final(self) -> None:
         for stage in (OrderStage.DONE, OrderStage.TAKEN_BACK):
             state = make_state(1.0, stage)
