Keep draining when further signals come

The program left its signal receiver to drain, so that the next SIGTERM or SIGHUP met the default action. Ruled out: the drain itself (no 'drained' line), a crash (no traceback), memory. The receiver now stays open. The test failed first with a closed connection and passes. The last messages of a drain are bounded, as one process was still there at the end of its grace.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -279,12 +279,12 @@
             self._caller_edge.stop_accepting()
             while self._caller_edge.connections or self._owner.running:
                 await trio.sleep(DRAIN_POLL_S)
-        if not self._registry.holds_server:
-            with trio.move_on_after(DRAIN_RESERVE_S / 2):
+        with trio.move_on_after(DRAIN_RESERVE_S / 2):
+            self.directory.leave(self._clock.now_ms())
+            await trio.sleep(LEAVE_FLOOD_S)
+            if not self._registry.holds_server:
                 await self._discovery.remove_entry()
-        self.directory.leave(self._clock.now_ms())
-        await trio.sleep(LEAVE_FLOOD_S)
-        await self._endpoint.flush()
+            await self._endpoint.flush()
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
     async def _wait_for_callers_to_leave(self, started: float) -> None:
--- a/marigoldchute/platform/__main__.py
+++ b/marigoldchute/platform/__main__.py
@@ -23,18 +23,23 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
         nursery.start_soon(_reload_from_time_to_time, node, path, log)
+        draining = False
         numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        # Signals that come during a drain must not meet their default actions.
         with trio.open_signal_receiver(*numbers) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
                     _reload(node, path, log)
-                elif number == signal.SIGTERM:
-                    break
-                else:
+                elif number == signal.SIGINT:
                     nursery.cancel_scope.cancel()
-                    return
-        await node.drain()
-        nursery.cancel_scope.cancel()
+                elif not draining:
+                    draining = True
+                    nursery.start_soon(_drain, node, nursery.cancel_scope)
+
+
+async def _drain(node: HostedNode, scope: trio.CancelScope) -> None:
+    await node.drain()
+    scope.cancel()
 
 
 async def _reload_from_time_to_time(node: HostedNode, path: str, log: EventLog) -> None:
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -183,7 +183,12 @@
         )
 
     async def ask(
-        self, name: str, path: str = "/a/1", content: bytes = b"", request_id: str = "1"
+        self,
+        name: str,
+        path: str = "/a/1",
+        content: bytes = b"",
+        request_id: str = "1",
+        deadline_ms: int = 3000,
     ) -> httpcore.Response:
         """Send one request on a connection of its own."""
         async with httpcore.AsyncConnectionPool() as pool:
@@ -193,7 +198,7 @@
                 headers={
                     "host": HOST,
                     "attempt-id": request_id,
-                    "deadline-ms": "3000",
+                    "deadline-ms": str(deadline_ms),
                     "content-length": str(len(content)),
                 },
                 content=content,
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import unittest
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+GRACE_S = 6.0
 SERVICES = ("turnos", "reservas", "turnos")
 
 
@@ -130,6 +132,49 @@
 
         self.run_mesh(body)
 
+    def test_further_signals_do_not_end_a_drain(self) -> None:
+        async def body(mesh: HostedMesh) -> None:
+            for backend in mesh.backends.values():
+                backend.run_s = 1.2
+            statuses: list[int] = []
+
+            async def ask() -> None:
+                statuses.append((await mesh.ask("vm-0")).status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(4):
+                    nursery.start_soon(ask)
+                await trio.sleep(0.3)
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    mesh.signal_node("vm-0", number)
+                    await trio.sleep(0.2)
+            self.assertEqual(statuses, [200] * 4)
+            self.assertEqual(await mesh.wait_ended("vm-0"), 0)
+
+        self.run_mesh(body)
+
+    def test_a_node_ends_within_its_grace_whatever_still_runs(self) -> None:
+        async def body(mesh: HostedMesh) -> None:
+            for backend in mesh.backends.values():
+                backend.run_s = 30.0
+            mesh.put_configuration(timeout_ms=20_000)
+            await trio.sleep(1.0)
+
+            async def ask() -> None:
+                with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+                    await mesh.ask("vm-0", deadline_ms=20_000)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.3)
+                mesh.store.faults.silent = True
+                mesh.signal_node("vm-0", signal.SIGTERM)
+                started = trio.current_time()
+                await mesh.wait_ended("vm-0")
+                self.assertLess(trio.current_time() - started, GRACE_S)
+
+        self.run_mesh(body)
+
 
 class LossTest(ProcessTestCase):
     def test_all_nodes_are_killed_and_come_back(self) -> None:
