Use a VM's backend server longer when only its node stops, and sooner when it is back

Ruled out: a slow owner, wrong choices (others were refused for load).

The owner serves for the first 1.6 s of a drain; the backend server of a VM is a replicated record, which the next process takes over until the next report.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -59,6 +59,7 @@
 GATHER_BYTES = 262_144
 TICK_S = 0.25
 DRAIN_ACCEPT_S = 2.6  # Callers are led away after two missed questions, one a second.
+OWNER_SERVES_S = 1.6  # What is admitted last ends about when callers have left.
 DRAIN_QUIET_S = 0.4
 DRAIN_RUN_S = 2.0  # Left of the grace for requests that were taken last.
 DRAIN_POLL_S = 0.05
@@ -270,11 +271,13 @@
         started = trio.current_time()
         self._draining = True
         self._log.emit("node", "draining", f"{self._cfg.name} drains.")
-        self.directory.drain()
-        self._owner.drain()
         self._caller_edge.drain()
         with trio.move_on_at(started + self._cfg.bounds.grace_s - DRAIN_RESERVE_S):
-            await trio.sleep(DRAIN_ACCEPT_S)
+            # Until then the backend server is used: it stays when only the node stops.
+            await trio.sleep(OWNER_SERVES_S)
+            self.directory.drain()
+            self._owner.drain()
+            await trio.sleep_until(started + DRAIN_ACCEPT_S)
             await self._wait_for_callers_to_leave(started)
             self._caller_edge.stop_accepting()
             while self._caller_edge.connections or self._owner.running:
--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -18,6 +18,7 @@
 
 MISSED_REPORTS = 4  # Reports are at times seconds late; a dead server refuses at once.
 CONNECTIONS_UNSTATED = 1_000
+FIRST_SEQUENCE = -1  # Below that of every report.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +61,7 @@
 
 
 _LEAVING = msgspec.msgpack.Decoder(_Leaving)
+_SERVER = msgspec.msgpack.Decoder(BackendServer)
 
 
 class LocalRegistry:
@@ -99,10 +101,11 @@
         self._expiry_s = expiry_s
         self._current: StateReport | None = None
         self._warm_at_ms = 0
-        self._heard_at = 0.0
+        self._heard_at: float | None = None
         self._published: tuple[BackendServer, ...] = ()
         self.max_connections: Callable[[str], int] = lambda service: 0
         table.subscribe(RecordKind.LEAVING, self._take_leaving)
+        table.subscribe(RecordKind.VM_SERVER, self._take_server)
 
     @property
     def holds_server(self) -> bool:
@@ -147,6 +150,8 @@
         if leaving:
             self._announce_leaving(report.instance, report.born_ms, "draining")
         self._refresh()
+        if not same_life:
+            self._replicate()
 
     def take_leave(self, instance: str) -> None:
         """Take a backend server's word that it leaves without having drained."""
@@ -160,7 +165,11 @@
     def expire(self, now: float) -> None:
         """Drop a backend server that has not reported for too long."""
         held = self._current
-        if held is None or now - self._heard_at <= self._expiry_s:
+        if held is None:
+            return
+        if self._heard_at is None:
+            self._heard_at = now
+        if now - self._heard_at <= self._expiry_s:
             return
         self._log.emit(
             "registry",
@@ -199,6 +208,46 @@
             self._current = dataclasses.replace(held, draining=True)
             self._refresh()
 
+    def _replicate(self) -> None:
+        """Leave the backend server to the next node process of this VM."""
+        assert self._current is not None
+        body = msgspec.msgpack.encode(self._published[0])
+        rank = (self._current.born_ms, 0)
+        self._table.offer(Record(RecordKind.VM_SERVER, self._node, rank, body))
+
+    def _take_server(self, record: Record) -> None:
+        """Take the backend server that an earlier node process of this VM served.
+
+        It saves the time until the next report. The server must still report to stay;
+        one that has ended refuses connections, and another one at its address refuses
+        requests for it.
+        """
+        if record.key != self._node or self._current is not None:
+            return
+        server = _SERVER.decode(record.body)
+        instance, born_ms = server.instance, record.rank[0]
+        self._current = StateReport(
+            instance,
+            born_ms,
+            FIRST_SEQUENCE,
+            server.service,
+            server.release,
+            server.port,
+            server.slots,
+            self._has_left(instance, born_ms),
+            0,
+        )
+        self._warm_at_ms = server.warm_at_ms
+        self._heard_at = None
+        self._log.emit(
+            "registry",
+            "server_adopted",
+            f"{instance} is taken over from an earlier process.",
+            instance=instance,
+            born_ms=born_ms,
+        )
+        self._refresh()
+
     def _refresh(self) -> None:
         held = self._current
         servers: tuple[BackendServer, ...] = ()
--- a/marigoldchute/overlay/records.py
+++ b/marigoldchute/overlay/records.py
@@ -30,6 +30,7 @@
     LEAVING = 6
     ORDER = 7
     ORDER_FAULT = 8
+    VM_SERVER = 9
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -319,6 +319,7 @@
             It did not hold in time.
         """
         client = self.admin(name)
+        await self._wait_started(name)
         with trio.fail_after(timeout_s):
             while True:
                 try:
@@ -330,6 +331,21 @@
                     return status
                 await trio.sleep(POLL_S)
 
+    async def _wait_started(self, name: str) -> None:
+        """Wait until a node answers or has ended; a starved machine starts it slowly.
+
+        How long a process takes to load its modules is no property of the mesh, so it
+        is not taken off the time in which a condition must hold.
+        """
+        client = self.admin(name)
+        while self.process(name).poll() is None:
+            try:
+                await client.status()
+            except MarigoldchuteError:
+                await trio.sleep(POLL_S)
+            else:
+                return
+
     async def wait_for_port(
         self, address: str, port: int, timeout_s: float = 15.0
     ) -> None:
--- a/tests/test_hosted/test_registry.py
+++ b/tests/test_hosted/test_registry.py
@@ -102,6 +102,50 @@
         self.assertEqual(self.admits(), [])
 
 
+class AdoptionTest(RegistryTestCase):
+    """A node process that takes over from one that has ended."""
+
+    def restart(self) -> LocalRegistry:
+        """Start a process that gets its records from peers only after its start."""
+        held, self.table = self.table, RecordTable()
+        successor = self.make_registry(self.table)
+        for kind in (RecordKind.VM_SERVER, RecordKind.LEAVING):
+            for record in held.of_kind(kind):
+                self.table.offer(record, "peer")
+        return successor
+
+    def test_a_predecessors_server_is_used_before_it_reports(self) -> None:
+        self.take(report(5))
+        served = self.servers
+        successor = self.restart()
+        self.assertEqual(self.admits(), ["i-1"])
+        successor.take_report(report(6), 1.0, 0)
+        self.assertEqual(self.servers, served)
+
+    def test_one_that_does_not_report_is_dropped(self) -> None:
+        self.take(report(5))
+        successor = self.restart()
+        successor.expire(100.0)
+        self.assertEqual(self.admits(), ["i-1"])
+        successor.expire(100.1 + EXPIRY_S)
+        self.assertEqual(self.admits(), [])
+
+    def test_one_that_was_leaving_is_not_used(self) -> None:
+        self.take(report(5), report(6, draining=True))
+        self.restart()
+        self.assertEqual(self.admits(), [])
+
+    def test_a_report_that_came_first_stands(self) -> None:
+        self.take(report(5))
+        held = self.table
+        self.table = RecordTable()
+        successor = self.make_registry(self.table)
+        successor.take_report(report(1, "i-2", 9_000), 0.0, 0)
+        for record in held.of_kind(RecordKind.VM_SERVER):
+            self.table.offer(record, "peer")
+        self.assertEqual(self.admits(), ["i-2"])
+
+
 class ExpiryTest(RegistryTestCase):
     def test_a_silent_server_is_dropped_and_taken_back(self) -> None:
         self.take(report(1), now=0.0)
