--- a/marigoldchute/standins/mesh.py
+++ b/marigoldchute/standins/mesh.py
@@ -338,7 +338,8 @@
         is not taken off the time in which a condition must hold.
         """
         client = self.admin(name)
-        while self.process(name).poll() is None:
+        process = self._processes.get(name)
+        while process is not None and process.poll() is None:
             try:
                 await client.status()
             except MarigoldchuteError:
