--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -16,8 +16,8 @@
 import trio
 
 from marigoldchute.routing.http_server import HttpEdge
-from marigoldchute.standins.documents import DocumentStandIn
 from marigoldchute.standins.mesh import LoopbackBlock
+from tests.support.documents import DocumentStandIn
 
 if TYPE_CHECKING:
     import signal
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -17,8 +17,8 @@
 )
 from marigoldchute.objectstore.settings import StoreSettings
 from marigoldchute.platform.store import PlatformDocumentStore
-from marigoldchute.standins.documents import DocumentStandIn
 from marigoldchute.standins.mesh import LoopbackBlock
+from tests.support.documents import DocumentStandIn
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
