Let the first readers tell that they read before others read at a start

Each node read bundle and orders from the store when it started, as the time without a beacon counted from 0 on the monotonic clock: 12 whole copies at the first start, half of them over the link between regions. The time now counts from the node's start.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -258,6 +258,7 @@
             nursery.start_soon(self._driver.run)
             self._log.emit("node", "started", f"{cfg.name} serves on {cfg.address}.")
             await self._wait_for_peers()
+            self._duty.begin(trio.current_time())
             await self._reader.run()
 
     async def _wait_for_peers(self) -> None:
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import struct
 from typing import TYPE_CHECKING, Protocol
 
 import trio
@@ -32,7 +31,6 @@
 POLL_S = 0.1
 RETRY_S = 0.4
 NEAR_FACTOR = 3.0
-_STAMP = struct.Struct(">Q")
 
 
 class Topic(Protocol):
@@ -73,6 +71,10 @@
         self._started_at = now
         self._beacons: dict[str, float] = {}
 
+    def begin(self, now: float) -> None:
+        """Count the time without beacons from now on."""
+        self._started_at = now
+
     def take_beacon(self, name: str, now: float) -> None:
         """Take note that a member reads the store successfully."""
         self._beacons[name] = now
@@ -234,10 +236,9 @@
                 self._notify_neighbours()
 
     def _notify_neighbours(self) -> None:
-        body = _STAMP.pack(0)
         for link in self._overlay.neighbours():
             try:
-                link.notify(Method.READER_BEACON, body)
+                link.notify(Method.READER_BEACON, b"")
             except PeerError:
                 continue  # The link has ended; the overlay opens another.
 
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -53,6 +53,12 @@
         late = 10.0 + BACKUP_AFTER_S + 0.1
         self.assertTrue(all(d.is_reader(late) for d in found.values()))
 
+    def test_a_start_leaves_the_first_readers_time_to_tell(self) -> None:
+        found = duties(NAMES, set(NAMES))
+        for duty in found.values():
+            duty.begin(1_000.0)
+        self.assertEqual(sum(d.is_reader(1_000.5) for d in found.values()), READERS)
+
     def test_a_node_that_is_cut_off_reads_by_itself(self) -> None:
         duty = duties(["vm-7"], set())["vm-7"]
         self.assertTrue(duty.is_reader(0.0))
