--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -11,6 +11,7 @@
 import httpcore
 import trio
 
+from marigoldchute.platform.settings import METRICS_PORT
 from tests.support.hosted import HostedMesh, hosted_mesh
 
 if TYPE_CHECKING:
@@ -74,6 +75,25 @@
 
         self.run_mesh(body)
 
+    def test_metrics_are_served_in_the_text_format(self) -> None:
+        async def body(mesh: HostedMesh) -> None:
+            url = f"http://{mesh.address('vm-0')}:{METRICS_PORT}/metrics"
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request("GET", url)
+            self.assertEqual(answer.status, 200)
+            text = answer.content.decode()
+            for name in (
+                "requests_total",
+                "store_calls_total",
+                "links",
+                "retries_total",
+            ):
+                self.assertIn(f"\nmarigoldchute_{name} ", text)
+            self.assertIn('outcome="ok"', text)
+            self.assertIn('marigoldchute_members{state="alive"} 3.0', text)
+
+        self.run_mesh(body)
+
     def test_bad_settings_end_the_process_with_one_line(self) -> None:
         async def body(mesh: HostedMesh) -> None:
             path = mesh.write_settings("vm-0", "turnos")
