Refuse who was overtaken at once, begin no try in the last part of the time

Waiters of the last class were overtaken until their time ran out (trails with one try of 1,200 ms), or were refused after 1,130 ms and tried elsewhere with 60 ms left, so that 504 stood for what had not run. Ruled out: lost links (no code), a wrong estimate at entry alone (the queue grew after it). Who waits last is now refused as soon as what came before it makes its answer late; no try begins with less than 0.15 of the time left.

--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -149,6 +149,7 @@
         self._make_room(priority)
         bisect.insort(self._queues[priority], waiter, key=_order_of)
         self._queued += 1
+        self._refuse_overtaken(trio.current_time())
         try:
             with trio.move_on_after(max(0.0, remaining_s - self._run_s)):
                 await waiter.event.wait()
@@ -209,6 +210,18 @@
                 return
         raise self._overloaded()
 
+    def _refuse_overtaken(self, now: float) -> None:
+        """Refuse who waits last and was overtaken until its answer would be late."""
+        ahead = self._queued
+        for queue in reversed(self._queues):
+            while queue:
+                ahead -= 1
+                due = queue[-1].order[0]
+                answer_at = now + (ahead + 1) * self._run_s / self.limit + self._run_s
+                if not due or answer_at <= due:
+                    return
+                self._refuse(queue.pop(), ResultCode.REQUEST_NOT_RUN_OVERLOADED)
+
     def _refuse(self, waiter: _Waiter, code: ResultCode) -> None:
         self._queued -= 1
         waiter.refusal = code
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -58,6 +58,7 @@
 RETRY_SHARE = 0.2
 RETRY_FLOOR_PER_S = 5.0
 RETRY_BURST = 20.0
+MIN_TRY_SHARE = 0.15  # With less of its time left, a try ends at the deadline.
 MAX_REFUSALS = 3  # A refusal costs one hop; more than three rarely find room in time.
 
 
@@ -369,7 +370,7 @@
             return False
         if call.maybe_run and not call.idempotent:
             return False
-        if now >= call.deadline:
+        if call.deadline - now < MIN_TRY_SHARE * (call.deadline - call.started_at):
             return False
         arrived = True
         if isinstance(exc, NotRunError):
--- a/tests/test_routing/test_overload.py
+++ b/tests/test_routing/test_overload.py
@@ -10,7 +10,7 @@
 
 from marigoldchute.errors import NotRunError
 from marigoldchute.membership.model import BackendServer
-from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.admission import QUEUE_PER_SLOT, AdmissionGate
 
 SLOTS = 6
 RUN_S = 0.22
@@ -85,3 +85,36 @@
         load.run()
         asked = load.in_time + load.late + load.refused
         self.assertLess(load.refused, 0.01 * asked)
+
+
+class StarvedClassTest(unittest.TestCase):
+    """More urgent requests come in a burst behind less urgent ones that wait."""
+
+    def test_who_is_overtaken_is_refused_while_a_return_is_worth_it(self) -> None:
+        run = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(self._overtake, clock=run)
+
+    async def _overtake(self) -> None:
+        gate = AdmissionGate(
+            BackendServer("v/1", "s", "r1", 1, SLOTS, 100), adaptive=False
+        )
+        for _ in range(100):
+            gate.take_sample(RUN_S, 1, 0.0)
+        for _ in range(SLOTS):
+            self.assertTrue(gate.try_enter())
+        waited: list[float] = []
+
+        async def wait_last() -> None:
+            with self.assertRaises(NotRunError):
+                await gate.enter(2, 2 * OBJECTIVE_S, OBJECTIVE_S)
+            waited.append(trio.current_time())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_last)
+            await trio.testing.wait_all_tasks_blocked()
+            for _ in range(QUEUE_PER_SLOT * SLOTS - 1):
+                nursery.start_soon(gate.enter, 0, 60.0, 60.0)
+            await trio.sleep(2 * OBJECTIVE_S)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(len(waited), 1)
+        self.assertLess(waited[0], OBJECTIVE_S / 8)
--- a/tests/test_routing/test_tries.py
+++ b/tests/test_routing/test_tries.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import trio
+import trio.testing
 
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.model import (
@@ -157,7 +158,10 @@
         return self.ask(b"/a/1", change)
 
     def ask(
-        self, target: bytes, change: Callable[[HttpRequest], None] | None = None
+        self,
+        target: bytes,
+        change: Callable[[HttpRequest], None] | None = None,
+        clock: trio.abc.Clock | None = None,
     ) -> FakeResponder:
         req = HttpRequest(None)  # type: ignore[arg-type]
         req.method, req.target, req.complete = b"POST", target, True
@@ -165,7 +169,7 @@
         if change is not None:
             change(req)
         responder = FakeResponder()
-        trio.run(self.entry.handle_external, req, responder)
+        trio.run(self.entry.handle_external, req, responder, clock=clock)
         return responder
 
 
@@ -252,3 +256,21 @@
         self.owner.servers.clear()
         statuses = [self.ask(b"/p/1").statuses[0] for _ in range(40)]
         self.assertAlmostEqual(statuses.count(503), 10, delta=1)
+
+
+class LittleTimeTest(TriesTestCase):
+    def test_no_try_begins_in_the_last_part_of_the_time(self) -> None:
+        full = refused(ResultCode.REQUEST_NOT_RUN_OVERLOADED)
+
+        class SlowOwner(FakeOwner):
+            async def execute(self, head: RequestHead, exchange: Call) -> None:
+                await trio.sleep(0.9 * exchange.entry.route.timeout_ms / 1000)
+                await super().execute(head, exchange)
+
+        self.serve(200)
+        owner = SlowOwner([full, 200])
+        self.entry._dispatcher._owner = owner  # type: ignore[assignment]
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        responder = self.ask(b"/a/1", clock=clock)
+        self.assertEqual(responder.statuses, [503])
+        self.assertEqual(len(owner.servers), 1)
