--- a/marigoldchute/hosted/settings.py
+++ b/marigoldchute/hosted/settings.py
@@ -25,18 +25,12 @@
         Repeats that all nodes together may make on top.
     retry_window_s : float
         Length of the window.
-    exposure_share : float
-        Part of a service's requests that a faulty release may get.
-    exposure_slack : float
-        Requests that a faulty release may get on top.
     """
 
     grace_s: float = 6.0
     retry_share: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
-    exposure_share: float = 0.1
-    exposure_slack: float = 50.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -119,7 +119,6 @@
         self._log = log
         self._clock = clock
         self._documents: dict[str, OrderDocument] = {}
-        self._revision = 0
         self._seen_at: dict[str, float] = {}
         self._held_since: dict[str, tuple[str, int, float]] = {}
         self._evidence: dict[str, OrderEvidence] = {}
--- a/marigoldchute/platform/settings.py
+++ b/marigoldchute/platform/settings.py
@@ -146,6 +146,4 @@
         given.get("retry_ratio", usual.retry_share),
         given.get("retry_slack", usual.retry_slack),
         given.get("budget_window_s", usual.retry_window_s),
-        given.get("exposure_share", usual.exposure_share),
-        given.get("exposure_slack", usual.exposure_slack),
     )
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -12,14 +11,12 @@
     MarigoldchuteError,
     NotRunError,
     PeerError,
-    RequestError,
     ResultCode,
 )
 from marigoldchute.routing.admission import AdmissionGate
 from marigoldchute.routing.backend_conn import BackendConnPool
-from marigoldchute.routing.backend_response import BackendResponse
+from marigoldchute.routing.backend_run import BackendRun
 from marigoldchute.routing.dialect import OWN_DIALECT, Dialect
-from marigoldchute.routing.duplex import send_and_receive
 from marigoldchute.routing.exchange import StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
@@ -205,7 +202,7 @@
         except BaseException:
             gate.leave()
             raise
-        run = _Run(
+        run = BackendRun(
             head,
             exchange,
             conn,
@@ -229,7 +226,7 @@
             owned.pool.discard(conn)
         gate.leave()
 
-    def _end_failed(self, owned: OwnedServer, run: _Run, cancelled: bool) -> None:
+    def _end_failed(self, owned: OwnedServer, run: BackendRun, cancelled: bool) -> None:
         if run.refused:
             owned.gate.take_refusal(trio.current_time())
         still_runs = run.written and not run.ended
@@ -281,176 +278,3 @@
         owned.pool.close_all_idle()
         if not owned.gate.running:
             del self._owned[server_id]
-
-
-class _Run:
-    """One request on one connection to a backend server."""
-
-    def __init__(
-        self,
-        head: RequestHead,
-        exchange: Exchange,
-        conn: BackendConn,
-        remaining_ms: int,
-        instance: str,
-        gate: AdmissionGate,
-        dialect: Dialect,
-        policy: PathPolicy,
-    ) -> None:
-        self.conn = conn
-        self.run_s = 0.0
-        self.reusable = False
-        self.written = False
-        self.ended = False
-        self.refused = False
-        self._head = head
-        self._exchange = exchange
-        self._load_level = gate.load_level
-        self._remaining_ms = remaining_ms
-        self._instance = instance
-        self._gate = gate
-        self._dialect = dialect
-        self._policy = policy
-        self._sent_at = 0.0
-        self._request_id = head.request_id.encode("latin-1")
-        self._response = BackendResponse(
-            head.method == b"HEAD", dialect, self._request_id
-        )
-
-    @property
-    def keep_alive_s(self) -> float | None:
-        """Time for which the backend server says that it keeps the connection."""
-        return self._response.keep_alive_s
-
-    async def execute(self) -> None:
-        """Write the request and pass the answer on."""
-        head = self._head
-        first = self._request_bytes()
-        if not head.has_body:
-            await self._send_first(first)
-            await self._pass_answer()
-            return
-        body = self._exchange.take_whole_body()
-        if body is not None:
-            await self._send_first(first + _frame_whole(body, head.chunked))
-            await self._pass_answer()
-            return
-        await self._send_first(first)
-        await self._pass_both_ways()
-
-    async def _pass_both_ways(self) -> None:
-        sent = False
-
-        async def pass_body() -> None:
-            nonlocal sent
-            await self._pass_body()
-            sent = True
-
-        try:
-            await send_and_receive(pass_body, self._pass_answer)
-        finally:
-            # What follows on the connection would be read as the rest of the body.
-            self.reusable = self.reusable and sent
-
-    def _request_bytes(self) -> bytes:
-        head = self._head
-        dialect = self._dialect
-        framing = b"transfer-encoding: chunked\r\n" if head.chunked else b""
-        own = b"%s: %d\r\n" % (dialect.deadline, self._remaining_ms)
-        if self._request_id:
-            own += b"%s: %s\r\n" % (dialect.request_id, self._request_id)
-        if dialect.expected_server and self._instance:
-            instance = self._instance.encode("latin-1")
-            own += b"%s: %s\r\n" % (dialect.expected_server, instance)
-        if dialect.caller_service and head.caller_service:
-            service = head.caller_service.encode("latin-1")
-            own += b"%s: %s\r\n" % (dialect.caller_service, service)
-        return b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
-            head.method,
-            head.target,
-            head.header_block,
-            framing,
-            own,
-        )
-
-    async def _send_first(self, data: bytes) -> None:
-        try:
-            self.written = True
-            await self.conn.send_first(data)
-        except NotRunError:
-            self.written = False
-            raise
-        except RequestError:
-            self.ended = self.conn.peer_ended
-            raise
-        self._sent_at = time.perf_counter()
-
-    async def _pass_body(self) -> None:
-        chunked = self._head.chunked
-        while (data := await self._exchange.receive()) is not None:
-            if data:
-                await self.conn.send(_frame(data, chunked))
-        if chunked:
-            await self.conn.send(b"0\r\n\r\n")
-        self._sent_at = time.perf_counter()
-
-    async def _pass_answer(self) -> None:
-        response = self._response
-        while not response.has_head:
-            await self._read_more()
-        answered_at = time.perf_counter()
-        if response.refused:
-            self.refused = True
-            self.ended = response.complete
-            self.reusable = response.complete and response.keep_alive
-            raise NotRunError(
-                "backend server refused the request",
-                ResultCode.REQUEST_NOT_RUN_REFUSED,
-            )
-        if 0 <= response.length <= self._policy.gather_bytes or response.is_unframed:
-            while not response.complete:
-                await self._read_more()
-        head = ResponseHead(
-            response.status,
-            response.header_block,
-            response.has_length,
-            0,
-            self._load_level,
-            int((answered_at - self._sent_at) * 1_000_000),
-            self._gate.load,
-        )
-        exchange = self._exchange
-        if response.complete:
-            self._end_whole()
-            await exchange.send_whole(head, response.take_body())
-            return
-        await exchange.send_head(head, response.take_body())
-        while not response.complete:
-            await self._read_more()
-            if response.chunks:
-                await exchange.send(response.take_body())
-        self._end_whole()
-        await exchange.finish()
-
-    async def _read_more(self) -> None:
-        try:
-            await self.conn.read_more(self._response)
-        except RequestError:
-            # A connection that the backend server ended holds no slot any more.
-            self.ended = self.conn.peer_ended
-            raise
-
-    def _end_whole(self) -> None:
-        self.ended = True
-        self.run_s = time.perf_counter() - self._sent_at
-        self.reusable = self._response.keep_alive
-
-
-def _frame(data: bytes, chunked: bool) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data) if chunked else data
-
-
-def _frame_whole(body: bytes, chunked: bool) -> bytes:
-    if not chunked:
-        return body
-    return _frame(body, True) + b"0\r\n\r\n" if body else b"0\r\n\r\n"
