--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -67,7 +67,12 @@
 LEAVE_FLOOD_S = 0.05
 PEERS_FIRST_S = 1.5
 PEERS_ANSWER_S = 0.4  # A few trips between regions: link, comparison, difference.
-POLICY = PathPolicy(adaptive_limit=False, gather_bytes=GATHER_BYTES, retry_errors=True)
+POLICY = PathPolicy(
+    adaptive_limit=False,
+    gather_bytes=GATHER_BYTES,
+    retry_errors=True,
+    boost_rare_routes=True,
+)
 
 
 class HostAdapter(Protocol):
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -21,6 +21,7 @@
 from marigoldchute.orders.schedule import (
     Progress,
     advance,
+    is_doubtful,
     is_too_late,
     next_state,
 )
@@ -209,6 +210,10 @@
             await self._take_back(state)
             return
         progress = self._progress(state, evidence, now)
+        if is_doubtful(state, progress):
+            reason = f"evidence of {progress.doubt:.0%} of a proof at the last raise"
+            self._book.report_fault(state, reason)
+            return
         following = next_state(state, progress)
         if following is None:
             if is_too_late(state, progress.elapsed_s):
@@ -287,7 +292,8 @@
             for server in member.servers
         )
         elapsed_s = now - self._seen_at[state.order_id]
-        return Progress(elapsed_s, held_s, has_servers, evidence.new_answers)
+        answers, doubt = evidence.new_answers, evidence.doubt()
+        return Progress(elapsed_s, held_s, has_servers, answers, doubt)
 
     def _evidence_of(self, state: OrderState) -> OrderEvidence:
         evidence = self._evidence.get(state.order_id)
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -218,14 +218,20 @@
 
     def fault(self) -> str:
         """Return why the target is faulty, empty while nothing says so."""
+        value, where = self._greatest()
+        return f"evidence {value:.1f} {where}" if value > LOG_LIMIT else ""
+
+    def doubt(self) -> float:
+        """Return the evidence that the target is faulty as a part of what convicts."""
+        return max(0.0, self._greatest()[0] / LOG_LIMIT)
+
+    def _greatest(self) -> tuple[float, str]:
         pooled = RouteEvidence()
+        found = [(0.0, "")]
         for route, evidence in self._routes.items():
-            value = evidence.log_value()
-            if value > LOG_LIMIT:
-                return f"evidence {value:.1f} on route {route!r}"
+            found.append((evidence.log_value(), f"on route {route!r}"))
             pooled.merge(evidence)
-        value = pooled.log_value()
-        return f"evidence {value:.1f} over all routes" if value > LOG_LIMIT else ""
+        return max(*found, (pooled.log_value(), "over all routes"))
 
 
 class RouteEvidence:
@@ -264,12 +270,12 @@
 def _log_ratio(windows: list[_Cell], usual: float) -> float:
     """Return the log likelihood ratio of some worse rates to the tolerated one.
 
-    The window with the most failures does not count them: a backend server that dies
+    The window with the most failures counts one of them: a backend server that dies
     takes its running requests with it, all at once, and that convicts no release.
     """
     if len(windows) < MIN_WINDOWS:
         return 0.0
-    sudden = max(cell.failed for cell in windows)
+    sudden = max(0, max(cell.failed for cell in windows) - 1)
     answered = sum(cell.answered for cell in windows) - sudden
     bad = sum(cell.bad for cell in windows) - sudden
     tolerated = min(0.9, usual + TOLERANCE)
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -46,6 +46,11 @@
     Stage(0.35, 0.66, 0.08, 1.2, 90),
     Stage(1.0, 0.82, 0.16, 2.2, 120),
 )
+# Some failures that are no proof yet keep the share down, but not beyond the time at
+# which the full share can still be held as long as it must.
+DOUBT_LIMIT = 0.3  # Part of the evidence that convicts.
+DOUBT_UNTIL = 0.76  # Part of the duration.
+DOUBT_CONVICTS = 0.5  # Of releases of which so much is seen by then, most are faulty.
 LAST_CALL = 0.95  # Part of the duration by which the full share must be reached.
 VERDICT_STEP = 1_000_000
 
@@ -64,12 +69,15 @@
         Whether the target has backend servers to take requests.
     answers : int
         Answers of the target that were counted.
+    doubt : float
+        Evidence that the target is faulty; 1 convicts it.
     """
 
     elapsed_s: float
     held_s: float
     has_servers: bool
     answers: int
+    doubt: float = 0.0
 
 
 def next_state(state: OrderState, progress: Progress) -> OrderState | None:
@@ -89,6 +97,8 @@
         return None
     if not progress.has_servers:
         return None
+    if progress.doubt > DOUBT_LIMIT and progress.elapsed_s < DOUBT_UNTIL * duration_s:
+        return None
     due = progress.elapsed_s >= stage.until * duration_s
     if not due or (
         progress.answers < stage.min_answers
@@ -114,6 +124,12 @@
     return state.share < 1.0 and elapsed_s >= LAST_CALL * state.duration_s
 
 
+def is_doubtful(state: OrderState, progress: Progress) -> bool:
+    """Return whether too much speaks against an order's target to go on with it."""
+    late = progress.elapsed_s >= DOUBT_UNTIL * state.duration_s
+    return state.is_open and late and progress.doubt > DOUBT_CONVICTS
+
+
 def _stage_of(share: float) -> Stage:
     for stage in STAGES:
         if share <= stage.share:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -28,6 +28,7 @@
 from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
 from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.routing.route_mix import RouteMix
 from marigoldchute.routing.route_table import RouteTable
 from marigoldchute.routing.spread import Spread
 from marigoldchute.routing.sticky import sticky_point
@@ -135,6 +136,7 @@
         self._policy = policy
         self._caller_service = caller_service
         self._spreads: dict[str, Spread] = {}
+        self._mix = RouteMix()
         self._request_log = RequestLog(log)
         self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
         in_force.on_swap(self._take_bundle)
@@ -196,6 +198,7 @@
         if entry.parts is not None:
             service = entry.service_at(self._spread_of(entry.route.name).next())
         split = self._splits.split(service.name, service.release)
+        self._mix.add_request(service.name, entry.route.name)
         timeout_ms = entry.route.timeout_ms
         given_ms = parse_deadline_ms(req.header(self._dialect.deadline))
         if given_ms is not None:
@@ -212,7 +215,7 @@
             entry,
             service,
             split,
-            self._pick_release(req, entry, split),
+            self._pick_release(req, entry, service.name, split),
             self._request_id(req, internal),
             request_block(req.headers, self._own_headers),
             now + timeout_ms / 1000,
@@ -237,7 +240,9 @@
             )
         return entry
 
-    def _pick_release(self, req: HttpRequest, entry: RouteEntry, split: Split) -> str:
+    def _pick_release(
+        self, req: HttpRequest, entry: RouteEntry, service_name: str, split: Split
+    ) -> str:
         if split.share <= 0.0:
             return split.old_release
         if split.share >= 1.0:
@@ -249,7 +254,10 @@
                 point = sticky_point(split.move_id, value)
         if point is None:
             point = self._spread_of(f"{split.move_id}/{entry.route.name}").next()
-        return split.new_release if point < split.share else split.old_release
+        share = split.share
+        if self._policy.boost_rare_routes:
+            share = self._mix.share(service_name, entry.route.name, share)
+        return split.new_release if point < share else split.old_release
 
     def _spread_of(self, key: str) -> Spread:
         spread = self._spreads.get(key)
--- a/marigoldchute/routing/policy.py
+++ b/marigoldchute/routing/policy.py
@@ -20,11 +20,14 @@
     retry_errors : bool
         Whether a repeatable request that a backend server answered with a failure of
         its own is tried at another one.
+    boost_rare_routes : bool
+        Whether a new release gets a larger share of the routes with few requests.
     """
 
     adaptive_limit: bool = True
     gather_bytes: int = 0
     retry_errors: bool = False
+    boost_rare_routes: bool = False
 
 
 STREAMING_POLICY = PathPolicy()
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -5,14 +5,17 @@
 import random
 import unittest
 
+import msgspec
+
 from marigoldchute.events import EventSink
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.orders.book import OrderBook
 from marigoldchute.orders.model import OrderStage, OrderState
 from marigoldchute.orders.outcomes import NodeOutcomes, OrderEvidence, OutcomeCounter
-from marigoldchute.orders.schedule import STAGES
+from marigoldchute.orders.schedule import STAGES, Progress, is_doubtful, next_state
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.route_mix import RouteMix
 
 ORDER = OrderState("turnos", "v2", 7, 1, 0.05, OrderStage.RUNNING, 16.0, ())
 
@@ -41,6 +44,7 @@
         self, nodes: int, seed: int, routes: tuple[str, ...] = ("query", "book")
     ) -> None:
         self.routes = routes
+        self.mix = RouteMix()
         self.rng = random.Random(seed)
         self.books = []
         self.counters = []
@@ -58,7 +62,7 @@
         for _ in range(int(seconds * 10)):
             self.now_ms += 100
             for _ in range(int(per_s / 10)):
-                self._serve(self.rng.random() < share, bad)
+                self._serve(share, bad)
             for index, counter in enumerate(self.counters):
                 counts = counter.counts_of(ORDER.order_id)
                 report = NodeOutcomes(f"vm-{index}", 1, ORDER.order_id, counts)
@@ -68,9 +72,11 @@
                 return reason or "a node"
         return ""
 
-    def _serve(self, new: bool, bad) -> None:  # type: ignore[no-untyped-def]
-        self.to_new += new
+    def _serve(self, share: float, bad) -> None:  # type: ignore[no-untyped-def]
         route = self.rng.choice(self.routes)
+        self.mix.add_request("turnos", route)
+        new = self.rng.random() < self.mix.share("turnos", route, share)
+        self.to_new += new
         run_ms = self.rng.lognormvariate(4.8, 0.8)
         outcome = Outcome.OK
         if self.rng.random() < 0.01:
@@ -162,17 +168,39 @@
         for seed in range(8):
             with self.subTest(seed=seed):
                 mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
-                began = 1.5
-                for stage in STAGES:
-                    until = stage.until * ORDER.duration_s
-                    mesh.run_until_fault(
-                        until - began, self.per_s, stage.share, fails_on_one_route
-                    )
-                    began = until
-                    if mesh.evidence.fault():
-                        break
+                self.assertTrue(self.drive(mesh, fails_on_one_route))
                 self.assertLess(mesh.to_new, self.allowed)
 
+    def test_a_good_release_gets_its_full_share_in_time(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
+                self.assertEqual(self.drive(mesh, is_as_before), "")
+                self.assertLess(mesh.now_ms / 1000, ORDER.duration_s)
+
+    def drive(self, mesh: Mesh, bad) -> str:  # type: ignore[no-untyped-def]
+        """Follow the schedule to its end or to a conviction; return its reason."""
+        state = msgspec.structs.replace(ORDER, share=STAGES[0].share)
+        mesh.now_ms = changed_ms = 1500
+        while True:
+            reason = mesh.run_until_fault(0.1, self.per_s, state.share, bad)
+            if reason:
+                return reason
+            progress = Progress(
+                mesh.now_ms / 1000,
+                (mesh.now_ms - changed_ms) / 1000,
+                True,
+                mesh.evidence.new_answers,
+                mesh.evidence.doubt(),
+            )
+            if is_doubtful(state, progress):
+                return "doubt"
+            following = next_state(state, progress)
+            if following is not None:
+                state, changed_ms = following, mesh.now_ms
+            if not state.is_open:
+                return ""
+
 
 class SplitTest(unittest.TestCase):
     def make_book(self, *releases: str) -> OrderBook:
