--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -286,7 +286,7 @@
             await trio.sleep_until(started + DRAIN_ACCEPT_S)
             await self._wait_for_callers_to_leave(started)
             self._caller_edge.stop_accepting()
-            while self._caller_edge.connections or self._owner.running:
+            while self._caller_edge.is_busy or self._owner.running:
                 await trio.sleep(DRAIN_POLL_S)
         with trio.move_on_after(DRAIN_RESERVE_S / 2):
             self.directory.leave(self._clock.now_ms())
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -15,7 +15,7 @@
     HttpRequest,
     HttpResponder,
 )
-from marigoldchute.util.tcp import TcpConn, serve_tcp
+from marigoldchute.util.tcp import TcpConn, TcpListener, serve_tcp
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import CallerLimits
@@ -81,7 +81,7 @@
         self._handler = handler
         self._on_failure = on_failure
         self._conns: set[_CallerConn] = set()
-        self._close_listener: Callable[[], None] | None = None
+        self._listener: TcpListener | None = None
         self._draining = False
         self.limits: CallerLimits | None = None
         self.last_request_at = 0.0
@@ -97,6 +97,12 @@
         """Number of open connections."""
         return len(self._conns)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether connections are open or may still be accepted."""
+        accepts = self._listener is not None and self._listener.is_open
+        return accepts or bool(self._conns)
+
     async def serve(
         self,
         address: str,
@@ -105,7 +111,7 @@
     ) -> None:
         """Accept and serve connections until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._close_listener = await nursery.start(
+            self._listener = await nursery.start(
                 serve_tcp, self.serve_connection, address, port
             )
             nursery.start_soon(self._watch)
@@ -118,8 +124,8 @@
     def stop_accepting(self) -> None:
         """Close the listener and the connections that wait for a request."""
         self._draining = True
-        if self._close_listener is not None:
-            self._close_listener()
+        if self._listener is not None:
+            self._listener.close()
         for conn in tuple(self._conns):
             if conn.request is None and conn.parser.between_requests:
                 self._close_idle(conn)
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -124,7 +124,7 @@
         with trio.move_on_after(DRAIN_LIMIT_S) as scope:
             await trio.sleep(DRAIN_ACCEPT_S)
             self._caller_edge.stop_accepting()
-            while self._caller_edge.connections or self.owner.running:
+            while self._caller_edge.is_busy or self.owner.running:
                 await trio.sleep(DRAIN_POLL_S)
         if scope.cancelled_caught:
             self._log.emit(
--- a/marigoldchute/util/tcp.py
+++ b/marigoldchute/util/tcp.py
@@ -195,6 +195,24 @@
         raise
 
 
+class TcpListener:
+    """A listening socket whose connections are accepted by ``serve_tcp``.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether connections may still be accepted; for a moment after ``close`` too.
+    """
+
+    def __init__(self) -> None:
+        self.is_open = True
+        self.accept_scope = trio.CancelScope()
+
+    def close(self) -> None:
+        """Stop accepting; open connections are served to their end."""
+        self.accept_scope.cancel()
+
+
 async def serve_tcp(
     handler: Callable[[TcpConn], Awaitable[None]],
     address: str,
@@ -203,25 +221,31 @@
 ) -> None:
     """Accept connections and run ``handler`` for each until cancelled.
 
-    The task status carries a function that closes the listener while the open
-    connections are served to their end.
+    The task status carries a ``TcpListener``.
     """
-    listener = socket.socket()
-    listener.setblocking(False)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
-    listener.listen(LISTEN_BACKLOG)
-    accept_scope = trio.CancelScope()
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((address, port))
+    sock.listen(LISTEN_BACKLOG)
+    listener = TcpListener()
     try:
         async with trio.open_nursery() as nursery:
-            task_status.started(accept_scope.cancel)
-            with accept_scope:
+            task_status.started(listener)
+            with listener.accept_scope:
                 while True:
-                    await trio.lowlevel.wait_readable(listener)
-                    await _accept_waiting(listener, nursery, handler)
-            _close_listener(listener)
+                    await trio.lowlevel.wait_readable(sock)
+                    await _accept_waiting(sock, nursery, handler)
+            # What connected before the close would be reset by it.
+            with trio.move_on_after(0):
+                await _accept_waiting(sock, nursery, handler)
+            _close_listener(sock)
+            for _ in range(2):  # The last handlers begin in the first of these rounds.
+                await trio.lowlevel.checkpoint()
+            listener.is_open = False
     finally:
-        _close_listener(listener)
+        listener.is_open = False
+        _close_listener(sock)
 
 
 def _close_listener(listener: socket.socket) -> None:
--- a/tests/test_routing/test_http_edge.py
+++ b/tests/test_routing/test_http_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import unittest
 from typing import TYPE_CHECKING
 
@@ -276,3 +277,20 @@
 
         self.handler = hang
         self.run_edge(body)
+
+
+class StopAcceptingTest(EdgeTestCase):
+    def test_a_connection_that_crosses_the_close_is_served(self) -> None:
+        async def body(address: str) -> None:
+            # Connected by the system, not yet accepted by the edge.
+            with socket.create_connection((address, PORT)) as sock:
+                sock.sendall(b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+                self.edge.stop_accepting()
+                while self.edge.is_busy:
+                    await trio.sleep(0.01)
+                sock.settimeout(0.0)
+                self.assertIn(b"/late 0", sock.recv(1000))
+            with self.assertRaises(OSError):
+                await trio.open_tcp_stream(address, PORT)
+
+        self.run_edge(body)
