--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -41,6 +41,9 @@
 TICK_S = 0.1
 IDLE_TICK_S = 0.5
 REPORT_S = 0.25
+# From this share on, a tenth of all requests may go to a bad release within a second.
+FAST_REPORT_SHARE = 0.35
+FAST_REPORT_S = 0.1
 REPORT_TIMEOUT_S = 0.5
 WRITE_PAUSE_S = 0.3
 
@@ -221,8 +224,10 @@
             return
         if following.stage == OrderStage.DONE:
             await self._write(state, following)
-        elif self._book.put(following) and state.stage == OrderStage.WAITING:
-            await self._write(following, following)
+        elif self._book.put(following):
+            self._note_raise(following, progress)
+            if state.stage == OrderStage.WAITING:
+                await self._write(following, following)
 
     async def _take_back(self, state: OrderState) -> None:
         stopped = _decided(state, OrderStage.TAKEN_BACK)
@@ -269,6 +274,18 @@
             )
             await trio.sleep(WRITE_PAUSE_S)
 
+    def _note_raise(self, state: OrderState, progress: Progress) -> None:
+        self._log.emit(
+            "orders",
+            "raised",
+            f"{state.order_id} is raised to {state.share:.0%}.",
+            move=state.order_id,
+            share=state.share,
+            answers=progress.answers,
+            doubt=round(progress.doubt, 2),
+            elapsed_s=round(progress.elapsed_s, 2),
+        )
+
     def _note_write(self, state: OrderState, exc: PlatformError) -> None:
         self._log.emit(
             "orders",
@@ -309,7 +326,7 @@
     async def _report(self) -> None:
         """Send what this node has counted to the nodes that read the store."""
         while True:
-            await trio.sleep(REPORT_S)
+            await trio.sleep(self._report_interval_s())
             changed = tuple(self._counter.changed)
             if not changed:
                 continue
@@ -320,6 +337,13 @@
                 for name in readers:
                     await self._send(name, body)
 
+    def _report_interval_s(self) -> float:
+        fast = any(
+            state.is_open and state.share >= FAST_REPORT_SHARE
+            for state in self._book.states()
+        )
+        return FAST_REPORT_S if fast else REPORT_S
+
     async def _send(self, name: str, body: bytes) -> None:
         try:
             await self._control.call(
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -22,11 +22,11 @@
 TOLERANCE = 0.06
 BAD_RATES = (0.3, 0.6)
 LOG_LIMIT = 7.0  # One false alarm in about 1,000 looks at independent answers.
-WINDOW_MS = 500
-MIN_WINDOWS = 3
-RECENT_WINDOWS = (4, 10)
-PRIOR_BAD = 0.2
+WINDOW_MS = 250
+WINDOW_LIMIT = 2.7  # Three windows in a row convict at the earliest.
+PRIOR_BAD = 0.2  # Of all routes: two in a hundred answers are bad, as ten show.
 PRIOR_ANSWERED = 10.0
+ROUTE_PRIOR_ANSWERED = 20.0  # Of one route: as all routes, as twenty answers show.
 LOCAL_MIN_FAILURES = 6
 LOCAL_MIN_SHARE = 0.25
 LOCAL_MIN_RATIO = 3.0
@@ -227,11 +227,14 @@
 
     def _greatest(self) -> tuple[float, str]:
         pooled = RouteEvidence()
-        found = [(0.0, "")]
-        for route, evidence in self._routes.items():
-            found.append((evidence.log_value(), f"on route {route!r}"))
+        for evidence in self._routes.values():
             pooled.merge(evidence)
-        return max(*found, (pooled.log_value(), "over all routes"))
+        usual = pooled.usual(PRIOR_BAD / PRIOR_ANSWERED, PRIOR_ANSWERED)
+        found = [(0.0, ""), (pooled.log_value(usual), "over all routes")]
+        for route, evidence in self._routes.items():
+            of_route = evidence.usual(usual, ROUTE_PRIOR_ANSWERED)
+            found.append((evidence.log_value(of_route), f"on route {route!r}"))
+        return max(found)
 
 
 class RouteEvidence:
@@ -254,35 +257,50 @@
         for window, cell in other._windows.items():
             self._windows.setdefault(window, _Cell()).add(cell)
 
-    def log_value(self) -> float:
-        """Return the logarithm of the evidence that the new release is worse.
+    def usual(self, prior: float, prior_answers: float) -> float:
+        """Return the part of the old release's answers that is bad.
 
-        The greatest over all answers and over the latest windows alone, as a release
-        may turn bad late or under load.
+        Parameters
+        ----------
+        prior : float
+            Part that is expected.
+        prior_answers : float
+            Answers that would weigh as much as the expectation.
         """
         old = self._old
-        usual = (old.bad + PRIOR_BAD) / (old.answered + PRIOR_ANSWERED)
+        return (old.bad + prior * prior_answers) / (old.answered + prior_answers)
+
+    def log_value(self, usual: float) -> float:
+        """Return the logarithm of the evidence that the new release is worse.
+
+        A cumulative sum test (Page, "Continuous Inspection Schemes", 1954): the
+        greatest over all spans that end now, as a release may turn bad late or under
+        load, and the good answers of before say nothing of that.
+
+        Parameters
+        ----------
+        usual : float
+            Part of the old release's answers that is bad.
+        """
+        tolerated = min(0.9, usual + TOLERANCE)
         latest = [cell for _, cell in sorted(self._windows.items(), reverse=True)]
-        spans = {min(span, len(latest)) for span in (*RECENT_WINDOWS, len(latest))}
-        return max((_log_ratio(latest[:span], usual) for span in spans), default=0.0)
+        rates = [rate for rate in BAD_RATES if rate > tolerated]
+        return max(
+            (_greatest_sum(latest, rate, tolerated) for rate in rates), default=0
+        )
 
 
-def _log_ratio(windows: list[_Cell], usual: float) -> float:
-    """Return the log likelihood ratio of some worse rates to the tolerated one.
+def _greatest_sum(latest: list[_Cell], rate: float, tolerated: float) -> float:
+    """Return the greatest log likelihood ratio of spans of windows, latest first.
 
-    The window with the most failures counts one of them: a backend server that dies
-    takes its running requests with it, all at once, and that convicts no release.
+    A window adds no more than ``WINDOW_LIMIT``: a backend server that dies takes its
+    running requests with it, all at once, and that convicts no release.
     """
-    if len(windows) < MIN_WINDOWS:
-        return 0.0
-    sudden = max(0, max(cell.failed for cell in windows) - 1)
-    answered = sum(cell.answered for cell in windows) - sudden
-    bad = sum(cell.bad for cell in windows) - sudden
-    tolerated = min(0.9, usual + TOLERANCE)
-    values = [
-        bad * math.log(rate / tolerated)
-        + (answered - bad) * math.log((1.0 - rate) / (1.0 - tolerated))
-        for rate in BAD_RATES
-        if rate > tolerated
-    ]
-    return max(values, default=0.0) - math.log(len(BAD_RATES))
+    for_bad = math.log(rate / tolerated)
+    for_good = math.log((1.0 - rate) / (1.0 - tolerated))
+    total = greatest = 0.0
+    for cell in latest:
+        value = cell.bad * for_bad + (cell.answered - cell.bad) * for_good
+        total += min(value, WINDOW_LIMIT)
+        greatest = max(greatest, total)
+    return greatest - math.log(len(BAD_RATES))
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -38,12 +38,13 @@
         return min(self.max_hold_s, self.hold * duration_s)
 
 
-# The first shares find a release that fails from the start, later or under load before
-# it has had a tenth of all requests; the last one lets requests to the old one end.
+# The first shares find a release that fails from the start or late; they leave enough
+# of a tenth of all requests for a second of full share, at which a release that is bad
+# under load is found. The last one lets requests to the old release end.
 STAGES = (
     Stage(0.07, 0.42, 0.26, 3.5, 25),
-    Stage(0.15, 0.56, 0.1, 1.5, 50),
-    Stage(0.35, 0.66, 0.08, 1.2, 90),
+    Stage(0.15, 0.52, 0.08, 1.2, 45),
+    Stage(0.35, 0.58, 0.05, 0.8, 60),
     Stage(1.0, 0.82, 0.16, 2.2, 120),
 )
 # Some failures that are no proof yet keep the share down, but not beyond the time at
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -56,6 +56,7 @@
         self.evidence = OrderEvidence(ORDER)
         self.now_ms = 0
         self.to_new = 0
+        self.share = 0.0
 
     def run_until_fault(self, seconds: float, per_s: float, share: float, bad) -> str:  # type: ignore[no-untyped-def]
         """Serve requests; return the reason of a conviction, by a node or by all."""
@@ -158,33 +159,23 @@
                 self.assertEqual(self.walk(Mesh(12, seed), is_as_before), "")
 
 
-class RareRouteTest(unittest.TestCase):
-    """A release that is bad on one route which takes one request in twenty."""
+class ScheduleWalk(unittest.TestCase):
+    """Follows the schedule at the request rate of a small site."""
 
     per_s = 83.0
     allowed = 0.1 * 83 * 16 + 50
-
-    def test_a_release_that_is_bad_on_a_rare_route_stays_in_its_exposure(self) -> None:
-        for seed in range(8):
-            with self.subTest(seed=seed):
-                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
-                self.assertTrue(self.drive(mesh, fails_on_one_route))
-                self.assertLess(mesh.to_new, self.allowed)
-
-    def test_a_good_release_gets_its_full_share_in_time(self) -> None:
-        for seed in range(8):
-            with self.subTest(seed=seed):
-                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
-                self.assertEqual(self.drive(mesh, is_as_before), "")
-                self.assertLess(mesh.now_ms / 1000, ORDER.duration_s)
+    report_delay_s = 0.25  # From an answer to the share of 0 at every node.
 
     def drive(self, mesh: Mesh, bad) -> str:  # type: ignore[no-untyped-def]
         """Follow the schedule to its end or to a conviction; return its reason."""
         state = msgspec.structs.replace(ORDER, share=STAGES[0].share)
         mesh.now_ms = changed_ms = 1500
         while True:
+            mesh.share = state.share
             reason = mesh.run_until_fault(0.1, self.per_s, state.share, bad)
             if reason:
+                for _ in range(int(self.report_delay_s * self.per_s)):
+                    mesh._serve(state.share, bad)
                 return reason
             progress = Progress(
                 mesh.now_ms / 1000,
@@ -202,6 +193,65 @@
                 return ""
 
 
+class RareRouteTest(ScheduleWalk):
+    """A release that is bad on one route which takes one request in twenty."""
+
+    def test_a_release_that_is_bad_on_a_rare_route_stays_in_its_exposure(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
+                self.assertTrue(self.drive(mesh, fails_on_one_route))
+                self.assertLess(mesh.to_new, self.allowed)
+
+    def test_a_good_release_gets_its_full_share_in_time(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
+                self.assertEqual(self.drive(mesh, is_as_before), "")
+                self.assertLess(mesh.now_ms / 1000, ORDER.duration_s)
+
+
+class UnderLoadTest(ScheduleWalk):
+    """A release that fails once it carries all requests, as it does under load."""
+
+    def test_it_stays_in_its_exposure(self) -> None:
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed)
+
+                def bad(rng, route, run_ms, outcome, mesh=mesh):  # type: ignore[no-untyped-def]
+                    full = mesh.share >= 1.0
+                    return (
+                        fails(rng, route, run_ms, outcome)
+                        if full
+                        else (run_ms, outcome)
+                    )
+
+                self.assertTrue(self.drive(mesh, bad))
+                self.assertLess(mesh.to_new, self.allowed)
+
+
+class LateTest(ScheduleWalk):
+    """A release that fails some seconds after it has begun."""
+
+    def test_it_stays_in_its_exposure(self) -> None:
+        for begins_ms in (4000, 6000, 8000):
+            for seed in range(6):
+                with self.subTest(begins_ms=begins_ms, seed=seed):
+                    mesh = Mesh(13, seed)
+
+                    def bad(rng, route, run_ms, outcome, mesh=mesh, begins=begins_ms):  # type: ignore[no-untyped-def]
+                        late = mesh.now_ms >= begins
+                        return (
+                            fails(rng, route, run_ms, outcome)
+                            if late
+                            else (run_ms, outcome)
+                        )
+
+                    self.assertTrue(self.drive(mesh, bad))
+                    self.assertLess(mesh.to_new, self.allowed)
+
+
 class SplitTest(unittest.TestCase):
     def make_book(self, *releases: str) -> OrderBook:
         return OrderBook(FakeMembers(*releases), RecordTable(), EventSink())  # type: ignore[arg-type]
