--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -18,7 +18,9 @@
     from marigoldchute.events import EventLog
     from marigoldchute.overlay.records import Record, RecordTable
 
-FULL_MESH_MEMBERS = 24  # Above, the heartbeats of all pairs cost more than hops do.
+# A link for each pair shows within 1.5 s who is gone. Above, the heartbeats of all
+# pairs would be most of what control sends.
+FULL_MESH_MEMBERS = 48
 
 _MEMBER = msgspec.msgpack.Decoder(Member)
 
@@ -26,8 +28,10 @@
 class Directory:
     """Member records, the links seen from here, and this node's own record.
 
-    A member whose link is down is shown as unreachable to this node alone; no claim
-    about it is spread, since who cannot reach it from here does not need to know.
+    A member whose link is wanted and down is shown as unreachable to this node alone;
+    no claim about it is spread, since who cannot reach it from here does not need to
+    know. Of members to which no link is wanted, only requests tell whether they can be
+    reached.
 
     Parameters
     ----------
@@ -120,7 +124,9 @@
             return targets
         alive = [dataclasses.replace(m, state=MemberState.ALIVE) for m in known]
         names = wanted_peers(self._local, alive)
-        return {name: targets[name] for name in names if name in targets}
+        chosen = {name: targets[name] for name in names if name in targets}
+        self._forget_down(self._down - chosen.keys())
+        return chosen
 
     def seeds(self) -> list[tuple[str, int]]:
         """Return addresses to try while no peer is linked."""
@@ -138,12 +144,23 @@
             self._change_view()
 
     def link_lost(self, name: str, refused: bool, now: float) -> None:
-        """Take note that a wanted peer cannot be reached."""
-        if name in self._members and name not in self._down:
+        """Take note that a link has ended or could not be opened.
+
+        The end of a link that is not wanted is no sign of a loss: its peer closes it
+        when it does not need it.
+        """
+        if name in self._down or name not in self.wanted():
+            return
+        if name in self._members:
             self._down.add(name)
             self._log.emit("directory", "peer_down", f"{name} is lost.", member=name)
             self._change_view()
 
+    def _forget_down(self, names: set[str]) -> None:
+        if names:
+            self._down -= names
+            self._change_view()
+
     def _as_seen(self, member: Member) -> Member:
         if member.name in self._down and member.state is MemberState.ALIVE:
             return dataclasses.replace(member, state=MemberState.UNREACHABLE)
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -101,6 +101,7 @@
         self._heard_at = trio.current_time()
         self._sent_at = trio.current_time()
         self._made_at = trio.current_time()
+        self._used_at = self._made_at
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -124,6 +125,11 @@
         """Number of open streams."""
         return len(self._streams)
 
+    @property
+    def unused_s(self) -> float:
+        """Seconds since the last stream on the link ended; 0 while one is open."""
+        return 0.0 if self._streams else trio.current_time() - self._used_at
+
     @property
     def pending_bytes(self) -> int:
         """Bytes that wait to be written."""
@@ -254,6 +260,7 @@
     def forget_stream(self, stream: Stream) -> None:
         """Drop a stream whose both directions are over."""
         self._streams.pop(stream.number, None)
+        self._used_at = trio.current_time()
 
     def send_frame(self, kind: int, stream: int, body: bytes) -> None:
         """Queue one frame for the writer.
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -135,12 +135,16 @@
             self._nursery.start_soon(self._dial, name, address, port)
 
     def _close_unwanted(self, wanted: dict[str, tuple[str, int]]) -> None:
-        """Close links that this node opened to join and does not need any more."""
+        """Close links that this node opened and does not need any more.
+
+        Requests travel on these links too, so one that is still used stays open.
+        """
         if len(wanted.keys() & self._neighbours.keys()) == 0:
             return
         for name, neighbour in self._neighbours.items():
             link = neighbour.link
-            if link.opened_here and name not in wanted and neighbour.is_unwanted():
+            unused = link.unused_s > UNWANTED_CLOSE_S
+            if link.opened_here and name not in wanted and unused:
                 link.close()
 
     async def _dial(self, name: str, address: str, port: int) -> None:
@@ -254,10 +258,6 @@
         self.synced = False
         self._waiting: dict[tuple[int, str], Record] = {}
 
-    def is_unwanted(self) -> bool:
-        """Whether the link is old enough to be closed when it is not wanted."""
-        return self.link.age_s > UNWANTED_CLOSE_S
-
     def queue(self, record: Record) -> None:
         self._waiting[(record.kind, record.key)] = record
         self.ready.set()
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -64,6 +64,40 @@
         self.assertLess(len(self.directory.wanted()), FULL_MESH_MEMBERS)
 
 
+class LargeMeshTest(unittest.TestCase):
+    """A mesh that grows beyond the size at which each pair has a link."""
+
+    def setUp(self) -> None:
+        self.table = RecordTable()
+        self.directory = make_directory("vm-1", self.table)
+        self.names = [f"vm-{index}" for index in range(2, 2 * FULL_MESH_MEMBERS)]
+
+    def join(self) -> None:
+        for name in self.names:
+            other = RecordTable()
+            make_directory(name, other)
+            spread(other, self.table)
+
+    def test_a_member_whose_link_was_not_needed_can_still_be_used(self) -> None:
+        self.join()
+        wanted = self.directory.wanted()
+        for name in self.names:
+            self.directory.link_lost(name, False, 1.0)
+        for name in self.names:
+            member = self.directory.get(name)
+            assert member is not None
+            self.assertEqual(member.usable, name not in wanted, name)
+
+    def test_a_lost_member_is_not_forgotten_as_lost_for_good(self) -> None:
+        make_directory("vm-2", other := RecordTable())
+        spread(other, self.table)
+        self.directory.link_lost("vm-2", False, 1.0)
+        self.assertFalse(self.directory.get("vm-2").usable)  # type: ignore[union-attr]
+        self.join()
+        if "vm-2" not in self.directory.wanted():
+            self.assertTrue(self.directory.get("vm-2").usable)  # type: ignore[union-attr]
+
+
 class RestartTest(unittest.TestCase):
     def test_a_successor_outranks_the_record_that_was_left_behind(self) -> None:
         for incarnation in (3, 5, 9):  # Clocks may have been set back.
--- /dev/null
+++ b/tests/test_overlay/test_overlay.py
@@ -0,0 +1,100 @@
+"""Links that the overlay keeps and closes."""
+
+from __future__ import annotations
+
+import random
+import types
+import unittest
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+from marigoldchute.errors import PeerError
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.overlay.overlay import UNWANTED_CLOSE_S, Overlay
+from marigoldchute.overlay.records import RecordTable
+
+
+class FakeLink:
+    """A link that this node opened."""
+
+    opened_here = True
+    suspect = False
+    stream_count = 0
+    unused_s = 0.0
+
+    def __init__(self, name: str) -> None:
+        self.peer = types.SimpleNamespace(name=name, incarnation=1)
+        self.closed = trio.Event()
+
+    @property
+    def alive(self) -> bool:
+        return not self.closed.is_set()
+
+    def close(self) -> None:
+        self.closed.set()
+
+    async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
+        raise PeerError("no reply")
+
+
+class FakeEndpoint:
+    """Opens a link to whoever is dialled; the port tells the name."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, FakeLink] = {}
+
+    async def connect(self, address: str, port: int, purpose: str) -> FakeLink:
+        link = self.links[address] = FakeLink(address)
+        return link
+
+    async def run_link(self, link: FakeLink) -> None:
+        await link.closed.wait()
+
+
+class FakeDirectory:
+    """Wants links to some peers."""
+
+    def __init__(self, *names: str) -> None:
+        self.names = set(names)
+
+    def wanted(self) -> dict[str, tuple[str, int]]:
+        return {name: (name, 1) for name in self.names}
+
+    def seeds(self) -> list[tuple[str, int]]:
+        return []
+
+    def take_strangers(self) -> list[tuple[str, int]]:
+        return []
+
+    def link_lost(self, name: str, refused: bool, now: float) -> None:
+        pass
+
+    def link_up(self, name: str, incarnation: int, now: float) -> None:
+        pass
+
+
+class UnwantedLinkTest(unittest.TestCase):
+    def test_a_link_that_carries_requests_is_not_closed(self) -> None:
+        endpoint: Any = FakeEndpoint()
+        directory = FakeDirectory("vm-2", "vm-3")
+
+        async def main() -> None:
+            overlay = Overlay(
+                "vm-1", endpoint, Handlers(), RecordTable(), random.Random(1)
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overlay.run, directory)
+                await trio.sleep(2)
+                busy = endpoint.links["vm-3"]
+                directory.names = {"vm-2"}
+                await trio.sleep(4 * UNWANTED_CLOSE_S)
+                self.assertTrue(busy.alive)
+                busy.unused_s = UNWANTED_CLOSE_S + 1
+                await trio.sleep(2)
+                self.assertFalse(busy.alive)
+                self.assertTrue(endpoint.links["vm-2"].alive)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
