Count slow answers of a new release in its cold start

Ruled out: failures (too few); a rare route (it was the one of most requests). Change: in a cold start an answer is slow from eight times the usual time on, twice that of a warm one; whether the server was cold is taken at the start of the try. Before: the new test fails.

--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -15,6 +15,7 @@
     from marigoldchute.orders.model import OrderState
 
 SLOW_FACTOR = 4.0
+COLD_FACTOR = 2.0  # A backend server runs up to twice as long in its cold start.
 USUAL_WEIGHT = 0.05
 MIN_USUAL_SAMPLES = 5
 # A faulty release fails or delays a large part of its answers; backend servers that
@@ -91,8 +92,8 @@
         cell = self.cells.setdefault((route, new), _Cell())
         cell.answered += 1
         usual_ms, samples = self.usual_ms.get(route, (latency_ms, 0))
-        known = samples >= MIN_USUAL_SAMPLES and not cold
-        slow = known and latency_ms > SLOW_FACTOR * usual_ms
+        limit_ms = SLOW_FACTOR * usual_ms * (COLD_FACTOR if cold else 1.0)
+        slow = samples >= MIN_USUAL_SAMPLES and latency_ms > limit_ms
         cell.slow += slow
         cell.failed += failed and not slow
         if not (new or failed or cold):
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -88,6 +88,7 @@
         outcome = Outcome.UNKNOWN
         call.answer = None
         expected_load = target.expected_load(trio.current_time())
+        cold = target.is_cold(self._clock.now_ms())
         code = ResultCode.OK
         target.in_flight += 1
         try:
@@ -122,7 +123,7 @@
                 f" code={code.value} ms={latency_ms:.0f} load={expected_load:.1f}"
                 f"/{target.server.slots}"
             )
-            self._observe(call, target, candidates, outcome, latency_ms)
+            self._observe(call, target, candidates, outcome, latency_ms, cold)
 
     async def _try_remote(self, call: Call, target: Target, head: RequestHead) -> None:
         link = self._traffic.live(target.member.name)
@@ -170,6 +171,7 @@
         candidates: Candidates,
         outcome: Outcome,
         latency_ms: float,
+        cold: bool,
     ) -> None:
         now = trio.current_time()
         now_ms = self._clock.now_ms()
@@ -193,7 +195,7 @@
             outcome,
             latency_ms,
             answer.load_level if answer is not None else 0,
-            target.is_cold(now_ms),
+            cold,
             now_ms,
         )
 
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -57,6 +57,7 @@
         self.now_ms = 0
         self.to_new = 0
         self.share = 0.0
+        self.warm_at_ms = 0
 
     def run_until_fault(self, seconds: float, per_s: float, share: float, bad) -> str:  # type: ignore[no-untyped-def]
         """Serve requests; return the reason of a conviction, by a node or by all."""
@@ -79,6 +80,8 @@
         new = self.rng.random() < self.mix.share("turnos", route, share)
         self.to_new += new
         run_ms = self.rng.lognormvariate(4.8, 0.8)
+        cold = new and self.now_ms < self.warm_at_ms
+        run_ms *= 2.0 if cold else 1.0
         outcome = Outcome.OK
         if self.rng.random() < 0.01:
             outcome = Outcome.ERROR
@@ -92,7 +95,7 @@
             outcome,
             run_ms,
             0,
-            False,
+            cold,
             self.now_ms,
         )
 
@@ -113,6 +116,10 @@
     return min(slow_ms, 1200.0), Outcome.UNKNOWN if slow_ms > 1200.0 else outcome
 
 
+def is_slow_but_answers(rng, route, run_ms, outcome):  # type: ignore[no-untyped-def]
+    return (8 * run_ms if rng.random() < 0.5 else run_ms), outcome
+
+
 def is_as_before(rng, route, run_ms, outcome):  # type: ignore[no-untyped-def]
     return run_ms, outcome
 
@@ -231,6 +238,29 @@
                 self.assertLess(mesh.to_new, self.allowed)
 
 
+class SlowTest(ScheduleWalk):
+    """A release that runs eight times as long, from its cold start on."""
+
+    routes = ("query",) * 19 + ("book",)
+
+    def make_mesh(self, seed: int) -> Mesh:
+        mesh = Mesh(13, seed, self.routes)
+        mesh.warm_at_ms = 16_000
+        return mesh
+
+    def test_it_stays_in_its_exposure(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                mesh = self.make_mesh(seed)
+                self.assertTrue(self.drive(mesh, is_slow_but_answers))
+                self.assertLess(mesh.to_new, self.allowed)
+
+    def test_a_good_release_in_its_cold_start_is_left_alone(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.assertEqual(self.drive(self.make_mesh(seed), is_as_before), "")
+
+
 class LateTest(ScheduleWalk):
     """A release that fails some seconds after it has begun."""
 
