Let one member decide about orders while nobody reads the store

A new driver never got the counts that nodes had sent to the one before. Change: while nobody reads, the first member in the order decides if it reaches most members; who begins to decide gets all counts; doubt is weighed only when a raise is due.

--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -94,9 +94,23 @@
         """Return the names of other members that read successfully of late."""
         return [n for n, at in self._beacons.items() if now - at <= BEACON_FRESH_S]
 
+    def deciders(self, now: float) -> list[str]:
+        """Return the names of the other members that may decide for all.
+
+        Those that read of late; while nobody does, the members whose duty it is.
+        """
+        active = self.active_readers(now)
+        if active:
+            return active
+        first = [member.name for member in self._ordered()[:READERS]]
+        return [name for name in first if name != self._directory.local.name]
+
     def leads(self, reads: bool, now: float) -> bool:
         """Return whether this node decides what one reader must decide.
 
+        While nobody reads the store, the first member in the order decides, if it
+        reaches most of the members: what is under way must not stand still.
+
         Parameters
         ----------
         reads : bool
@@ -104,13 +118,15 @@
         now : float
             Monotonic time in seconds.
         """
-        if not reads:
-            return False
-        active = {*self.active_readers(now), self._directory.local.name}
-        for member in self._ordered():
-            if member.name in active:
-                return member.name == self._directory.local.name
-        return True
+        local = self._directory.local.name
+        active = set(self.active_readers(now))
+        if reads:
+            active.add(local)
+        ordered = [member.name for member in self._ordered()]
+        if active:
+            return next((n for n in ordered if n in active), local) == local
+        reaches_most = 2 * len(ordered) > len(self._directory.all())
+        return reaches_most and ordered[0] == local
 
     def _ordered(self) -> list[Member]:
         members = self._directory.reachable()
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -213,15 +213,15 @@
             await self._take_back(state)
             return
         progress = self._progress(state, evidence, now)
-        if is_doubtful(state, progress):
-            reason = f"evidence of {progress.doubt:.0%} of a proof at the last raise"
-            self._book.report_fault(state, reason)
-            return
         following = next_state(state, progress)
         if following is None:
             if is_too_late(state, progress.elapsed_s):
                 self._book.report_fault(state, "its full share is not reached in time")
             return
+        if is_doubtful(state, progress):
+            reason = f"evidence of {progress.doubt:.0%} of a proof at the last raise"
+            self._book.report_fault(state, reason)
+            return
         if following.stage == OrderStage.DONE:
             await self._write(state, following)
         elif self._book.put(following):
@@ -324,18 +324,20 @@
         return NodeOutcomes(local.name, local.incarnation, order_id, counts)
 
     async def _report(self) -> None:
-        """Send what this node has counted to the nodes that read the store."""
+        """Send what this node has counted to the nodes that may decide."""
+        told: set[str] = set()
         while True:
             await trio.sleep(self._report_interval_s())
-            changed = tuple(self._counter.changed)
-            if not changed:
-                continue
+            changed = set(self._counter.changed)
             self._counter.changed.clear()
-            readers = self._duty.active_readers(trio.current_time())
-            for order_id in changed:
-                body = msgspec.msgpack.encode(self._own_report(order_id))
-                for name in readers:
+            deciders = self._duty.deciders(trio.current_time())
+            # Who has begun to decide needs the counts of before as well.
+            known = {state.order_id for state in self._book.states() if state.is_open}
+            for name in deciders:
+                for order_id in changed if name in told else changed | known:
+                    body = msgspec.msgpack.encode(self._own_report(order_id))
                     await self._send(name, body)
+            told = set(deciders)
 
     def _report_interval_s(self) -> float:
         fast = any(
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -191,10 +191,10 @@
                 mesh.evidence.new_answers,
                 mesh.evidence.doubt(),
             )
-            if is_doubtful(state, progress):
-                return "doubt"
             following = next_state(state, progress)
             if following is not None:
+                if is_doubtful(state, progress):
+                    return "doubt"
                 state, changed_ms = following, mesh.now_ms
             if not state.is_open:
                 return ""
