--- a/marigoldchute/routing/least_time.py
+++ b/marigoldchute/routing/least_time.py
@@ -17,6 +17,9 @@
 DEFAULT_RUN_MS = 100.0
 RUN_WEIGHT = 0.05
 LOAD_COST = 0.3  # Full slots make a run this much longer on servers that slow down.
+# A server in another data centre must be expected to answer this much sooner: bytes
+# between data centres are paid for, and on a calm day each has servers enough.
+OTHER_CENTRE_FACTOR = 1.15
 NEAR_SHARE = 0.8  # Part of the objective that near servers may need before far ones.
 JITTER = 0.1  # Keeps nodes with the same view from choosing alike.
 EJECT_MARGIN = 0.25
@@ -28,7 +31,8 @@
     """Takes the target with the least expected time to an answer.
 
     The expected time is the route's usual run time, times the target's slowness, plus
-    the wait that its load implies. Targets across the link between regions are taken
+    the wait that its load implies. The own data centre is preferred by
+    ``OTHER_CENTRE_FACTOR``. Targets across the link between regions are taken
     only when near ones are expected to need more than ``NEAR_SHARE`` of the objective,
     and when they are expected to answer sooner in spite of the way.
 
@@ -51,8 +55,12 @@
         wish: Wish = NO_WISH,
     ) -> Target | None:
         """Return the target of the next try, or None when there is none."""
-        near = (*candidates.centre, *candidates.region)
-        best, best_ms = self._best(near, tried, now, now_ms, wish)
+        best, best_ms = self._best(candidates.centre, tried, now, now_ms, wish)
+        other, other_ms = self._best(candidates.region, tried, now, now_ms, wish)
+        if best is None or (
+            other is not None and OTHER_CENTRE_FACTOR * other_ms < best_ms
+        ):
+            best, best_ms = other, other_ms
         limit_ms = NEAR_SHARE * wish.objective_s * 1000
         if best is not None and (not limit_ms or best_ms <= limit_ms):
             return best
@@ -61,7 +69,8 @@
             return far
         if best is not None:
             return best
-        return _least_banned((*near, *candidates.remote), tried)
+        everywhere = (*candidates.centre, *candidates.region, *candidates.remote)
+        return _least_banned(everywhere, tried)
 
     def take_run(self, target: Target, route: str, run_ms: float) -> None:
         """Take note of the time that a target took to run a request of a route."""
--- a/marigoldchute/routing/metrics.py
+++ b/marigoldchute/routing/metrics.py
@@ -9,6 +9,8 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
+MAX_HISTOGRAMS = 48  # Of 20 KB each; a bundle may hold hundreds of rare routes.
+OTHER_ROUTES = "other"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +37,11 @@
 
 
 class RouteMetrics:
-    """Keeps one histogram for each route and outcome."""
+    """Keeps one histogram for each route and outcome.
+
+    Routes that are first used when there are ``MAX_HISTOGRAMS`` share one for each
+    outcome, named ``OTHER_ROUTES``.
+    """
 
     def __init__(self) -> None:
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
@@ -44,6 +50,9 @@
         """Take the latency added to one request, in microseconds."""
         key = (route, outcome)
         histogram = self._histograms.get(key)
+        if histogram is None and len(self._histograms) >= MAX_HISTOGRAMS:
+            key = (OTHER_ROUTES, outcome)
+            histogram = self._histograms.get(key)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
             self._histograms[key] = histogram
--- a/tests/test_routing/test_least_time.py
+++ b/tests/test_routing/test_least_time.py
@@ -64,6 +64,28 @@
         self.assertGreater(counts["near1"], 90)
 
 
+class CalmDayTest(unittest.TestCase):
+    """Each data centre has room; a hop to another one is paid for."""
+
+    def setUp(self) -> None:
+        self.own = make_target("own")
+        self.others = tuple(make_target(f"other{i}") for i in range(3))
+        self.candidates = Candidates((), (self.own,), self.others, ())
+        self.chooser = LeastExpectedTime(random.Random(1))
+        for target in (self.own, *self.others):
+            self.chooser.take_run(target, "r", 200.0)
+
+    def test_the_own_data_centre_serves_while_it_has_room(self) -> None:
+        self.own.take_load(self.own.server.slots // 3, 0.0)
+        chosen = [choose(self.chooser, self.candidates) for _ in range(50)]
+        self.assertEqual(set(chosen), {"own"})
+
+    def test_another_one_does_before_requests_wait(self) -> None:
+        self.own.take_load(self.own.server.slots + 2, 0.0)
+        chosen = {choose(self.chooser, self.candidates) for _ in range(50)}
+        self.assertNotIn("own", chosen)
+
+
 class SickServerTest(unittest.TestCase):
     """One server fails half of its answers while its health is said to be good."""
 
