--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -112,6 +112,12 @@
         self._leaving = True
         self._table.offer(claim_record(self._local, MemberState.GONE, now_ms))
 
+    @property
+    def links_all_pairs(self) -> bool:
+        """Whether the mesh is small enough for a link between each pair."""
+        gone = sum(m.state is MemberState.GONE for m in self._members.values())
+        return len(self._members) - gone <= FULL_MESH_MEMBERS
+
     def wanted(self) -> dict[str, tuple[str, int]]:
         """Return the address and port of each peer to keep a link to."""
         known = [m for m in self._members.values() if m.state is not MemberState.GONE]
@@ -120,7 +126,7 @@
             if name not in self._members:
                 targets[name] = place
         targets.pop(self._local.name, None)
-        if len(targets) < FULL_MESH_MEMBERS:
+        if self.links_all_pairs and len(targets) < FULL_MESH_MEMBERS:
             return targets
         alive = [dataclasses.replace(m, state=MemberState.ALIVE) for m in known]
         names = wanted_peers(self._local, alive)
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -181,7 +181,13 @@
         bundles = BundleTopic(adapter.bundles, self._catalog, log)
         topics: list[Topic] = [bundles, self._driver]
         self._reader = StoreReader(
-            adapter.store, topics, self._duty, self._overlay, handlers, log, rng
+            adapter.store,
+            topics,
+            self._duty,
+            self._overlay,
+            handlers,
+            log,
+            rng,
         )
         self._driver.reader = self._reader
         self._discovery = Discovery(adapter.store, self.directory, log, rng)
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
 import trio
 
 from marigoldchute.errors import CompactedError, PeerError, PlatformError
@@ -33,6 +35,30 @@
 NEAR_FACTOR = 3.0
 
 
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Beacon(msgspec.Struct, frozen=True, array_like=True):
+    """Says that a member reads the store successfully.
+
+    Parameters
+    ----------
+    member : str
+        Who reads.
+    incarnation : int
+        Of the member.
+    number : int
+        Rises with each beacon of an incarnation.
+    """
+
+    member: str
+    incarnation: int
+    number: int
+
+
+_BEACON = msgspec.msgpack.Decoder(Beacon)
+
+
 class Topic(Protocol):
     """Documents of a kind that a reader follows for the mesh."""
 
@@ -67,9 +93,10 @@
     """
 
     def __init__(self, directory: Directory, now: float) -> None:
-        self._directory = directory
+        self.directory = directory
         self._started_at = now
         self._beacons: dict[str, float] = {}
+        self._newest: dict[str, tuple[int, int]] = {}
 
     def begin(self, now: float) -> None:
         """Count the time without beacons from now on."""
@@ -79,6 +106,14 @@
         """Take note that a member reads the store successfully."""
         self._beacons[name] = now
 
+    def is_news(self, beacon: Beacon) -> bool:
+        """Return whether a beacon is newer than those of its member before it."""
+        rank = (beacon.incarnation, beacon.number)
+        news = rank > self._newest.get(beacon.member, (-1, -1))
+        if news:
+            self._newest[beacon.member] = rank
+        return news
+
     def is_reader(self, now: float) -> bool:
         """Return whether this node is to read now."""
         rank = self._rank()
@@ -103,7 +138,7 @@
         if active:
             return active
         first = [member.name for member in self._ordered()[:READERS]]
-        return [name for name in first if name != self._directory.local.name]
+        return [name for name in first if name != self.directory.local.name]
 
     def leads(self, reads: bool, now: float) -> bool:
         """Return whether this node decides what one reader must decide.
@@ -118,18 +153,18 @@
         now : float
             Monotonic time in seconds.
         """
-        local = self._directory.local.name
+        local = self.directory.local.name
         active = set(self.active_readers(now))
         if reads:
             active.add(local)
         ordered = [member.name for member in self._ordered()]
         if active:
             return next((n for n in ordered if n in active), local) == local
-        reaches_most = 2 * len(ordered) > len(self._directory.all())
+        reaches_most = 2 * len(ordered) > len(self.directory.all())
         return reaches_most and ordered[0] == local
 
     def _ordered(self) -> list[Member]:
-        members = self._directory.reachable()
+        members = self.directory.reachable()
         times = [member.store_ms for member in members if member.store_ms]
         limit_ms = NEAR_FACTOR * min(times, default=0)
         order = rendezvous_order(members, "store-reader")
@@ -137,7 +172,7 @@
 
     def _rank(self) -> int:
         for index, member in enumerate(self._ordered()):
-            if member.name == self._directory.local.name:
+            if member.name == self.directory.local.name:
                 return index
         return READERS + BACKUPS
 
@@ -173,6 +208,7 @@
         log: EventLog,
         rng: random.Random,
     ) -> None:
+        self._numbers = itertools.count()
         self._store = store
         self._topics = topics
         self._duty = duty
@@ -249,15 +285,27 @@
                     event, text = ("duty_lost", "does not read the store any more")
                 self._log.emit("reader", event, f"This node {text}.")
             if reads:
-                self._notify_neighbours()
+                local = self._duty.directory.local
+                beacon = Beacon(local.name, local.incarnation, next(self._numbers))
+                self._notify_neighbours(beacon)
 
-    def _notify_neighbours(self) -> None:
+    def _notify_neighbours(self, beacon: Beacon, source: str = "") -> None:
+        body = _ENCODER.encode(beacon)
         for link in self._overlay.neighbours():
+            if link.peer.name == source:
+                continue
             try:
-                link.notify(Method.READER_BEACON, b"")
+                link.notify(Method.READER_BEACON, body)
             except PeerError:
                 continue  # The link has ended; the overlay opens another.
 
     async def _take_beacon(self, link: Link, body: bytes) -> bytes:
-        self._duty.take_beacon(link.peer.name, trio.current_time())
+        beacon = _BEACON.decode(body)
+        local = self._duty.directory.local.name
+        if beacon.member == local or not self._duty.is_news(beacon):
+            return b""
+        self._duty.take_beacon(beacon.member, trio.current_time())
+        if not self._duty.directory.links_all_pairs:
+            # Most members have no link to the reader.
+            self._notify_neighbours(beacon, link.peer.name)
         return b""
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import types
 import unittest
+from typing import Any
+
+import msgspec
+import trio
 
 from marigoldchute.hosted.reader import (
     BACKUP_AFTER_S,
     BEACON_FRESH_S,
     READERS,
+    Beacon,
     ReaderDuty,
+    StoreReader,
 )
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.link.methods import Method
 from marigoldchute.membership.model import Member
 
 NAMES = [f"vm-{i}" for i in range(8)]
@@ -92,6 +101,52 @@
     def test_who_reaches_a_minority_leads_only_while_it_reads(self) -> None:
         found = duties(NAMES, set(NAMES))
         for name, duty in found.items():
-            duty._directory.lost = set(NAMES) - {name, "vm-1", "vm-2"}  # type: ignore[attr-defined]
+            duty.directory.lost = set(NAMES) - {name, "vm-1", "vm-2"}  # type: ignore[attr-defined]
             self.assertFalse(duty.leads(False, 10.0))
             self.assertTrue(duty.leads(True, 10.0))
+
+    def test_a_beacon_that_went_round_is_no_news(self) -> None:
+        duty = duties(NAMES, set(NAMES))["vm-7"]
+        self.assertTrue(duty.is_news(Beacon("vm-0", 5, 1)))
+        self.assertFalse(duty.is_news(Beacon("vm-0", 5, 1)))
+        self.assertFalse(duty.is_news(Beacon("vm-0", 4, 9)))
+        self.assertTrue(duty.is_news(Beacon("vm-0", 5, 2)))
+        self.assertTrue(duty.is_news(Beacon("vm-0", 6, 0)))
+
+
+class RelayedBeaconTest(unittest.TestCase):
+    """A mesh too large for links between all pairs: beacons go from link to link."""
+
+    def test_a_chain_of_members_hears_the_reader(self) -> None:
+        sent: list[str] = []
+
+        class FakeLink:
+            def __init__(self, name: str) -> None:
+                self.peer = types.SimpleNamespace(name=name)
+
+            def notify(self, method: int, body: bytes) -> None:
+                sent.append(self.peer.name)
+
+        links = [FakeLink("vm-1"), FakeLink("vm-3")]
+        for all_pairs, expected in ((False, ["vm-3"]), (True, [])):
+            sent.clear()
+            directory: Any = FakeDirectory("vm-2", NAMES, set(NAMES))
+            directory.links_all_pairs = all_pairs
+            duty = ReaderDuty(directory, 0.0)
+            overlay: Any = types.SimpleNamespace(neighbours=lambda: links)
+            handlers = Handlers()
+            unused: Any = None
+            StoreReader(unused, [], duty, overlay, handlers, unused, unused)
+            handler: Any = handlers.find(Method.READER_BEACON)
+            body = msgspec.msgpack.encode(Beacon("vm-0", 1, 1))
+
+            async def deliver(
+                handler: Any = handler, body: bytes = body, duty: ReaderDuty = duty
+            ) -> None:
+                for _ in range(2):
+                    await handler(links[0], body)
+                now = trio.current_time()
+                self.assertEqual(duty.active_readers(now), ["vm-0"])
+
+            trio.run(deliver)
+            self.assertEqual(sent, expected)
