--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -15,6 +15,7 @@
     from marigoldchute.orders.model import OrderState
 
 SLOW_FACTOR = 4.0
+OVERDUE_FACTOR = 2.5  # One that was cut would have taken longer than it was seen to.
 COLD_FACTOR = 2.0  # A backend server runs up to twice as long in its cold start.
 USUAL_WEIGHT = 0.05
 MIN_USUAL_SAMPLES = 5
@@ -91,7 +92,8 @@
         self, route: str, new: bool, outcome: Outcome, latency_ms: float, cold: bool
     ) -> None:
         usual_ms, samples = self.usual_ms.get(route, (latency_ms, 0))
-        limit_ms = SLOW_FACTOR * usual_ms * (COLD_FACTOR if cold else 1.0)
+        factor = OVERDUE_FACTOR if outcome is Outcome.OVERDUE else SLOW_FACTOR
+        limit_ms = factor * usual_ms * (COLD_FACTOR if cold else 1.0)
         slow = samples >= MIN_USUAL_SAMPLES and latency_ms > limit_ms
         if outcome is Outcome.OVERDUE and not slow:
             return  # A short time limit says nothing of the release.
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -58,7 +58,7 @@
         self.to_new = 0
         self.share = 0.0
         self.warm_at_ms = 0
-        self.brief_ms = 0.0  # Time limit of the route of that name.
+        self.limits_ms: dict[str, float] = {}  # Time limits of routes.
 
     def run_until_fault(self, seconds: float, per_s: float, share: float, bad) -> str:  # type: ignore[no-untyped-def]
         """Serve requests; return the reason of a conviction, by a node or by all."""
@@ -88,8 +88,9 @@
             outcome = Outcome.ERROR
         if new:
             run_ms, outcome = bad(self.rng, route, run_ms, outcome)
-        if route == "brief" and run_ms > self.brief_ms:
-            run_ms, outcome = self.brief_ms, Outcome.OVERDUE
+        limit_ms = self.limits_ms.get(route)
+        if limit_ms is not None and run_ms > limit_ms:
+            run_ms, outcome = limit_ms, Outcome.OVERDUE
         self.rng.choice(self.counters).record(
             route,
             "turnos",
@@ -228,7 +229,7 @@
         for seed in range(12):
             with self.subTest(seed=seed):
                 mesh = Mesh(13, seed, ("query",) * 49 + ("brief",))
-                mesh.brief_ms = 40.0
+                mesh.limits_ms["brief"] = 40.0
                 self.assertEqual(self.drive(mesh, is_as_before), "")
 
 
@@ -269,6 +270,14 @@
                 self.assertTrue(self.drive(mesh, is_slow_but_answers))
                 self.assertLess(mesh.to_new, self.allowed)
 
+    def test_it_does_when_its_answers_are_cut_at_a_time_limit(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed, self.routes)
+                mesh.limits_ms = dict.fromkeys(self.routes, 450.0)
+                self.assertTrue(self.drive(mesh, is_slow_but_answers))
+                self.assertLess(mesh.to_new, self.allowed)
+
     def test_a_good_release_in_its_cold_start_is_left_alone(self) -> None:
         for seed in range(8):
             with self.subTest(seed=seed):
