--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -165,11 +165,6 @@
             "refused while it waited for a slot", waiter.refusal, self._run_s
         )
 
-    def estimated_wait_s(self, priority: int) -> float:
-        """Return how long a request that is due last in its class would wait now."""
-        ahead = sum(len(queue) for queue in self._queues[: priority + 1])
-        return (ahead + 1) * self._run_s / self.limit
-
     def leave(self) -> None:
         """Give a slot back and admit who waits."""
         self.running -= 1
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -27,11 +27,9 @@
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_FAULTS, send_refusal
+from marigoldchute.routing.release_choice import ReleaseChoice
 from marigoldchute.routing.request_log import RequestLog
-from marigoldchute.routing.route_mix import RouteMix
 from marigoldchute.routing.route_table import RouteTable
-from marigoldchute.routing.spread import Spread
-from marigoldchute.routing.sticky import sticky_point
 
 if TYPE_CHECKING:
     import random
@@ -43,7 +41,7 @@
     from marigoldchute.events import EventLog
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
-    from marigoldchute.moves.model import Split, SplitSource
+    from marigoldchute.moves.model import SplitSource
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
@@ -135,8 +133,7 @@
         self._own_headers = dialect.own_request_headers
         self._policy = policy
         self._caller_service = caller_service
-        self._spreads: dict[str, Spread] = {}
-        self._mix = RouteMix()
+        self._releases = ReleaseChoice(rng, policy.boost_rare_routes)
         self._request_log = RequestLog(log)
         self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
         in_force.on_swap(self._take_bundle)
@@ -194,11 +191,8 @@
                 "too few members are heard", ResultCode.REQUEST_NOT_RUN_FENCED
             )
         entry = self._find_route(req, internal)
-        service = entry.service
-        if entry.parts is not None:
-            service = entry.service_at(self._spread_of(entry.route.name).next())
+        service = self._releases.pick_service(entry)
         split = self._splits.split(service.name, service.release)
-        self._mix.add_request(service.name, entry.route.name)
         timeout_ms = entry.route.timeout_ms
         given_ms = parse_deadline_ms(req.header(self._dialect.deadline))
         if given_ms is not None:
@@ -215,7 +209,7 @@
             entry,
             service,
             split,
-            self._pick_release(req, entry, service.name, split),
+            self._releases.pick_release(req, entry, service, split),
             self._request_id(req, internal),
             request_block(req.headers, self._own_headers),
             now + timeout_ms / 1000,
@@ -240,31 +234,6 @@
             )
         return entry
 
-    def _pick_release(
-        self, req: HttpRequest, entry: RouteEntry, service_name: str, split: Split
-    ) -> str:
-        if split.share <= 0.0:
-            return split.old_release
-        if split.share >= 1.0:
-            return split.new_release
-        point = None
-        if entry.sticky_header:
-            value = req.header(entry.sticky_header)
-            if value is not None:
-                point = sticky_point(split.move_id, value)
-        if point is None:
-            point = self._spread_of(f"{split.move_id}/{entry.route.name}").next()
-        share = split.share
-        if self._policy.boost_rare_routes:
-            share = self._mix.share(service_name, entry.route.name, share)
-        return split.new_release if point < share else split.old_release
-
-    def _spread_of(self, key: str) -> Spread:
-        spread = self._spreads.get(key)
-        if spread is None:
-            spread = self._spreads[key] = Spread(self._rng.random())
-        return spread
-
     def _request_id(self, req: HttpRequest, internal: bool) -> str:
         given = None
         if internal or self._dialect.keeps_given_id:
