--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -305,6 +305,42 @@
                     self.assertLess(mesh.to_new, self.allowed)
 
 
+class VeryLateTest(ScheduleWalk):
+    """A release that fails once it has its full share, ten seconds after the order."""
+
+    def test_it_stays_in_its_exposure(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed)
+
+                def bad(rng, route, run_ms, outcome, mesh=mesh):  # type: ignore[no-untyped-def]
+                    late = mesh.now_ms >= 10_000
+                    return (
+                        fails(rng, route, run_ms, outcome)
+                        if late
+                        else (run_ms, outcome)
+                    )
+
+                self.assertTrue(self.drive(mesh, bad))
+                self.assertLess(mesh.to_new, self.allowed)
+
+
+class RareFaultTest(ScheduleWalk):
+    """A release that fails four in ten on a route of one request in twenty."""
+
+    def test_it_stays_in_its_exposure(self) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                mesh = Mesh(13, seed, ("query",) * 19 + ("book",))
+
+                def bad(rng, route, run_ms, outcome):  # type: ignore[no-untyped-def]
+                    failed = route == "book" and rng.random() < 0.4
+                    return run_ms, Outcome.ERROR if failed else outcome
+
+                self.assertTrue(self.drive(mesh, bad))
+                self.assertLess(mesh.to_new, self.allowed)
+
+
 class SplitTest(unittest.TestCase):
     def make_book(self, *releases: str) -> OrderBook:
         return OrderBook(FakeMembers(*releases), RecordTable(), EventSink())  # type: ignore[arg-type]
