Keep a backend server's leave that comes before its node knows it again

Change: the leave is replicated with the time at which it came, and each life that began before is over. Before: the new test fails without the announcement. After: it passes.

--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -153,10 +153,22 @@
         if not same_life:
             self._replicate()
 
-    def take_leave(self, instance: str) -> None:
-        """Take a backend server's word that it leaves without having drained."""
+    def take_leave(self, instance: str, now_ms: int) -> None:
+        """Take a backend server's word that it leaves without having drained.
+
+        It may come when this process does not know the server yet: after a restart,
+        its record is still on the way. Each life that began before now is over then.
+
+        Parameters
+        ----------
+        instance : str
+            Id of the server.
+        now_ms : int
+            Wall-clock time in milliseconds since the epoch.
+        """
         held = self._current
         if held is None or held.instance != instance:
+            self._announce_leaving(instance, now_ms, "left before it was known")
             return
         self._current = dataclasses.replace(held, draining=True)
         self._announce_leaving(instance, held.born_ms, "left")
--- a/marigoldchute/platform/control.py
+++ b/marigoldchute/platform/control.py
@@ -99,7 +99,7 @@
         if call == "heartbeat":
             error = self._take_report(instance, body)
         elif call == "deregister":
-            self._registry.take_leave(instance)
+            self._registry.take_leave(instance, self._clock.now_ms())
             error = ""
         else:
             await _answer(responder, 404, "no such call")
--- a/tests/test_hosted/test_registry.py
+++ b/tests/test_hosted/test_registry.py
@@ -75,9 +75,9 @@
 
     def test_leaving_without_a_drain_stops_new_requests(self) -> None:
         self.take(report(1))
-        self.registry.take_leave("i-2")
+        self.registry.take_leave("i-2", 0)
         self.assertEqual(self.admits(), ["i-1"])
-        self.registry.take_leave("i-1")
+        self.registry.take_leave("i-1", 0)
         self.assertEqual(self.admits(), [])
 
 
@@ -155,3 +155,28 @@
         self.assertEqual(self.admits(), [])
         self.take(report(2), now=EXPIRY_S + 1.0)
         self.assertEqual(self.admits(), ["i-1"])
+
+
+class LeaveAfterRestartTest(RegistryTestCase):
+    """A server leaves while the node's new process does not know it yet."""
+
+    def restart(self) -> None:
+        """Replace the process; what peers hold comes after the server's word."""
+        self.take(report(1))
+        peer = self.table
+        self.table = RecordTable()
+        self.registry = self.make_registry(self.table)
+        self.registry.take_leave("i-1", 2_000)
+        for record in peer.of_kind(RecordKind.VM_SERVER):
+            self.table.offer(record, "peer")
+
+    def test_it_is_not_taken_over_from_the_record(self) -> None:
+        self.restart()
+        self.assertEqual(self.admits(), [])
+        self.take(report(5))
+        self.assertEqual(self.admits(), [])
+
+    def test_its_next_life_is_used(self) -> None:
+        self.restart()
+        self.take(report(1, born_ms=9_000))
+        self.assertEqual(self.admits(), ["i-1"])
