Count the requests of a service's routes without adding them up for each

Found by reading the change: the route mix summed its counts twice for each request, and the product's own path counted although it never raises rare routes.

--- a/marigoldchute/routing/release_choice.py
+++ b/marigoldchute/routing/release_choice.py
@@ -56,7 +56,8 @@
         split : Split
             How the service's requests divide now.
         """
-        self._mix.add_request(service.name, entry.route.name)
+        if self._boost_rare_routes:
+            self._mix.add_request(service.name, entry.route.name)
         if split.share <= 0.0:
             return split.old_release
         if split.share >= 1.0:
--- a/marigoldchute/routing/route_mix.py
+++ b/marigoldchute/routing/route_mix.py
@@ -17,13 +17,18 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, dict[str, int]] = {}
+        self._totals: dict[str, int] = {}
 
     def add_request(self, service: str, route: str) -> None:
         """Count a request."""
         counts = self._counts.setdefault(service, {})
         counts[route] = counts.get(route, 0) + 1
-        if sum(counts.values()) >= WINDOW_REQUESTS:
-            self._counts[service] = {n: c // 2 for n, c in counts.items() if c > 1}
+        total = self._totals.get(service, 0) + 1
+        if total >= WINDOW_REQUESTS:
+            counts = {n: c // 2 for n, c in counts.items() if c > 1}
+            self._counts[service] = counts
+            total = sum(counts.values())
+        self._totals[service] = total
 
     def share(self, service: str, route: str, share: float) -> float:
         """Return the share of a route for a new release.
@@ -42,7 +47,7 @@
             the service's requests.
         """
         counts = self._counts.get(service, {})
-        total = sum(counts.values())
+        total = self._totals.get(service, 0)
         if total < MIN_REQUESTS:
             return share
         part = max(1, counts.get(route, 0)) / total
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -108,6 +108,17 @@
     return run_ms, Outcome.ERROR if rng.random() < 0.5 else outcome
 
 
+def fails_when(is_bad):  # type: ignore[no-untyped-def]
+    """Return a release that fails like ``fails`` while a condition holds."""
+
+    def answer(rng, route, run_ms, outcome):  # type: ignore[no-untyped-def]
+        if is_bad():
+            return fails(rng, route, run_ms, outcome)
+        return run_ms, outcome
+
+    return answer
+
+
 def fails_on_one_route(rng, route, run_ms, outcome):  # type: ignore[no-untyped-def]
     bad = route == "book" and rng.random() < 0.5
     return run_ms, Outcome.ERROR if bad else outcome
@@ -241,14 +252,7 @@
             with self.subTest(seed=seed):
                 mesh = Mesh(13, seed)
 
-                def bad(rng, route, run_ms, outcome, mesh=mesh):  # type: ignore[no-untyped-def]
-                    full = mesh.share >= 1.0
-                    return (
-                        fails(rng, route, run_ms, outcome)
-                        if full
-                        else (run_ms, outcome)
-                    )
-
+                bad = fails_when(lambda mesh=mesh: mesh.share >= 1.0)
                 self.assertTrue(self.drive(mesh, bad))
                 self.assertLess(mesh.to_new, self.allowed)
 
@@ -293,14 +297,7 @@
                 with self.subTest(begins_ms=begins_ms, seed=seed):
                     mesh = Mesh(13, seed)
 
-                    def bad(rng, route, run_ms, outcome, mesh=mesh, begins=begins_ms):  # type: ignore[no-untyped-def]
-                        late = mesh.now_ms >= begins
-                        return (
-                            fails(rng, route, run_ms, outcome)
-                            if late
-                            else (run_ms, outcome)
-                        )
-
+                    bad = fails_when(lambda mesh=mesh, at=begins_ms: mesh.now_ms >= at)
                     self.assertTrue(self.drive(mesh, bad))
                     self.assertLess(mesh.to_new, self.allowed)
 
@@ -313,14 +310,7 @@
             with self.subTest(seed=seed):
                 mesh = Mesh(13, seed)
 
-                def bad(rng, route, run_ms, outcome, mesh=mesh):  # type: ignore[no-untyped-def]
-                    late = mesh.now_ms >= 10_000
-                    return (
-                        fails(rng, route, run_ms, outcome)
-                        if late
-                        else (run_ms, outcome)
-                    )
-
+                bad = fails_when(lambda mesh=mesh: mesh.now_ms >= 10_000)
                 self.assertTrue(self.drive(mesh, bad))
                 self.assertLess(mesh.to_new, self.allowed)
 
