Use a draining node's backend server until the callers have left

A node told its peers 1.6 s after the signal that it drains, and ended 2.7 to 4.9 s after it, as callers still came; its backend server, which stays, was out of use for up to 4 s. At 25 to 27 s two of 13 backend servers of turnos were left, and 670 requests were refused by nodes that knew none with room.

Ruled out: a lost or late record of the members (each restart is told within 0.3 s); the start of the process (0.85 s).

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -12,6 +12,7 @@
 from marigoldchute.hosted.config_topic import BundleTopic
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.discovery import Discovery
+from marigoldchute.hosted.drain import NodeDrain
 from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import ReaderDuty, StoreReader
 from marigoldchute.hosted.registry import MISSED_REPORTS, LocalRegistry
@@ -58,12 +59,6 @@
 LINK_HEARTBEAT_MS = 500  # A link that misses three is given up, after 1.5 s.
 GATHER_BYTES = 262_144
 TICK_S = 0.25
-DRAIN_ACCEPT_S = 2.6  # Callers are led away after two missed questions, one a second.
-OWNER_SERVES_S = 1.6  # What is admitted last ends about when callers have left.
-DRAIN_QUIET_S = 0.4
-DRAIN_RUN_S = 2.0  # Left of the grace for requests that were taken last.
-DRAIN_POLL_S = 0.05
-DRAIN_RESERVE_S = 0.7  # Left of the grace for the last messages.
 LEAVE_FLOOD_S = 0.05
 PEERS_FIRST_S = 1.5
 PEERS_ANSWER_S = 0.4  # A few trips between regions: link, comparison, difference.
@@ -280,36 +275,19 @@
 
     async def drain(self) -> None:
         """Leave without cutting a request; returns when the process may end."""
-        started = trio.current_time()
         self._draining = True
         self._log.emit("node", "draining", f"{self._cfg.name} drains.")
-        self._caller_edge.drain()
-        with trio.move_on_at(started + self._cfg.bounds.grace_s - DRAIN_RESERVE_S):
-            # Until then the backend server is used: it stays when only the node stops.
-            await trio.sleep(OWNER_SERVES_S)
-            self.directory.drain()
-            self._owner.drain()
-            await trio.sleep_until(started + DRAIN_ACCEPT_S)
-            await self._wait_for_callers_to_leave(started)
-            self._caller_edge.stop_accepting()
-            while self._caller_edge.is_busy or self._owner.running:
-                await trio.sleep(DRAIN_POLL_S)
-        with trio.move_on_after(DRAIN_RESERVE_S / 2):
-            self.directory.leave(self._clock.now_ms())
-            await trio.sleep(LEAVE_FLOOD_S)
-            if not self._registry.holds_server:
-                await self._discovery.remove_entry()
-            await self._endpoint.flush()
+        grace_s = self._cfg.bounds.grace_s
+        drain = NodeDrain(self._caller_edge, self._owner, self.directory, grace_s)
+        await drain.run(self._say_farewell)
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
-    async def _wait_for_callers_to_leave(self, started: float) -> None:
-        """Serve on while callers are still led here, as others may be out as well."""
-        last_s = self._cfg.bounds.grace_s - DRAIN_RUN_S
-        while trio.current_time() < started + last_s:
-            quiet_s = trio.current_time() - self._caller_edge.last_request_at
-            if quiet_s > DRAIN_QUIET_S:
-                return
-            await trio.sleep(DRAIN_POLL_S)
+    async def _say_farewell(self) -> None:
+        self.directory.leave(self._clock.now_ms())
+        await trio.sleep(LEAVE_FLOOD_S)
+        if not self._registry.holds_server:
+            await self._discovery.remove_entry()
+        await self._endpoint.flush()
 
     async def _serve(
         self,
--- /dev/null
+++ b/tests/test_hosted/test_drain.py
@@ -0,0 +1,120 @@
+"""A node that leaves while others leave too: its backend server is used on."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+from trio.testing import MockClock
+
+from marigoldchute.hosted.drain import OWNER_RUN_S, RESERVE_S, NodeDrain
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+GRACE_S = 6.0
+RUN_S = 0.3  # Seconds that a request takes on the backend server.
+
+
+class FakeCallers:
+    """Callers that send a request from time to time until they are led away."""
+
+    def __init__(self, sent_at: Iterable[float]) -> None:
+        self._sent_at = sorted(sent_at)
+        self.accepts = True
+        self.draining = False
+
+    @property
+    def last_request_at(self) -> float:
+        now = trio.current_time()
+        return max((at for at in self._sent_at if at <= now), default=0.0)
+
+    @property
+    def is_busy(self) -> bool:
+        return self.accepts
+
+    def drain(self) -> None:
+        self.draining = True
+
+    def stop_accepting(self) -> None:
+        self.accepts = False
+
+
+class FakeOwner:
+    """Backend server that has requests as long as it is offered to others."""
+
+    def __init__(self, run_s: float = RUN_S) -> None:
+        self._run_s = run_s
+        self.drained_at: float | None = None
+
+    @property
+    def running(self) -> int:
+        if self.drained_at is None:
+            return 1
+        return int(trio.current_time() < self.drained_at + self._run_s)
+
+    def drain(self) -> None:
+        if self.drained_at is None:
+            self.drained_at = trio.current_time()
+
+
+class FakeDirectory:
+    def __init__(self) -> None:
+        self.drained_at: float | None = None
+
+    def drain(self) -> None:
+        if self.drained_at is None:
+            self.drained_at = trio.current_time()
+
+
+class RollTest(unittest.TestCase):
+    """Nodes restarted one after another, a second apart, each with its grace."""
+
+    def setUp(self) -> None:
+        self.owner = FakeOwner()
+        self.directory = FakeDirectory()
+        self.farewell_at = 0.0
+
+    def leave(self, callers: FakeCallers) -> float:
+        """Drain a node; return after how many seconds it was done."""
+
+        async def say_farewell() -> None:
+            self.farewell_at = trio.current_time()
+
+        async def main() -> float:
+            await NodeDrain(callers, self.owner, self.directory, GRACE_S).run(
+                say_farewell
+            )
+            return trio.current_time()
+
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_backend_server_is_out_only_while_its_last_requests_end(self) -> None:
+        ended = self.leave(FakeCallers([0.4, 1.1, 1.9]))
+        assert self.directory.drained_at is not None
+        self.assertLess(ended - self.directory.drained_at, RUN_S + 0.1)
+        self.assertLess(ended, 0.55 * GRACE_S)
+
+    def test_it_stays_in_use_while_callers_come(self) -> None:
+        callers = FakeCallers([index / 10 for index in range(29)])
+        self.leave(callers)
+        assert self.directory.drained_at is not None
+        self.assertGreater(self.directory.drained_at, 2.8)
+
+    def test_callers_that_never_leave_do_not_hold_it_past_its_time(self) -> None:
+        callers = FakeCallers([index / 10 for index in range(100)])
+        ended = self.leave(callers)
+        assert self.directory.drained_at is not None
+        self.assertLessEqual(self.directory.drained_at, GRACE_S - OWNER_RUN_S + 0.1)
+        self.assertFalse(callers.accepts)
+        self.assertLess(ended, GRACE_S - RESERVE_S)
+
+    def test_request_that_does_not_end_leaves_time_for_the_farewell(self) -> None:
+        self.owner = FakeOwner(run_s=100.0)
+        self.leave(FakeCallers([]))
+        self.assertAlmostEqual(self.farewell_at, GRACE_S - RESERVE_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
