Hold requests for a moment while a new process has no bundle yet

Cause: when all VMs lose power at once, nodes serve 1.2 s after the power is back and have the bundle 0.3 to 0.6 s later (links to peers first, then the store).

Ruled out: a slow store (one page in 40 ms); waiting less for peers, which makes all nodes read the store at every restart.

Change: routing/first_bundle.py holds requests for up to 0.7 s after the first one that needed a bundle; later ones are refused at once. The time counts as theirs: deadlines run from the arrival. Tests: FirstBundleTest in tests.test_routing.test_tries (all restarted at once; bundle that never comes; caller that leaves); 3 of 4 fail with a wait of 0.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -62,11 +62,13 @@
 LEAVE_FLOOD_S = 0.05
 PEERS_FIRST_S = 1.5
 PEERS_ANSWER_S = 0.4  # A few trips between regions: link, comparison, difference.
+FIRST_BUNDLE_WAIT_S = 0.7  # After the loss of all it came 0.3 to 0.6 s after the start.
 POLICY = PathPolicy(
     adaptive_limit=False,
     gather_bytes=GATHER_BYTES,
     retry_errors=True,
     boost_rare_routes=True,
+    first_bundle_wait_s=FIRST_BUNDLE_WAIT_S,
 )
 
 
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -21,6 +21,7 @@
 from marigoldchute.routing.dialect import OWN_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
 from marigoldchute.routing.failure import outcome_of, truthful
+from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import parse_deadline_ms, request_block
 from marigoldchute.routing.http_request import CallerGoneError
 from marigoldchute.routing.metrics import RouteMetrics
@@ -132,6 +133,7 @@
         self._dialect = dialect
         self._own_headers = dialect.own_request_headers
         self._policy = policy
+        self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
         self._releases = ReleaseChoice(rng, policy.boost_rare_routes)
         self._request_log = RequestLog(log)
@@ -140,6 +142,7 @@
 
     def _take_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
+        self._first_bundle.take_bundle()
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
         """Answer a request from a caller outside the mesh."""
@@ -153,10 +156,13 @@
         self, req: HttpRequest, responder: HttpResponder, internal: bool
     ) -> None:
         started = time.perf_counter()
+        received_at = trio.current_time()
         call = None
         outcome = Outcome.OK
         try:
-            call = self._make_call(req, responder, internal)
+            if self._routes is None:
+                await self._first_bundle.wait(req, received_at)
+            call = self._make_call(req, responder, internal, received_at)
             await self._run_call(call)
             if call.answer is not None:
                 now = trio.current_time()
@@ -184,7 +190,11 @@
         self._request_log.emit_failed(req, call, request_id, outcome, exc, now)
 
     def _make_call(
-        self, req: HttpRequest, responder: HttpResponder, internal: bool
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        internal: bool,
+        received_at: float,
     ) -> Call:
         if self._members.fenced:
             raise NotRunError(
@@ -201,7 +211,6 @@
             raise NotRunError(
                 "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
             )
-        now = trio.current_time()
         objective_ms = entry.route.objective_ms
         return Call(
             req,
@@ -212,10 +221,10 @@
             self._releases.pick_release(req, entry, service, split),
             self._request_id(req, internal),
             request_block(req.headers, self._own_headers),
-            now + timeout_ms / 1000,
-            now + objective_ms / 1000 if objective_ms else 0.0,
+            received_at + timeout_ms / 1000,
+            received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
-            now,
+            received_at,
             self._routes.version if self._routes is not None else 0,
         )
 
--- a/marigoldchute/routing/policy.py
+++ b/marigoldchute/routing/policy.py
@@ -22,12 +22,15 @@
         its own is tried at another one.
     boost_rare_routes : bool
         Whether a new release gets a larger share of the routes with few requests.
+    first_bundle_wait_s : float
+        Seconds for which a new process holds requests while it has no bundle yet.
     """
 
     adaptive_limit: bool = True
     gather_bytes: int = 0
     retry_errors: bool = False
     boost_rare_routes: bool = False
+    first_bundle_wait_s: float = 0.0
 
 
 STREAMING_POLICY = PathPolicy()
--- a/tests/test_routing/test_tries.py
+++ b/tests/test_routing/test_tries.py
@@ -23,7 +23,8 @@
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.moves.model import Split
 from marigoldchute.routing.entry import Entry
-from marigoldchute.routing.http_request import HttpRequest
+from marigoldchute.routing.first_bundle import FirstBundleWait
+from marigoldchute.routing.http_request import CallerGoneError, HttpRequest
 from marigoldchute.routing.least_time import LeastExpectedTime
 from marigoldchute.routing.messages import ResponseHead
 from marigoldchute.routing.policy import PathPolicy
@@ -35,7 +36,8 @@
     from marigoldchute.routing.call import Call
     from marigoldchute.routing.messages import RequestHead
 
-POLICY = PathPolicy(False, 65_536, True)
+FIRST_BUNDLE_WAIT_S = 0.7
+POLICY = PathPolicy(False, 65_536, True, first_bundle_wait_s=FIRST_BUNDLE_WAIT_S)
 BODY = b"x"
 
 
@@ -88,6 +90,8 @@
 class FakeOwner:
     """Runs requests by a script, one entry a try."""
 
+    remaining_ms = 0
+
     def __init__(self, script: list[int | Exception]) -> None:
         self.script = script
         self.servers: list[str] = []
@@ -95,6 +99,7 @@
     async def execute(self, head: RequestHead, exchange: Call) -> None:
         await trio.lowlevel.checkpoint()
         self.servers.append(head.server_id)
+        self.remaining_ms = head.remaining_ms
         step = self.script.pop(0)
         if isinstance(step, Exception):
             raise step
@@ -128,11 +133,19 @@
         allowed: int = 1000,
         change: Callable[[HttpRequest], None] | None = None,
     ) -> FakeResponder:
+        self.start(*script, servers=servers, allowed=allowed)
+        self.take_bundle(repeatable)
+        return self.ask(b"/a/1", change)
+
+    def start(
+        self, *script: int | Exception, servers: int = 4, allowed: int = 1000
+    ) -> None:
+        """Start a node that has no bundle yet."""
         self.owner = FakeOwner(list(script))
         self.budget = Unlimited(allowed)
-        in_force = InForce()
-        entry = Entry(
-            in_force,
+        self.in_force = InForce()
+        self.entry = Entry(
+            self.in_force,
             FakeSplits(),
             FakeMembers({"turnos": servers, "reservas": servers}),  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
@@ -145,6 +158,9 @@
             policy=POLICY,
             retry_budget=self.budget,
         )
+
+    def take_bundle(self, repeatable: bool = True) -> None:
+        """Put a bundle in force."""
         parts = (RoutePart("turnos", 3), RoutePart("reservas", 1))
         routes = (
             Route("r", "/a/", "turnos", 2000, max_attempts=2, repeatable=repeatable),
@@ -153,9 +169,7 @@
         content = BundleContent(
             (Service("turnos", ""), Service("reservas", "")), routes
         )
-        in_force.swap(Bundle(Manifest(1, (), "", "", b""), content))
-        self.entry = entry
-        return self.ask(b"/a/1", change)
+        self.in_force.swap(Bundle(Manifest(1, (), "", "", b""), content))
 
     def ask(
         self,
@@ -274,3 +288,72 @@
         responder = self.ask(b"/a/1", clock=clock)
         self.assertEqual(responder.statuses, [503])
         self.assertEqual(len(owner.servers), 1)
+
+
+class FirstBundleTest(TriesTestCase):
+    """All nodes start at once after a loss of power, before any has a bundle."""
+
+    def ask_at(self, *times: float, bundle_at: float | None) -> list[tuple[int, float]]:
+        """Return the status of each request and after how many seconds it came."""
+        found: list[tuple[int, float]] = []
+
+        async def ask(at: float) -> None:
+            await trio.sleep(at)
+            req = HttpRequest(None)  # type: ignore[arg-type]
+            req.method, req.target, req.complete = b"POST", b"/a/1", True
+            req.headers = [(b"host", b"h.example")]
+            responder = FakeResponder()
+            await self.entry.handle_external(req, responder)  # type: ignore[arg-type]
+            took_s = round(trio.current_time() - started - at, 3)
+            found.append((responder.statuses[0], took_s))
+
+        async def main() -> None:
+            nonlocal started
+            started = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for at in times:
+                    nursery.start_soon(ask, at)
+                if bundle_at is not None:
+                    await trio.sleep(bundle_at)
+                    self.take_bundle()
+
+        started = 0.0
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return found
+
+    def test_requests_wait_for_a_bundle_that_comes(self) -> None:
+        self.start(*[200] * 3)
+        found = self.ask_at(0.0, 0.1, 0.3, bundle_at=0.4)
+        self.assertEqual(sorted(found), [(200, 0.1), (200, 0.3), (200, 0.4)])
+
+    def test_waiting_counts_as_time_of_the_request(self) -> None:
+        self.start(200)
+        self.ask_at(0.0, bundle_at=0.4)
+        self.assertEqual(self.owner.remaining_ms, 1600)
+
+    def test_without_a_bundle_requests_are_soon_refused_at_once(self) -> None:
+        self.start()
+        found = self.ask_at(0.0, 0.5, 0.8, 2.0, bundle_at=None)
+        self.assertEqual([status for status, _ in found], [503] * 4)
+        self.assertEqual(sorted(took for _, took in found), [0.0, 0.0, 0.2, 0.7])
+
+    def test_caller_that_leaves_is_not_held(self) -> None:
+        wait = FirstBundleWait(FIRST_BUNDLE_WAIT_S)
+
+        async def main() -> None:
+            req = HttpRequest(None)  # type: ignore[arg-type]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._leave, req)
+                with self.assertRaises(CallerGoneError):
+                    await wait.wait(req, trio.current_time())
+                self.assertAlmostEqual(trio.current_time() - started, 0.1)
+
+        started = 0.0
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(main, clock=clock)
+
+    async def _leave(self, req: HttpRequest) -> None:
+        await trio.sleep(0.1)
+        req.caller_gone = True
+        assert req.scope is not None
+        req.scope.cancel()
