Pause a member that holds a share in the test of a late move

Cause of the known red: the test paused a member right after the bundle was rolled. The move takes its first step about 3 s later, so that the member had no share to give back: after the deadline "taking back" ended at once in "taken back", and the test, which polls, sometimes missed it (seen with the states printed: "under way" at 5.66 s, "taken back" at 6.37 s while the member was paused, in 2 of 3 runs).

Ruled out: a move told done too early; a member declared gone (it was "alive" until 8.5 s, then "unreachable").

Change: the first step holds for 3 s and the member is paused once it serves the new release; so "taking back" stands until it goes on, and must be told unconfirmed.

Conclusion: the fault was the test's; what it demands is stricter now.

--- a/tests/test_moves/test_truth.py
+++ b/tests/test_moves/test_truth.py
@@ -22,7 +22,9 @@
 RELEASES = {NORTE: "r1", SUR: "r2", MUELLE: "r1", PATIO: "r2"}
 
 
-def bundle(complete_within_ms: int, watch_ms: int = 500) -> str:
+def bundle(
+    complete_within_ms: int, watch_ms: int = 500, first_hold_ms: int = 500
+) -> str:
     move = {
         "move_id": "turnos-r2",
         "service": "turnos",
@@ -31,7 +33,7 @@
         "complete_within_ms": complete_within_ms,
         "watch_ms": watch_ms,
         "steps": [
-            {"share": 0.1, "hold_ms": 500},
+            {"share": 0.1, "hold_ms": first_hold_ms},
             {"share": 0.5, "hold_ms": 500},
             {"share": 1, "hold_ms": 0},
         ],
@@ -50,7 +52,9 @@
 class TruthTestCase(MeshTestCase):
     proxied = True
 
-    async def begin(self, complete_within_ms: int, watch_ms: int = 500) -> None:
+    async def begin(
+        self, complete_within_ms: int, watch_ms: int = 500, first_hold_ms: int = 500
+    ) -> None:
         """Start a mesh with both releases and roll a move."""
         self.start_nodes()
         self.start_backends("turnos", RELEASES)
@@ -59,7 +63,8 @@
                 vm.name,
                 lambda s: len(s.members) == 4 and all(m.servers for m in s.members),
             )
-        path = self.write_bundle(bundle(complete_within_ms, watch_ms))
+        text = bundle(complete_within_ms, watch_ms, first_hold_ms)
+        path = self.write_bundle(text)
         status, out, err = await self.roll(path, NORTE)
         self.assertEqual(status, 0, out + err)
         for vm in self.mesh.plan.vms:
@@ -149,10 +154,15 @@
         self.run_async(self._late, 40)
 
     async def _late(self) -> None:
-        await self.begin(6000, watch_ms=1500)
+        await self.begin(9000, watch_ms=1500, first_hold_ms=3000)
+        # With a share of its own it has to confirm that it gave it back.
+        await self.mesh.wait_until(
+            PATIO, lambda s: bool(s.moves) and s.moves[0].lowest_share > 0
+        )
         self.mesh.process(PATIO).send_signal(19)  # SIGSTOP: paused, not gone
         try:
-            await self.move(NORTE, "taking back")
+            taking = await self.move(NORTE, "taking back")
+            self.assertGreater(taking.unconfirmed, 0)
         finally:
             self.mesh.process(PATIO).send_signal(18)
         back = await self.move(NORTE, "taken back")
