Free the objects of requests without the cycle collector

Ruled out: kept bundles (329 routes, eight versions that share their parts), records and histograms: together under 0.3 MB of the objects counted.

Change: both ends of the cycle are let go when a run or a connection ends; pieces of bodies lie in lists.

--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import struct
 from typing import TYPE_CHECKING
 
@@ -46,7 +45,7 @@
         self.link = link
         self.number = number
         self.head = head
-        self._chunks: collections.deque[bytes] = collections.deque()
+        self._chunks: list[bytes] = []  # Few; a deque takes 760 bytes even when empty.
         self._peer_head: bytes | None = None
         self._ended = False
         self._error: StreamResetError | None = None
@@ -77,7 +76,7 @@
             if self._ended:
                 return None
             await self._wait_readable()
-        chunk = self._chunks.popleft()
+        chunk = self._chunks.pop(0)
         self._consumed += len(chunk)
         if self._consumed >= CREDIT_BYTES and not self._ended:
             credit = _U32.pack(self._consumed)
@@ -90,7 +89,7 @@
         if not self._ended or self._error is not None:
             return None
         if len(self._chunks) == 1:
-            return self._chunks.popleft()
+            return self._chunks.pop()
         data = b"".join(self._chunks)
         self._chunks.clear()
         return data
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-
 import httptools
 
 from marigoldchute.errors import RequestError
@@ -72,7 +70,7 @@
         self.not_run = False
         self.started = False
         self.skipped = 0
-        self.chunks: collections.deque[bytes] = collections.deque()
+        self.chunks: list[bytes] = []  # A deque takes 760 bytes even when empty.
         self._lines: list[bytes] = []
         self._chunked = False
         self._head_bytes = 0
@@ -193,10 +191,14 @@
         self.keep_alive = False
         return True
 
+    def close(self) -> None:
+        """Let the parser go, so that both are freed without the cycle collector."""
+        del self._parser
+
     def take_body(self) -> bytes:
         """Return what has arrived of the body and was not taken before."""
         if len(self.chunks) == 1:
-            return self.chunks.popleft()
+            return self.chunks.pop()
         body = b"".join(self.chunks)
         self.chunks.clear()
         return body
--- a/marigoldchute/routing/backend_run.py
+++ b/marigoldchute/routing/backend_run.py
@@ -90,6 +90,12 @@
 
     async def execute(self) -> None:
         """Write the request and pass the answer on."""
+        try:
+            await self._exchange_with_server()
+        finally:
+            self._response.close()
+
+    async def _exchange_with_server(self) -> None:
         head = self._head
         first = self._request_bytes()
         if not head.has_body:
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -62,7 +61,7 @@
         self.keep_alive = True
         self.has_body = False
         self.complete = False
-        self.chunks: collections.deque[bytes] = collections.deque()
+        self.chunks: list[bytes] = []  # Few; a deque takes 760 bytes even when empty.
         self.scope: trio.CancelScope | None = None
         self.caller_gone = False
         self._expects_continue = False
@@ -103,7 +102,7 @@
             if self.complete:
                 return None
             await self._read_body()
-        return self.chunks.popleft()
+        return self.chunks.pop(0)
 
     async def _read_body(self) -> None:
         if self._expects_continue:
@@ -218,7 +217,7 @@
 
     def __init__(self, tcp: TcpConn) -> None:
         self.tcp = tcp
-        self.requests: collections.deque[HttpRequest] = collections.deque()
+        self.requests: list[HttpRequest] = []
         self._parser = httptools.HttpRequestParser(self)
         self._reading = HttpRequest(self)
         self._head_bytes = 0
@@ -227,6 +226,10 @@
         self._head_error: RequestError | None = None
         self._error: RequestError | None = None
 
+    def close(self) -> None:
+        """Let the parser go, so that both are freed without the cycle collector."""
+        del self._parser, self._reading
+
     @property
     def between_requests(self) -> bool:
         """Whether no byte of a further request has arrived."""
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -151,6 +151,7 @@
         finally:
             self._conns.discard(conn)
             tcp.close()
+            conn.parser.close()
 
     async def _serve_requests(self, conn: _CallerConn) -> None:
         requests = conn.parser.requests
@@ -163,7 +164,7 @@
                 except RequestError as exc:
                     await _refuse(conn.tcp, exc)
                     return
-            req = requests.popleft()
+            req = requests.pop(0)
             if not await self._answer(conn, req):
                 return
 
--- a/marigoldchute/routing/request_body.py
+++ b/marigoldchute/routing/request_body.py
@@ -42,7 +42,7 @@
         if not req.complete or not self.rewindable or self._position:
             return None
         while req.chunks:
-            self._keep(req.chunks.popleft())
+            self._keep(req.chunks.pop(0))
         if not self.rewindable or self._kept_bytes > MAX_DATA_BYTES:
             return None
         self._position = len(self._kept)
