--- a/bench/bench_distribution.py
+++ b/bench/bench_distribution.py
@@ -24,7 +24,8 @@
 from marigoldchute.bundle.model import BundleContent, Route, Service
 from marigoldchute.bundle.signing import sign_manifest
 from marigoldchute.standins.faultproxy import Action, Rule
-from marigoldchute.standins.mesh import DATA_CENTRES, LoopbackBlock, Mesh, plan_mesh
+from marigoldchute.standins.loopback import DATA_CENTRES, LoopbackBlock, plan_mesh
+from marigoldchute.standins.mesh import Mesh
 
 if TYPE_CHECKING:
     from marigoldchute.standins.store import CallCounts
--- a/bench/bench_membership.py
+++ b/bench/bench_membership.py
@@ -24,7 +24,8 @@
 
 import trio
 
-from marigoldchute.standins.mesh import LoopbackBlock, Mesh, plan_mesh
+from marigoldchute.standins.loopback import LoopbackBlock, plan_mesh
+from marigoldchute.standins.mesh import Mesh
 from tests.support.invariants import read_events
 
 if TYPE_CHECKING:
--- a/bench/bench_moves.py
+++ b/bench/bench_moves.py
@@ -23,13 +23,13 @@
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.backend_faults import BackendFaults
 from marigoldchute.standins.faultproxy import Action, Rule
-from marigoldchute.standins.mesh import (
+from marigoldchute.standins.loopback import (
     BACKEND_PORT,
     INTERNAL_PORT,
     LoopbackBlock,
-    Mesh,
     plan_mesh,
 )
+from marigoldchute.standins.mesh import Mesh
 from marigoldchute.standins.store import StoreFaults
 from marigoldchute.standins.traffic import Callers
 
--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -31,13 +31,13 @@
     LoadPlan,
     LoadResult,
 )
-from marigoldchute.standins.mesh import (
+from marigoldchute.standins.loopback import (
     BACKEND_PORT,
     INTERNAL_PORT,
     LoopbackBlock,
-    Mesh,
     plan_mesh,
 )
+from marigoldchute.standins.mesh import Mesh
 
 RESULT = pathlib.Path(__file__).parent / "results" / "path.json"
 CALLER_PORT = 8000
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -23,13 +23,13 @@
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.backend_faults import BackendFaults
 from marigoldchute.standins.faultproxy import Action, Rule
-from marigoldchute.standins.mesh import (
+from marigoldchute.standins.loopback import (
     BACKEND_PORT,
     INTERNAL_PORT,
     LoopbackBlock,
-    Mesh,
     plan_mesh,
 )
+from marigoldchute.standins.mesh import Mesh
 from marigoldchute.util.tcp import open_tcp
 
 RESULT = pathlib.Path(__file__).parent / "results" / "fault_run.json"
--- a/marigoldchute/cmd/demo.py
+++ b/marigoldchute/cmd/demo.py
@@ -21,14 +21,14 @@
 from marigoldchute.errors import MarigoldchuteError
 from marigoldchute.events import wall_clock_ms
 from marigoldchute.standins.backend import BackendSettings
-from marigoldchute.standins.mesh import (
+from marigoldchute.standins.loopback import (
     BACKEND_PORT,
     CALLER_PORT,
     INTERNAL_PORT,
     LoopbackBlock,
-    Mesh,
     plan_mesh,
 )
+from marigoldchute.standins.mesh import Mesh
 from marigoldchute.standins.traffic import Callers
 from marigoldchute.timeline import format_event, merge_lines
 
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -162,7 +162,7 @@
         self._registry.max_connections = self._max_connections
         self._catalog = Catalog(self._in_force, log)
         self._relay = BundleRelay(self._catalog, self._overlay, handlers, log)
-        self._duty = ReaderDuty(self.directory, 0.0)
+        self._duty = ReaderDuty(self.directory)
         self._book = OrderBook(self.directory, table, log)
         counter = OutcomeCounter(self._book)
         self._driver = OrderDriver(
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -88,18 +88,16 @@
     ----------
     directory : Directory
         Members.
-    now : float
-        Monotonic time in seconds.
     """
 
-    def __init__(self, directory: Directory, now: float) -> None:
+    def __init__(self, directory: Directory) -> None:
         self.directory = directory
-        self._started_at = now
+        self._started_at = 0.0
         self._beacons: dict[str, float] = {}
         self._newest: dict[str, tuple[int, int]] = {}
 
     def begin(self, now: float) -> None:
-        """Count the time without beacons from now on."""
+        """Count the time without beacons from now on, a monotonic time in seconds."""
         self._started_at = now
 
     def take_beacon(self, name: str, now: float) -> None:
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -16,7 +16,7 @@
 import trio
 
 from marigoldchute.routing.http_server import HttpEdge
-from marigoldchute.standins.mesh import LoopbackBlock
+from marigoldchute.standins.loopback import LoopbackBlock
 from tests.support.documents import DocumentStandIn
 
 if TYPE_CHECKING:
--- a/tests/support/meshes.py
+++ b/tests/support/meshes.py
@@ -14,14 +14,14 @@
 
 from marigoldchute.bundle.signing import public_key_of
 from marigoldchute.standins.backend import BackendSettings
-from marigoldchute.standins.mesh import (
+from marigoldchute.standins.loopback import (
     BACKEND_PORT,
     INTERNAL_PORT,
     STORE_PORT,
     LoopbackBlock,
-    Mesh,
     plan_mesh,
 )
+from marigoldchute.standins.mesh import Mesh
 from tests.support.invariants import find_violations, read_events
 
 if TYPE_CHECKING:
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from marigoldchute.standins.mesh import LoopbackBlock
+from marigoldchute.standins.loopback import LoopbackBlock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -10,7 +10,7 @@
 
 from marigoldchute.objectstore.client import HttpObjectStore
 from marigoldchute.objectstore.settings import StoreSettings
-from marigoldchute.standins.mesh import STORE_PORT, LoopbackBlock
+from marigoldchute.standins.loopback import STORE_PORT, LoopbackBlock
 from marigoldchute.standins.store import Store, StoreApp
 from marigoldchute.util.asgi import serve_app
 
--- a/tests/test_distribution/test_partitions.py
+++ b/tests/test_distribution/test_partitions.py
@@ -8,7 +8,7 @@
 import trio
 
 from marigoldchute.standins.faultproxy import Action, Rule
-from marigoldchute.standins.mesh import PEER_PORT
+from marigoldchute.standins.loopback import PEER_PORT
 from tests.support.rolls import TEST_LIMIT_S, WAIT_LIMIT_S, RollTestCase
 from tests.test_bundle.bundles import content
 
--- a/tests/test_distribution/test_store_faults.py
+++ b/tests/test_distribution/test_store_faults.py
@@ -14,7 +14,7 @@
 from marigoldchute.objectstore.api import CREATE_ONLY
 from marigoldchute.objectstore.client import HttpObjectStore
 from marigoldchute.objectstore.settings import StoreSettings
-from marigoldchute.standins.mesh import STORE_PORT
+from marigoldchute.standins.loopback import STORE_PORT
 from marigoldchute.standins.store import READS_PER_S, StoreFaults
 from tests.support.rolls import TEST_LIMIT_S, WAIT_LIMIT_S, RollTestCase
 from tests.test_bundle.bundles import content
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -43,7 +43,7 @@
 
 
 def duties(names: list[str], near: set[str]) -> dict[str, ReaderDuty]:
-    return {n: ReaderDuty(FakeDirectory(n, names, near), 0.0) for n in names}  # type: ignore[arg-type]
+    return {n: ReaderDuty(FakeDirectory(n, names, near)) for n in names}  # type: ignore[arg-type]
 
 
 class ReaderDutyTest(unittest.TestCase):
@@ -132,7 +132,7 @@
             sent.clear()
             directory: Any = FakeDirectory("vm-2", NAMES, set(NAMES))
             directory.links_all_pairs = all_pairs
-            duty = ReaderDuty(directory, 0.0)
+            duty = ReaderDuty(directory)
             overlay: Any = types.SimpleNamespace(
                 spread_links=lambda source="": [
                     link for link in links if link.peer.name != source
--- a/tests/test_platform/test_shapes.py
+++ b/tests/test_platform/test_shapes.py
@@ -38,7 +38,7 @@
         for names in (["vm-0"], ["vm-0", "vm-1"]):
             for name in names:
                 directory = FakeDirectory(name, names, set())
-                duty = ReaderDuty(directory, 0.0)  # type: ignore[arg-type]
+                duty = ReaderDuty(directory)  # type: ignore[arg-type]
                 self.assertTrue(duty.is_reader(0.1))
 
     def test_a_service_with_one_backend_server_keeps_it_however_it_fails(self) -> None:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -17,7 +17,7 @@
 )
 from marigoldchute.objectstore.settings import StoreSettings
 from marigoldchute.platform.store import PlatformDocumentStore
-from marigoldchute.standins.mesh import LoopbackBlock
+from marigoldchute.standins.loopback import LoopbackBlock
 from tests.support.documents import DocumentStandIn
 
 if TYPE_CHECKING:
--- a/tests/test_routing/paths.py
+++ b/tests/test_routing/paths.py
@@ -8,7 +8,7 @@
 import trio
 
 from marigoldchute.standins.backend import BackendSettings
-from marigoldchute.standins.mesh import BACKEND_PORT, INTERNAL_PORT
+from marigoldchute.standins.loopback import BACKEND_PORT, INTERNAL_PORT
 from tests.support.meshes import MeshTestCase
 
 if TYPE_CHECKING:
--- a/tests/test_routing/test_http_edge.py
+++ b/tests/test_routing/test_http_edge.py
@@ -12,7 +12,7 @@
 
 from marigoldchute.routing import http_server
 from marigoldchute.routing.http_server import HttpEdge
-from marigoldchute.standins.mesh import LoopbackBlock
+from marigoldchute.standins.loopback import LoopbackBlock
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/tests/test_standins/test_backend_faults.py
+++ b/tests/test_standins/test_backend_faults.py
@@ -6,7 +6,7 @@
 
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.backend_faults import BackendFaults
-from marigoldchute.standins.mesh import BACKEND_PORT
+from marigoldchute.standins.loopback import BACKEND_PORT
 from tests.support.meshes import MeshTestCase
 
 
