--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import trio
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from marigoldchute.hosted.directory import Directory
     from marigoldchute.routing.http_server import HttpEdge
     from marigoldchute.routing.owner import Owner
@@ -19,13 +21,6 @@
 POLL_S = 0.05
 
 
-class Farewell(Protocol):
-    """Last messages of a node to its peers and the store."""
-
-    async def __call__(self) -> None:
-        """Send them."""
-
-
 class NodeDrain:
     """Leaves in the order in which others can do without this node.
 
@@ -53,13 +48,13 @@
         self._directory = directory
         self._grace_s = grace_s
 
-    async def run(self, farewell: Farewell) -> None:
+    async def run(self, farewell: Callable[[], Awaitable[None]]) -> None:
         """Leave; returns when the process may end.
 
         Parameters
         ----------
-        farewell : Farewell
-            Called last, within half of the reserve.
+        farewell : callable
+            Sends the last messages to peers and the store, within half of the reserve.
         """
         started = trio.current_time()
         self._callers.drain()
--- a/marigoldchute/overlay/flooding.py
+++ b/marigoldchute/overlay/flooding.py
@@ -19,6 +19,28 @@
 CROSSINGS = 2  # Members on either side of a pair of places: one may be frozen.
 
 
+class _Surroundings:
+    """Names of the members that are heard, by how near they are.
+
+    ``home`` and ``region_home`` hold this member too; ``centres`` are the others of its
+    region, ``regions`` all other regions.
+    """
+
+    def __init__(self, local: PeerIdentity, neighbours: Iterable[PeerIdentity]) -> None:
+        self.home, self.region_home = [local.name], [local.name]
+        self.centres: dict[str, list[str]] = {}
+        self.regions: dict[str, list[str]] = {}
+        for peer in neighbours:
+            if peer.region != local.region:
+                self.regions.setdefault(peer.region, []).append(peer.name)
+                continue
+            self.region_home.append(peer.name)
+            if peer.data_centre == local.data_centre:
+                self.home.append(peer.name)
+            else:
+                self.centres.setdefault(peer.data_centre, []).append(peer.name)
+
+
 class Flooding:
     """Spreads records widely within a data centre and over few links between places.
 
@@ -51,28 +73,20 @@
             Linked members that are heard.
         """
         local = self._local
-        home, region_home = [local.name], [local.name]
-        centres: dict[str, list[str]] = {}
-        regions: dict[str, list[str]] = {}
-        for peer in neighbours:
-            if peer.region != local.region:
-                regions.setdefault(peer.region, []).append(peer.name)
-                continue
-            region_home.append(peer.name)
-            if peer.data_centre == local.data_centre:
-                home.append(peer.name)
-            else:
-                centres.setdefault(peer.data_centre, []).append(peer.name)
-        targets = self._in_centre(source, home)
-        if source is None or source.region != local.region:
-            targets |= _across(centres, local.data_centre, centre_topic)
-        elif source.data_centre == local.data_centre:
-            targets |= self._as_gateway(centres, home, local.data_centre, centre_topic)
+        here = _Surroundings(local, neighbours)
+        targets = self._in_centre(source, here.home)
+        entered = source is None or source.region != local.region
+        if entered:
+            targets |= _across(here.centres, local.data_centre, centre_topic)
+        elif source is not None and source.data_centre == local.data_centre:
+            targets |= self._as_gateway(
+                here.centres, here.home, local.data_centre, centre_topic
+            )
         if source is None:
-            targets |= _across(regions, local.region, region_topic)
-        elif source.region == local.region:
+            targets |= _across(here.regions, local.region, region_topic)
+        elif not entered:
             targets |= self._as_gateway(
-                regions, region_home, local.region, region_topic
+                here.regions, here.region_home, local.region, region_topic
             )
         return targets - {local.name, source.name if source is not None else ""}
 
