Serve what a peer has sent on a link before it is closed for another one

Cause: nodes that start together open links to each other at the same time. Nothing rules that out at a planned restart.

Ruled out: the process (no drain, no end there), a lost peer (no peer_down), the backend server (it went on).

Change: a link that another one replaces, on either side, is closed once nothing has come on it for a second. Tests: tests.test_overlay.test_overlay.CrossedLinksTest; both fail before.

--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -28,6 +28,7 @@
 SIMULTANEOUS_S = 7.5
 UNWANTED_CLOSE_S = 15.0
 RETIRE_LIMIT_S = 10.0  # Longer than requests last.
+RETIRE_UNUSED_S = 1.0  # A request that was sent before the peer switched has come.
 RETIRE_POLL_S = 0.1
 
 
@@ -188,9 +189,12 @@
     async def _serve_neighbour(self, link: Link) -> None:
         neighbour = _Neighbour(link)
         peer = link.peer
-        if peer.name == self._name or not self._take_over(peer.name, link):
+        if peer.name == self._name:
             link.close()
             return
+        if not self._take_over(peer.name, link):
+            self._retire(link)
+            return
         self._neighbours[peer.name] = neighbour
         assert self._directory is not None
         self._directory.link_up(peer.name, peer.incarnation, trio.current_time())
@@ -228,8 +232,8 @@
         return True
 
     def _retire(self, link: Link) -> None:
-        """Close a link that was replaced, once the requests on it have ended."""
-        if link.suspect or not link.stream_count:
+        """Close a link that another one replaces, once nothing comes on it any more."""
+        if link.suspect:
             link.close()
         else:
             assert self._nursery is not None
@@ -291,7 +295,7 @@
 
 async def _close_when_idle(link: Link) -> None:
     with trio.move_on_after(RETIRE_LIMIT_S):
-        while link.alive and link.stream_count:
+        while link.alive and link.unused_s < RETIRE_UNUSED_S:
             await trio.sleep(RETIRE_POLL_S)
     link.close()
 
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -12,7 +12,11 @@
 from marigoldchute.errors import PeerError
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
-from marigoldchute.overlay.overlay import UNWANTED_CLOSE_S, Overlay
+from marigoldchute.overlay.overlay import (
+    RETIRE_UNUSED_S,
+    UNWANTED_CLOSE_S,
+    Overlay,
+)
 from marigoldchute.overlay.records import RecordTable
 
 OWN = PeerIdentity("vm-1", 1, "dc", "r")
@@ -25,6 +29,7 @@
     suspect = False
     stream_count = 0
     unused_s = 0.0
+    age_s = 0.0
 
     def __init__(self, name: str) -> None:
         self.peer = PeerIdentity(name, 1, "dc", "r")
@@ -100,3 +105,55 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class CrossedLinksTest(unittest.TestCase):
+    """Two nodes that start together open a link to each other at the same time."""
+
+    def test_the_link_given_up_serves_what_the_peer_has_sent_on_it(self) -> None:
+        endpoint: Any = FakeEndpoint()
+        crossed: Any = FakeLink("vm-2")
+        crossed.opened_here = False
+
+        async def main() -> None:
+            overlay = Overlay(
+                OWN, endpoint, Handlers(), RecordTable(), random.Random(1)
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overlay.run, FakeDirectory("vm-2"))
+                await trio.sleep(1)
+                overlay.accept(crossed)
+                await trio.sleep(4 * RETIRE_UNUSED_S)
+                self.assertTrue(crossed.alive)
+                self.assertIs(overlay.link_to("vm-2"), endpoint.links["vm-2"])
+                crossed.unused_s = RETIRE_UNUSED_S + 1
+                await trio.sleep(1)
+                self.assertFalse(crossed.alive)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_a_link_that_was_replaced_is_closed_once_nothing_comes_on_it(self) -> None:
+        endpoint: Any = FakeEndpoint()
+        newer: Any = FakeLink("vm-2")
+        newer.opened_here = False
+
+        async def main() -> None:
+            overlay = Overlay(
+                OWN, endpoint, Handlers(), RecordTable(), random.Random(1)
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overlay.run, FakeDirectory("vm-2"))
+                await trio.sleep(1)
+                older = endpoint.links["vm-2"]
+                older.age_s = 100.0
+                overlay.accept(newer)
+                await trio.sleep(RETIRE_UNUSED_S / 2)
+                self.assertTrue(older.alive)
+                self.assertIs(overlay.link_to("vm-2"), newer)
+                older.unused_s = RETIRE_UNUSED_S + 1
+                await trio.sleep(1)
+                self.assertFalse(older.alive)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
