--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -161,7 +161,7 @@
         )
         self._registry.max_connections = self._max_connections
         self._catalog = Catalog(self._in_force, log)
-        self._relay = BundleRelay(self._catalog, self._overlay, handlers, log)
+        self._relay = BundleRelay(self._catalog, self._overlay, handlers, log, rng)
         self._duty = ReaderDuty(self.directory)
         self._book = OrderBook(self.directory, table, log)
         counter = OutcomeCounter(self._book)
