Read the change once more: one constant, one identity, one way to play a soak

Found in the change, no behaviour altered: - SERVER_FAILURE stood beside ERROR_STATUS of the dispatcher; one is left. - Overlay was given an identity that its endpoint already knows. - Two tests of crossed links, and the soak's two callers, repeated their set-up; the tests assert what they did. A field of a fake link that nothing read is gone. - Names and a comment of the drain are in plainer words, a limit has its source; a call and a docstring that only formatting had spread out are as short as before.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,13 +24,8 @@
     soak = Soak(seed, last_s)
     started = time.monotonic()
     failure = ""
-
-    async def main() -> None:
-        with trio.fail_after(LIMIT_S):
-            await soak.run()
-
     try:
-        trio.run(main)
+        soak.play(LIMIT_S)
     except* (trio.TooSlowError, OSError) as group:
         failure = repr(group.exceptions)
     statuses = collections.Counter(item.status for item in soak.told)
--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -13,8 +13,8 @@
     from marigoldchute.routing.http_server import HttpEdge
     from marigoldchute.routing.owner import Owner
 
-CALLERS_ACCEPT_S = 2.6  # Callers are led away after two missed questions, one a second.
-CALLERS_QUIET_S = 0.4
+CALLERS_ACCEPT_S = 2.6  # Readiness is polled once a second; two failures end new work.
+CALLERS_QUIET_S = 0.4  # A draining node that was still used got 10 requests in 0.35 s.
 ENTRY_RUN_S = 2.0  # Left of the grace for requests that callers sent last.
 OWNER_RUN_S = 3.0  # Left for those that its backend server took last; uploads are long.
 RESERVE_S = 0.7  # Left of the grace for the last messages.
@@ -48,12 +48,12 @@
         self._directory = directory
         self._grace_s = grace_s
 
-    async def run(self, farewell: Callable[[], Awaitable[None]]) -> None:
+    async def run(self, announce: Callable[[], Awaitable[None]]) -> None:
         """Leave; returns when the process may end.
 
         Parameters
         ----------
-        farewell : callable
+        announce : callable
             Sends the last messages to peers and the store, within half of the reserve.
         """
         started = trio.current_time()
@@ -68,10 +68,10 @@
             while self._callers.is_busy or self._owner.running:
                 await trio.sleep(POLL_S)
         with trio.move_on_after(RESERVE_S / 2):
-            await farewell()
+            await announce()
 
     async def _wait_for_callers_to_leave(self, started: float, left_s: float) -> None:
-        """Serve on while callers are still led here, as others may be out as well."""
+        """Serve on while callers still come, as other nodes may be out as well."""
         last_s = self._grace_s - left_s
         while trio.current_time() < started + last_s:
             quiet_s = trio.current_time() - self._callers.last_request_at
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -137,9 +137,8 @@
             cfg.name, now_ms, 0, cfg.address, cfg.peer_port, cfg.data_centre, cfg.region
         )
         self.directory = Directory(local, table, log)
-        identity = PeerIdentity(cfg.name, now_ms, cfg.data_centre, cfg.region)
         self._endpoint = LinkEndpoint(
-            identity,
+            PeerIdentity(cfg.name, now_ms, cfg.data_centre, cfg.region),
             cfg.address,
             (MESH_SECRET,),
             handlers,
@@ -147,7 +146,7 @@
             LINK_HEARTBEAT_MS,
             self._take_link,
         )
-        self._overlay = Overlay(identity, self._endpoint, handlers, table, rng)
+        self._overlay = Overlay(self._endpoint, handlers, table, rng)
         address_of = self.directory.address_of
         shared = self._overlay.link_to
         self._control = LinkPool(self._endpoint, "control-call", address_of, shared)
@@ -179,13 +178,7 @@
         bundles = BundleTopic(adapter.bundles, self._catalog, log)
         topics: list[Topic] = [bundles, self._driver]
         self._reader = StoreReader(
-            adapter.store,
-            topics,
-            self._duty,
-            self._overlay,
-            handlers,
-            log,
-            rng,
+            adapter.store, topics, self._duty, self._overlay, handlers, log, rng
         )
         self._driver.reader = self._reader
         self._discovery = Discovery(adapter.store, self.directory, log, rng)
@@ -282,10 +275,10 @@
         self._log.emit("node", "draining", f"{self._cfg.name} drains.")
         grace_s = self._cfg.bounds.grace_s
         drain = NodeDrain(self._caller_edge, self._owner, self.directory, grace_s)
-        await drain.run(self._say_farewell)
+        await drain.run(self._announce_leave)
         self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
 
-    async def _say_farewell(self) -> None:
+    async def _announce_leave(self) -> None:
         self.directory.leave(self._clock.now_ms())
         await trio.sleep(LEAVE_FLOOD_S)
         if not self._registry.holds_server:
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -34,7 +34,6 @@
 RETRY_S = 0.4
 NEAR_FACTOR = 3.0
 
-
 _ENCODER = msgspec.msgpack.Encoder()
 
 
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -61,9 +61,8 @@
         self._table = RecordTable()
         self._in_force = InForce()
         self._membership = Membership(cfg, incarnation, self._table, log)
-        identity = PeerIdentity(cfg.name, incarnation, cfg.data_centre, cfg.region)
         self._endpoint = LinkEndpoint(
-            identity,
+            PeerIdentity(cfg.name, incarnation, cfg.data_centre, cfg.region),
             cfg.address,
             tuple(s.encode() for s in (cfg.peer_secret, *cfg.accepted_peer_secrets)),
             handlers,
@@ -71,7 +70,7 @@
             cfg.heartbeat_ms,
             self._take_link,
         )
-        self._overlay = Overlay(identity, self._endpoint, handlers, self._table, rng)
+        self._overlay = Overlay(self._endpoint, handlers, self._table, rng)
         self._membership.on_incarnation.append(self._endpoint.begin_incarnation)
         address_of = self._membership.address_of
         self._control = LinkPool(self._endpoint, "control-call", address_of)
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -17,7 +17,6 @@
 
     from marigoldchute.link.endpoint import LinkEndpoint
     from marigoldchute.link.handlers import Handlers
-    from marigoldchute.link.handshake import PeerIdentity
     from marigoldchute.link.link import Link
     from marigoldchute.overlay.records import Record, RecordTable
 
@@ -56,10 +55,8 @@
 
     Parameters
     ----------
-    local : PeerIdentity
-        This member.
     endpoint : LinkEndpoint
-        Opens links.
+        Opens links; knows who this member is.
     handlers : Handlers
         Where the calls of the overlay are registered.
     table : RecordTable
@@ -70,14 +67,13 @@
 
     def __init__(
         self,
-        local: PeerIdentity,
         endpoint: LinkEndpoint,
         handlers: Handlers,
         table: RecordTable,
         rng: random.Random,
     ) -> None:
-        self._name = local.name
-        self._flooding = Flooding(local)
+        self._name = endpoint.local.name
+        self._flooding = Flooding(endpoint.local)
         self._endpoint = endpoint
         self._rng = rng
         self._repair = Repair(table, handlers)
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -14,6 +14,7 @@
     RequestError,
     ResultCode,
 )
+from marigoldchute.routing.call import SERVER_FAILURE
 from marigoldchute.routing.duplex import send_and_receive
 from marigoldchute.routing.failure import SHED_CODES, outcome_of
 from marigoldchute.routing.messages import ENCODER
@@ -34,7 +35,6 @@
 
 LINK_WAIT_S = 1.0
 UNREACHABLE_BACKOFF_S = 1.0
-ERROR_STATUS = 500
 
 
 class Dispatcher:
@@ -103,7 +103,7 @@
             else:
                 await self._try_remote(call, target, head)
             assert call.answer is not None
-            error = call.answer.status >= ERROR_STATUS
+            error = call.answer.status >= SERVER_FAILURE
             outcome = Outcome.ERROR if error else Outcome.OK
         except trio.Cancelled:
             gone = call.req.caller_gone
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -29,8 +29,8 @@
 
     Requests that failed or were refused, those that a backend server answered with a
     failure, and those that needed more than one try, are logged up to a rate; of the
-    others one in ``SAMPLE_EVERY``. How many lines of each
-    kind were left out is logged from time to time.
+    others one in ``SAMPLE_EVERY``. How many lines of each kind were left out is logged
+    from time to time.
 
     Parameters
     ----------
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -158,15 +158,28 @@
         self.told: list[Told] = []
         self.lies: list[str] = []
 
-    async def run(self) -> None:
+    def play(self, limit_s: float) -> None:
         """Play the plan; ``lies`` then holds what was broken.
 
+        Parameters
+        ----------
+        limit_s : float
+            Seconds that all of it may take.
+
         Raises
         ------
         trio.TooSlowError
             The mesh did not serve, or not by the newest configuration, within
-            ``RECOVERY_S`` after the last fault.
+            ``RECOVERY_S`` after the last fault, or all took too long.
         """
+
+        async def main() -> None:
+            with trio.fail_after(limit_s):
+                await self._run()
+
+        trio.run(main)
+
+    async def _run(self) -> None:
         async with hosted_mesh(*SERVICES) as mesh:
             await mesh.wait_served()
             async with trio.open_nursery() as callers:
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -18,7 +18,7 @@
 
 
 class FakeCallers:
-    """Callers that send a request from time to time until they are led away."""
+    """Callers that send a request from time to time until they are routed elsewhere."""
 
     def __init__(self, sent_at: Iterable[float]) -> None:
         self._sent_at = sorted(sent_at)
@@ -74,17 +74,17 @@
     def setUp(self) -> None:
         self.owner = FakeOwner()
         self.directory = FakeDirectory()
-        self.farewell_at = 0.0
+        self.announced_at = 0.0
 
     def leave(self, callers: FakeCallers) -> float:
         """Drain a node; return after how many seconds it was done."""
 
-        async def say_farewell() -> None:
-            self.farewell_at = trio.current_time()
+        async def announce_leave() -> None:
+            self.announced_at = trio.current_time()
 
         async def main() -> float:
             await NodeDrain(callers, self.owner, self.directory, GRACE_S).run(
-                say_farewell
+                announce_leave
             )
             return trio.current_time()
 
@@ -110,10 +110,10 @@
         self.assertFalse(callers.accepts)
         self.assertLess(ended, GRACE_S - RESERVE_S)
 
-    def test_request_that_does_not_end_leaves_time_for_the_farewell(self) -> None:
+    def test_request_that_does_not_end_leaves_time_for_the_announcement(self) -> None:
         self.owner = FakeOwner(run_s=100.0)
         self.leave(FakeCallers([]))
-        self.assertAlmostEqual(self.farewell_at, GRACE_S - RESERVE_S)
+        self.assertAlmostEqual(self.announced_at, GRACE_S - RESERVE_S)
 
 
 if __name__ == "__main__":
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -4,7 +4,7 @@
 
 import random
 import unittest
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 from trio.testing import MockClock
@@ -19,6 +19,9 @@
 )
 from marigoldchute.overlay.records import RecordTable
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 OWN = PeerIdentity("vm-1", 1, "dc", "r")
 
 
@@ -27,7 +30,6 @@
 
     opened_here = True
     suspect = False
-    stream_count = 0
     unused_s = 0.0
     age_s = 0.0
 
@@ -49,6 +51,8 @@
 class FakeEndpoint:
     """Opens a link to whoever is dialled; the port tells the name."""
 
+    local = OWN
+
     def __init__(self) -> None:
         self.links: dict[str, FakeLink] = {}
 
@@ -88,9 +92,7 @@
         directory = FakeDirectory("vm-2", "vm-3")
 
         async def main() -> None:
-            overlay = Overlay(
-                OWN, endpoint, Handlers(), RecordTable(), random.Random(1)
-            )
+            overlay = Overlay(endpoint, Handlers(), RecordTable(), random.Random(1))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(overlay.run, directory)
                 await trio.sleep(2)
@@ -110,50 +112,49 @@
 class CrossedLinksTest(unittest.TestCase):
     """Two nodes that start together open a link to each other at the same time."""
 
-    def test_the_link_given_up_serves_what_the_peer_has_sent_on_it(self) -> None:
-        endpoint: Any = FakeEndpoint()
-        crossed: Any = FakeLink("vm-2")
-        crossed.opened_here = False
+    def setUp(self) -> None:
+        self.endpoint: Any = FakeEndpoint()
+        self.accepted: Any = FakeLink("vm-2")
+        self.accepted.opened_here = False
+
+    def play(self, accept: Callable[[Overlay], Awaitable[None]]) -> None:
+        """Let a node open a link to a peer, and then the peer open another."""
 
         async def main() -> None:
             overlay = Overlay(
-                OWN, endpoint, Handlers(), RecordTable(), random.Random(1)
+                self.endpoint, Handlers(), RecordTable(), random.Random(1)
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(overlay.run, FakeDirectory("vm-2"))
                 await trio.sleep(1)
-                overlay.accept(crossed)
-                await trio.sleep(4 * RETIRE_UNUSED_S)
-                self.assertTrue(crossed.alive)
-                self.assertIs(overlay.link_to("vm-2"), endpoint.links["vm-2"])
-                crossed.unused_s = RETIRE_UNUSED_S + 1
-                await trio.sleep(1)
-                self.assertFalse(crossed.alive)
+                await accept(overlay)
                 nursery.cancel_scope.cancel()
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
-    def test_a_link_that_was_replaced_is_closed_once_nothing_comes_on_it(self) -> None:
-        endpoint: Any = FakeEndpoint()
-        newer: Any = FakeLink("vm-2")
-        newer.opened_here = False
+    async def check_closed_when_unused(self, link: FakeLink) -> None:
+        """Check that a link is open, and closed once nothing has come for a time."""
+        self.assertTrue(link.alive)
+        link.unused_s = RETIRE_UNUSED_S + 1
+        await trio.sleep(1)
+        self.assertFalse(link.alive)
 
-        async def main() -> None:
-            overlay = Overlay(
-                OWN, endpoint, Handlers(), RecordTable(), random.Random(1)
-            )
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(overlay.run, FakeDirectory("vm-2"))
-                await trio.sleep(1)
-                older = endpoint.links["vm-2"]
-                older.age_s = 100.0
-                overlay.accept(newer)
-                await trio.sleep(RETIRE_UNUSED_S / 2)
-                self.assertTrue(older.alive)
-                self.assertIs(overlay.link_to("vm-2"), newer)
-                older.unused_s = RETIRE_UNUSED_S + 1
-                await trio.sleep(1)
-                self.assertFalse(older.alive)
-                nursery.cancel_scope.cancel()
+    def test_the_link_given_up_serves_what_the_peer_has_sent_on_it(self) -> None:
+        async def accept(overlay: Overlay) -> None:
+            overlay.accept(self.accepted)
+            await trio.sleep(4 * RETIRE_UNUSED_S)
+            self.assertIs(overlay.link_to("vm-2"), self.endpoint.links["vm-2"])
+            await self.check_closed_when_unused(self.accepted)
 
-        trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.play(accept)
+
+    def test_a_link_that_was_replaced_is_closed_once_nothing_comes_on_it(self) -> None:
+        async def accept(overlay: Overlay) -> None:
+            older = self.endpoint.links["vm-2"]
+            older.age_s = 100.0
+            overlay.accept(self.accepted)
+            await trio.sleep(RETIRE_UNUSED_S / 2)
+            self.assertIs(overlay.link_to("vm-2"), self.accepted)
+            await self.check_closed_when_unused(older)
+
+        self.play(accept)
--- a/tests/test_platform/test_soak.py
+++ b/tests/test_platform/test_soak.py
@@ -5,8 +5,6 @@
 import os
 import unittest
 
-import trio
-
 from tests.support.soak import Soak, Told, Trouble, draw_plan, find_lies
 
 SEED = int(os.environ.get("MARIGOLDCHUTE_SEED", "1"))
@@ -18,12 +16,7 @@
 class SoakTest(unittest.TestCase):
     def test_what_callers_are_told_is_true_and_the_mesh_recovers(self) -> None:
         soak = Soak(SEED, LAST_S)
-
-        async def main() -> None:
-            with trio.fail_after(LIMIT_S):
-                await soak.run()
-
-        trio.run(main)
+        soak.play(LIMIT_S)
         self.assertEqual(soak.lies, [])
         self.assertIn(200, {item.status for item in soak.told})
 
