Serve bundles with route kinds that this build does not know

Ruled out: the store (lists and watches returned the configuration) and the request path (nothing was in force).

--- a/marigoldchute/bundle/model.py
+++ b/marigoldchute/bundle/model.py
@@ -148,6 +148,9 @@
         Whether requests may be executed more than once; None to decide by method.
     objective_ms : int
         Latency objective: a later response no longer has its full value. 0 for none.
+    unknown_kind : str
+        Kind of the route in the platform's configuration if this build does not know
+        it; its requests are executed at most once. Empty otherwise.
     """
 
     name: str
@@ -162,6 +165,7 @@
     parts: tuple[RoutePart, ...] = ()
     repeatable: bool | None = None
     objective_ms: int = 0
+    unknown_kind: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -17,7 +17,7 @@
     Service,
 )
 from marigoldchute.bundle.validation import validate_content
-from marigoldchute.errors import PeerError, ResultCode
+from marigoldchute.errors import BundleError, PeerError, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +28,7 @@
 # Covers two seconds of a burst of updates; a neighbour fetches sooner than that.
 MAX_SNAPSHOTS = 8
 COMPRESSION_LEVEL = 6
+MAX_LOGGED_KINDS = 5
 
 _SERVICE = "s/"
 _ROUTE = "r/"
@@ -94,16 +95,25 @@
 
 
 def decode_content(items: Items) -> BundleContent:
-    """Decode the content of a bundle from its items."""
+    """Decode the content of a bundle from its items.
+
+    Raises
+    ------
+    BundleError
+        An item is malformed.
+    """
     services, routes = [], []
     limits = CallerLimits()
     for key, data in items.items():
-        if key.startswith(_SERVICE):
-            services.append(_DECODE_SERVICE.decode(data))
-        elif key.startswith(_ROUTE):
-            routes.append(_DECODE_ROUTE.decode(data))
-        elif key == _LIMITS:
-            limits = _DECODE_LIMITS.decode(data)
+        try:
+            if key.startswith(_SERVICE):
+                services.append(_DECODE_SERVICE.decode(data))
+            elif key.startswith(_ROUTE):
+                routes.append(_DECODE_ROUTE.decode(data))
+            elif key == _LIMITS:
+                limits = _DECODE_LIMITS.decode(data)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            raise BundleError(f"item {key!r} is malformed: {exc}") from exc
     return BundleContent(tuple(services), tuple(routes), (), limits)
 
 
@@ -159,12 +169,18 @@
         process.
     log : EventLog
         Event log of the process.
+
+    Attributes
+    ----------
+    unknown_kind_count : int
+        Routes of the bundle in force whose kind this build does not know.
     """
 
     def __init__(self, in_force: InForce, log: EventLog) -> None:
         self._in_force = in_force
         self._log = log
         self._snapshots: dict[int, Snapshot] = {}
+        self.unknown_kind_count = 0
         self.newest: Snapshot | None = None
         self.on_update: list[Callable[[Snapshot], None]] = []
 
@@ -216,6 +232,23 @@
             source=source,
             routes=len(content.routes),
         )
+        self._report_unknown_kinds(content)
         for listener in self.on_update:
             listener(snapshot)
         return True
+
+    def _report_unknown_kinds(self, content: BundleContent) -> None:
+        routes = [route for route in content.routes if route.unknown_kind]
+        self.unknown_kind_count = len(routes)
+        if routes:
+            kinds = sorted({route.unknown_kind for route in routes})[:MAX_LOGGED_KINDS]
+            self._log.emit(
+                "catalog",
+                "unknown_kinds",
+                f"{len(routes)} routes of version {self.version} have a kind that "
+                "this build does not know; their requests are executed at most once.",
+                version=self.version,
+                routes=len(routes),
+                kinds=kinds,
+                code=ResultCode.BUNDLE_KIND_UNKNOWN.value,
+            )
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -342,6 +342,7 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                 },
             ),
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
 from marigoldchute.bundle.model import (
     BundleContent,
     CallerLimits,
@@ -18,8 +19,9 @@
 if TYPE_CHECKING:
     from marigoldchute.objectstore.documents import Document
 
-REPEATABLE_ROUTE_KIND = "idempotent"
-ROUTE_KINDS = frozenset((REPEATABLE_ROUTE_KIND, "non_idempotent", "upload"))
+# Requests of these kinds may be executed more than once.
+REPEATABLE_ROUTE_KINDS = frozenset(("idempotent", "download"))
+ROUTE_KINDS = REPEATABLE_ROUTE_KINDS | {"non_idempotent", "upload"}
 
 
 class _Part(msgspec.Struct, frozen=True):
@@ -79,7 +81,7 @@
             )
             version = int(configuration.version, 16)
             return version, _to_content(configuration)
-        except (msgspec.ValidationError, ValueError) as exc:
+        except (ValueError, OverflowError, RecursionError) as exc:
             raise BundleError(f"configuration is malformed: {exc}") from exc
 
 
@@ -105,20 +107,30 @@
 
 
 def _to_route(host: str, path: _Path) -> Route:
-    if path.route_kind not in ROUTE_KINDS:
-        raise ValueError(f"route {path.name!r} has the kind {path.route_kind!r}")
+    """Convert a route; values beyond the limits of a bundle are reduced to them.
+
+    Requests of an unknown kind are executed at most once, as the strictest kind is.
+    """
     parts = tuple(RoutePart(p.service, p.weight) for p in path.weighted_services)
+    service = path.service or (parts[0].service if parts else "")
+    if not service:
+        raise ValueError(f"route {path.name!r} has no service")
     return Route(
         path.name,
         path.path_prefix,
-        path.service or parts[0].service,
-        int(path.timeout_ms),
+        service,
+        _clamp(int(path.timeout_ms), 1, MAX_TIMEOUT_MS),
         (),
-        path.priority,
-        path.max_attempts,
+        _clamp(path.priority, 0, MAX_PRIORITY),
+        _clamp(path.max_attempts, 1, MAX_ATTEMPTS),
         "",
         host,
         parts,
-        path.route_kind == REPEATABLE_ROUTE_KIND,
-        int(path.target_latency_ms),
+        path.route_kind in REPEATABLE_ROUTE_KINDS,
+        _clamp(int(path.target_latency_ms), 0, MAX_TIMEOUT_MS),
+        "" if path.route_kind in ROUTE_KINDS else path.route_kind,
     )
+
+
+def _clamp(value: int, minimum: int, maximum: int) -> int:
+    return max(minimum, min(maximum, value))
--- a/marigoldchute/platform/control.py
+++ b/marigoldchute/platform/control.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 import trio
 
+from marigoldchute.bundle.limits import MAX_WALL_CLOCK_MS
 from marigoldchute.errors import ResultCode
 from marigoldchute.hosted.registry import StateReport
 
@@ -22,6 +23,8 @@
 READINESS_PATH = b"/api/readiness"
 MAX_REPORT_BYTES = 16_384
 MAX_SLOTS = 100_000
+MAX_WARMUP_MS = 3_600_000
+MAX_SEQUENCE = 2**62
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -34,7 +37,7 @@
 
 class _Status(msgspec.Struct, frozen=True):
     state: str
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
     warmup_left_ms: float = 0.0
 
 
@@ -42,7 +45,7 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] = 0
 
 
 class ControlApi:
@@ -110,7 +113,7 @@
         """Apply a report; return an error text, empty when the report is valid."""
         try:
             decoded = msgspec.json.decode(body, type=_Report)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return f"report is malformed: {exc}"
         address, _, port = decoded.address.rpartition(":")
         backend = self._backend()
@@ -131,7 +134,7 @@
             backend.port,
             info.slots,
             draining,
-            int(status.warmup_left_ms),
+            int(max(0.0, min(MAX_WARMUP_MS, status.warmup_left_ms))),
         )
         now = trio.current_time()
         self._registry.handle_report(report, now, self._clock.now_ms())
--- a/tests/test_hosted/test_catalog.py
+++ b/tests/test_hosted/test_catalog.py
@@ -95,3 +95,31 @@
         with self.assertRaises(BundleError):
             self.catalog.apply(invalid, "test")
         self.assertEqual(self.catalog.revision, 1)
+
+    def test_unknown_kinds_of_routes_are_counted_and_logged_once_per_version(
+        self,
+    ) -> None:
+        log = MemoryEventLog()
+        catalog = Catalog(InForce(), log)
+        routes = tuple(
+            Route(f"r-{i}", f"/{i}/", "turnos", unknown_kind="sometimes")
+            for i in range(3)
+        )
+        content = BundleContent(SERVICES, (*make_content(self.rng).routes, *routes))
+        snapshot = make_snapshot(4, 2, content)
+        catalog.apply(snapshot, "test")
+        catalog.apply(snapshot, "test")
+        self.assertEqual(catalog.unknown_kind_count, 3)
+        events = [e for e in log.events if e.event == "unknown_kinds"]
+        self.assertEqual(len(events), 1)
+        catalog.apply(make_snapshot(5, 3, make_content(self.rng)), "test")
+        self.assertEqual(catalog.unknown_kind_count, 0)
+
+    def test_item_that_cannot_be_decoded_leaves_previous_in_force(self) -> None:
+        valid = make_snapshot(1, 1, make_content(self.rng))
+        self.catalog.apply(valid, "test")
+        for item in (b"", b"\xc1", b"\x93\x01\x02\x03", b"\x91" * 5_000):
+            items = {**valid.items, "r/split": item}
+            with self.subTest(item[:8]), self.assertRaises(BundleError):
+                self.catalog.apply(Snapshot(2, 2, items), "test")
+        self.assertEqual(self.catalog.revision, 1)
