Keep one odd entry or message from ending a node or hiding others

Cause: msgspec rejects a whole page for one number out of range, and deep nesting raises RecursionError, which nothing caught; a member's port of 0, -1 or 70000 reached connect(), which raises OverflowError in a nursery. Records of peers were stored before a listener tried to decode them, so one that failed there was replicated on and raised in the anti-entropy task. Frames that arrived with the end of the handshake went round the check for malformed ones. Ruled out: single reads of the configuration and of orders, whose own decoders reject them; what they missed was RecursionError and infinite numbers. Change: a page that does not decode is divided by bracket depth and decoded entry by entry; rejected documents are logged once per revision; replicated records are checked before they are stored; an unexpected error in a handler is reported and closes its link; data beyond a stream's credit closes the link; a list continues its watch from the first page and must make progress. Tests, failed before on: test_record_checks (5 failures, 1 error), test_malformed (3 errors), test_adapter orders (5 failures); test_objects, test_discovery and ListTest need the new decoder.

--- a/marigoldchute/hosted/bundle_topic.py
+++ b/marigoldchute/hosted/bundle_topic.py
@@ -11,6 +11,7 @@
     from marigoldchute.bundle.model import BundleContent
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.catalog import Catalog
+    from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.objectstore.documents import Document, DocumentPage
 
 
@@ -44,12 +45,21 @@
         Bundle in the store.
     catalog : Catalog
         Catalog of this node.
+    rejections : Rejections
+        Documents that were rejected.
     log : EventLog
         Event log of the process.
     """
 
-    def __init__(self, api: BundleApi, catalog: Catalog, log: EventLog) -> None:
+    def __init__(
+        self,
+        api: BundleApi,
+        catalog: Catalog,
+        rejections: Rejections,
+        log: EventLog,
+    ) -> None:
         self.kind = api.kind
+        self._rejections = rejections
         self._api = api
         self._catalog = catalog
         self._log = log
@@ -75,6 +85,8 @@
             snapshot = make_snapshot(document.revision, version, content)
             self._catalog.apply(snapshot, "the store")
         except (BundleError, MoveError) as exc:
+            if not self._rejections.is_new(document):
+                return False
             self._log.emit(
                 "catalog",
                 "refused",
--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -5,9 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from marigoldchute.membership.claims import claim_record, own_record
+from marigoldchute.membership.claims import claim_record, decode_member, own_record
 from marigoldchute.membership.model import BackendServer, Member, MemberState
 from marigoldchute.overlay.records import RecordKind
 from marigoldchute.overlay.topology import wanted_peers
@@ -23,8 +21,6 @@
 # traffic.
 MAX_FULL_MESH_MEMBERS = 48
 
-_MEMBER = msgspec.msgpack.Decoder(Member)
-
 
 class Directory:
     """Member records, the state of links to members, and this node's own record.
@@ -190,7 +186,7 @@
             self._table.apply(own_record(self._local))
 
     def _handle_record(self, record: Record) -> None:
-        member = _MEMBER.decode(record.body)
+        member = decode_member(record)
         previous = self._members.get(member.name)
         self._members[member.name] = member
         if member.name == self._local.name and member != self._local:
--- a/marigoldchute/hosted/discovery.py
+++ b/marigoldchute/hosted/discovery.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
-from marigoldchute.errors import ConflictError, PlatformError
+from marigoldchute.errors import ConflictError, PlatformError, ResultCode
+from marigoldchute.objectstore.settings import Port
 
 if TYPE_CHECKING:
     import random
 
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.directory import Directory
+    from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.objectstore.documents import Document, DocumentStore
 
 MEMBER_KIND = "mesh-members"
@@ -27,7 +30,7 @@
     """Entry of a node in the store: the address and port at which peers reach it."""
 
     address: str
-    peer_port: int
+    peer_port: Port
 
 
 class Discovery:
@@ -41,6 +44,8 @@
         The platform's store.
     directory : Directory
         Receives the discovered members.
+    rejections : Rejections
+        Documents that were rejected.
     log : EventLog
         Event log of the process.
     rng : random.Random
@@ -51,9 +56,11 @@
         self,
         store: DocumentStore,
         directory: Directory,
+        rejections: Rejections,
         log: EventLog,
         rng: random.Random,
     ) -> None:
+        self._rejections = rejections
         self._store = store
         self._directory = directory
         self._log = log
@@ -112,13 +119,16 @@
 
     def _add_entry(self, document: Document) -> None:
         try:
-            entry = msgspec.convert(document.content, MemberEntry)
-        except msgspec.ValidationError as exc:
-            self._log.emit(
-                "discovery",
-                "entry_malformed",
-                f"The malformed entry of {document.name!r} is ignored: {exc}.",
-            )
+            entry = _decode_entry(document)
+        except (ValueError, RecursionError) as exc:
+            if self._rejections.is_new(document):
+                self._log.emit(
+                    "discovery",
+                    "entry_malformed",
+                    f"The malformed entry of {document.name!r} is ignored: {exc}.",
+                    revision=document.revision,
+                    code=ResultCode.ANNOUNCEMENT_INVALID.value,
+                )
             return
         self._directory.add_discovered(document.name, entry.address, entry.peer_port)
 
@@ -129,3 +139,12 @@
             f"A request to the store failed: {exc.message}.",
             code=exc.code.value,
         )
+
+
+def _decode_entry(document: Document) -> MemberEntry:
+    """Return the entry of a document; raise ``ValueError`` if it is malformed."""
+    if document.content is None and document.error:
+        raise ValueError(document.error)
+    entry = msgspec.convert(document.content, MemberEntry)
+    ipaddress.IPv4Address(entry.address)
+    return entry
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -15,7 +15,9 @@
 from marigoldchute.hosted.drain import NodeDrain
 from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+from marigoldchute.hosted.record_checks import register_checks
 from marigoldchute.hosted.registry import MAX_MISSED_REPORTS, LocalRegistry
+from marigoldchute.hosted.rejections import Rejections
 from marigoldchute.hosted.relay import BundleRelay
 from marigoldchute.hosted.settings import Endpoint
 from marigoldchute.link.endpoint import LinkEndpoint
@@ -134,7 +136,9 @@
         self._store = adapter.store
         now_ms = self._clock.now_ms()
         handlers = Handlers()
+        handlers.report_failure = self._log_failure
         table = RecordTable()
+        register_checks(table)
         self._in_force = InForce()
         local = Member(
             cfg.name, now_ms, 0, cfg.address, cfg.peer_port, cfg.data_centre, cfg.region
@@ -166,6 +170,7 @@
             MAX_MISSED_REPORTS * cfg.report_interval_ms / 1000,
         )
         self._registry.max_connections = self._max_connections
+        self._rejections = Rejections()
         self._catalog = Catalog(self._in_force, log)
         self._relay = BundleRelay(self._catalog, self._overlay, handlers, log, rng)
         self._reader_duty = ReaderDuty(self.directory)
@@ -179,16 +184,19 @@
             self._reader_duty,
             self._control_pool,
             handlers,
+            self._rejections,
             log,
             self._clock,
         )
-        bundles = BundleTopic(adapter.bundles, self._catalog, log)
+        bundles = BundleTopic(adapter.bundles, self._catalog, self._rejections, log)
         topics: list[Topic] = [bundles, self._driver]
         self._reader = StoreReader(
             adapter.store, topics, self._reader_duty, self._overlay, handlers, log, rng
         )
         self._driver.reader = self._reader
-        self._discovery = Discovery(adapter.store, self.directory, log, rng)
+        self._discovery = Discovery(
+            adapter.store, self.directory, self._rejections, log, rng
+        )
         self._owner = Owner(
             self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
         )
@@ -343,6 +351,7 @@
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
+                    "rejected_documents": self._rejections.count,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                 },
             ),
--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -65,6 +65,16 @@
 _SERVER = msgspec.msgpack.Decoder(BackendServer)
 
 
+def decode_leave(record: Record) -> int:
+    """Return the start, in wall-clock milliseconds, up to which a server has left."""
+    return _LEAVE_BODY.decode(record.body).born_ms
+
+
+def decode_server(record: Record) -> BackendServer:
+    """Return the backend server of a VM that a record describes."""
+    return _SERVER.decode(record.body)
+
+
 class LocalRegistry:
     """Tracks the backend server on this VM from reports in any order.
 
@@ -201,7 +211,7 @@
 
     def _has_left(self, instance: str, born_ms: int) -> bool:
         record = self._table.get(RecordKind.LEAVING, instance)
-        return record is not None and _LEAVE_BODY.decode(record.body).born_ms >= born_ms
+        return record is not None and decode_leave(record) >= born_ms
 
     def _record_leave(self, instance: str, born_ms: int, reason: str) -> None:
         body = msgspec.msgpack.encode(_LeaveBody(born_ms))
@@ -239,7 +249,7 @@
         """
         if record.key != self._node or self._current is not None:
             return
-        server = _SERVER.decode(record.body)
+        server = decode_server(record)
         instance, born_ms = server.instance, record.rank[0]
         self._current = StateReport(
             instance,
--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -142,7 +142,7 @@
             raise PeerError(
                 f"{address}:{port} refused the connection", ResultCode.PEER_REFUSED
             ) from exc
-        except (OSError, trio.TooSlowError) as exc:
+        except (OSError, OverflowError, trio.TooSlowError) as exc:
             sock.close()
             raise PeerError(f"cannot connect to {address}:{port}: {exc}") from exc
         except BaseException:
--- a/marigoldchute/link/handlers.py
+++ b/marigoldchute/link/handlers.py
@@ -18,9 +18,16 @@
 
     Each component registers its methods under its own method numbers. A notification
     is a call whose result is discarded.
+
+    Attributes
+    ----------
+    report_failure : callable
+        Called with an exception that a handler must not raise; the message that caused
+        it is refused and its link closed.
     """
 
     def __init__(self) -> None:
+        self.report_failure: Callable[[Exception], None] = lambda exc: None
         self._calls: dict[int, CallHandler] = {}
         self.stream_handler: StreamHandler | None = None
 
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -33,7 +33,13 @@
 MAX_PENDING_WRITE_BYTES = 16_000_000
 _CALL_HEADER = struct.Struct(">H")
 _STAMP = struct.Struct(">Q")
-DECODE_ERRORS = (struct.error, msgspec.DecodeError, ValueError)
+DECODE_ERRORS = (
+    struct.error,
+    msgspec.DecodeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 _STREAM_KINDS = frozenset(
     {
         FrameKind.OPEN,
@@ -322,7 +328,7 @@
 
     async def _read_frames(self) -> None:
         for frame in self._early_frames:
-            self._handle_frame(*frame)
+            self._handle_received_frame(*frame)
         while True:
             data = await self._tcp.receive(RECEIVE_BYTES)
             if not data:
@@ -379,9 +385,19 @@
         except DECODE_ERRORS:
             if self.is_open:
                 stream.reset(ResultCode.PEER_PROTOCOL)
+        except Exception as exc:
+            self._close_after_failure(exc)
         finally:
             self.remove_stream(stream)
 
+    def _close_after_failure(self, exc: Exception) -> None:
+        """Close the link after an unexpected error of a handler, which is reported.
+
+        The error would otherwise end the process, with the requests of all links.
+        """
+        self._handlers.report_failure(exc)
+        self.close()
+
     async def _serve_call(self, kind: int, number: int, body: bytes) -> None:
         try:
             response = await self._handle_call(body)
@@ -390,6 +406,9 @@
                 failure = FAILURE_CODE.pack(exc.code) + exc.message.encode()
                 self.send_frame(FrameKind.FAILURE, number, failure)
             return
+        except Exception as exc:
+            self._close_after_failure(exc)
+            return
         if kind == FrameKind.CALL and self.is_open:
             self.send_frame(FrameKind.RESPONSE, number, response)
 
--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -53,6 +53,7 @@
         self._error: StreamResetError | None = None
         self._send_credit = WINDOW_BYTES
         self._uncredited_bytes = 0
+        self._buffered_bytes = 0
         self._readable = trio.Event()
         self._writable = trio.Event()
         self.finished_sending = False
@@ -79,6 +80,7 @@
                 return None
             await self._wait_readable()
         data = self._received_data.pop(0)
+        self._buffered_bytes -= len(data)
         self._uncredited_bytes += len(data)
         if self._uncredited_bytes >= CREDIT_THRESHOLD_BYTES and not self._peer_finished:
             credit = _U32.pack(self._uncredited_bytes)
@@ -155,8 +157,19 @@
             self._on_cancel()
 
     def handle_frame(self, kind: int, body: bytes) -> None:
-        """Handle one frame of this stream that the link has read."""
+        """Handle one frame of this stream that the link has read.
+
+        Raises
+        ------
+        PeerError
+            The peer sent more data than it had credit for.
+        """
         if kind == FrameKind.DATA:
+            self._buffered_bytes += len(body)
+            if self._buffered_bytes > WINDOW_BYTES + MAX_DATA_BYTES:
+                raise PeerError(
+                    "peer sends more than its credit", ResultCode.PEER_PROTOCOL
+                )
             self._received_data.append(body)
         elif kind == FrameKind.OPEN:
             self._peer_head = body
--- a/marigoldchute/membership/claims.py
+++ b/marigoldchute/membership/claims.py
@@ -16,6 +16,13 @@
 SEQUENCE_STEP = 2
 GONE_MINOR_RANK = 2**62
 
+_MEMBER = msgspec.msgpack.Decoder(Member)
+
+
+def decode_member(record: Record) -> Member:
+    """Return the member that a record describes."""
+    return _MEMBER.decode(record.body)
+
 
 def own_record(member: Member) -> Record:
     """Return the record that a member publishes about itself."""
--- a/marigoldchute/membership/service.py
+++ b/marigoldchute/membership/service.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from marigoldchute.events import wall_clock_ms
-from marigoldchute.membership.claims import claim_record, own_record
+from marigoldchute.membership.claims import claim_record, decode_member, own_record
 from marigoldchute.membership.contact import (
     ContactTimeouts,
     ContactTracker,
@@ -31,8 +31,6 @@
 WARM_AT_TOLERANCE_MS = 500
 TOMBSTONE_TTL_MS = 2 * 3600 * 1000
 
-_MEMBER = msgspec.msgpack.Decoder(Member)
-
 
 class Membership:
     """Holds the member records and publishes the record of this node.
@@ -303,13 +301,13 @@
 
     def _is_valid_record(self, record: Record) -> bool:
         try:
-            member = _MEMBER.decode(record.body)
-        except msgspec.DecodeError:
+            member = decode_member(record)
+        except (msgspec.DecodeError, RecursionError):
             return False
         return member.name == record.key and not _is_expired(member, wall_clock_ms())
 
     def _apply_record(self, record: Record) -> None:
-        member = _MEMBER.decode(record.body)
+        member = decode_member(record)
         previous = self._members.get(member.name)
         self._members[member.name] = member
         self._generation += 1
--- a/marigoldchute/objectstore/documents.py
+++ b/marigoldchute/objectstore/documents.py
@@ -22,6 +22,8 @@
         Decoded status, None while there is none.
     deleted : bool
         Whether the document was deleted; set in changes only.
+    error : str
+        What of the document could not be decoded and is None here; usually empty.
     """
 
     kind: str
@@ -30,6 +32,7 @@
     content: Any
     status: Any = None
     deleted: bool = False
+    error: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/marigoldchute/objectstore/messages.py
+++ b/marigoldchute/objectstore/messages.py
@@ -32,7 +32,7 @@
     def to_object(self) -> StoredObject:
         """Return the item as an object; it must have a value."""
         if self.value is None:
-            raise _malformed_error(f"{self.key} has no value")
+            raise malformed_error(f"{self.key} has no value")
         return StoredObject(self.key, _decode_value(self.value), self.revision)
 
     def to_event(self) -> WatchEvent:
@@ -66,12 +66,12 @@
     """
     try:
         return msgspec.json.decode(body, type=cls)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         if method != "GET":
             raise UnknownOutcomeError(
                 f"response of the store is malformed: {exc}"
             ) from exc
-        raise _malformed_error(str(exc)) from exc
+        raise malformed_error(str(exc)) from exc
 
 
 def raise_for_status(method: str, path: str, status: int, content: bytes) -> None:
@@ -102,10 +102,11 @@
     try:
         return base64.b64decode(value, validate=True)
     except binascii.Error as exc:
-        raise _malformed_error(f"value is not base64: {exc}") from exc
+        raise malformed_error(f"value is not base64: {exc}") from exc
 
 
-def _malformed_error(detail: str) -> PlatformError:
+def malformed_error(detail: str) -> PlatformError:
+    """Return the error for a response that cannot be decoded."""
     return PlatformError(
         f"response of the store is malformed: {detail}",
         ResultCode.STORE_ANSWER_MALFORMED,
--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -21,6 +21,11 @@
 _STATE = msgspec.msgpack.Decoder(OrderState)
 
 
+def decode_state(record: Record) -> OrderState:
+    """Return the order state that a record describes."""
+    return _STATE.decode(record.body)
+
+
 class OrderBook:
     """Hold the replicated order states and compute each service's traffic split.
 
@@ -121,7 +126,7 @@
         return base
 
     def _handle_order_record(self, record: Record) -> None:
-        state = _STATE.decode(record.body)
+        state = decode_state(record)
         self._states[state.service] = state
         self.refresh()
         self._log.emit(
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -13,6 +13,7 @@
     MoveError,
     PeerError,
     PlatformError,
+    ResultCode,
     UnknownOutcomeError,
 )
 from marigoldchute.link.methods import Method
@@ -31,6 +32,7 @@
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.directory import Directory
     from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+    from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.link.handlers import Handlers
     from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
@@ -98,6 +100,8 @@
         Links on which response counts are sent to the readers.
     handlers : Handlers
         Message handlers; the one for reports of response counts is registered here.
+    rejections : Rejections
+        Documents that were rejected.
     log : EventLog
         Event log of the process.
     clock : Clock
@@ -113,10 +117,12 @@
         duty: ReaderDuty,
         control: LinkPool,
         handlers: Handlers,
+        rejections: Rejections,
         log: EventLog,
         clock: Clock,
     ) -> None:
         self.kind = api.kind
+        self._rejections = rejections
         self._api = api
         self._book = book
         self._counter = counter
@@ -147,15 +153,23 @@
             try:
                 order = self._api.decode(document)
             except MoveError as exc:
-                self._log.emit(
-                    "orders",
-                    "malformed",
-                    f"{document.name!r} is not a valid order: {exc.message}.",
-                    code=exc.code.value,
-                )
+                self._log_rejection(document, exc.message, exc.code)
                 continue
+            if document.error:
+                self._log_rejection(document, document.error, ResultCode.MOVE_INVALID)
             self._apply_order(order)
 
+    def _log_rejection(self, document: Document, cause: str, code: ResultCode) -> None:
+        if self._rejections.is_new(document):
+            self._log.emit(
+                "orders",
+                "malformed",
+                f"Revision {document.revision} of {document.name!r} is not a valid "
+                f"order: {cause}.",
+                revision=document.revision,
+                code=code.value,
+            )
+
     def _apply_order(self, order: OrderDocument) -> None:
         self._documents[order.service] = order
         known = self._book.state(order.service)
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -75,6 +75,8 @@
 
     def decode(self, document: Document) -> tuple[int, BundleContent]:
         """Return the version and the content of a document."""
+        if document.content is None and document.error:
+            raise BundleError(f"configuration is malformed: {document.error}")
         try:
             configuration = msgspec.convert(
                 document.content, _Configuration, strict=False
--- a/marigoldchute/platform/orders.py
+++ b/marigoldchute/platform/orders.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
+from marigoldchute.bundle.limits import MAX_WALL_CLOCK_MS
 from marigoldchute.errors import MoveError
 from marigoldchute.orders.model import OrderDocument, OrderStage
 
@@ -21,10 +22,13 @@
 _STAGE_BY_STATE = {state: stage for stage, state in _STATE_BY_STAGE.items()}
 
 
+MAX_DURATION_S = 604_800.0
+
+
 class _Order(msgspec.Struct, frozen=True):
     service: str
     target_version: str
-    duration_s: float
+    duration_s: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_DURATION_S)]
 
 
 class _Status(msgspec.Struct, frozen=True):
@@ -33,7 +37,7 @@
     # Fields of this project: releases of earlier orders that were taken back, and the
     # order's age.
     rejected: list[str] = []
-    elapsed_ms: int = 0
+    elapsed_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] = 0
 
 
 class PlatformOrderApi:
@@ -52,10 +56,14 @@
 
     def decode(self, document: Document) -> OrderDocument:
         """Return the order of a document."""
+        if document.content is None and document.error:
+            raise MoveError(f"order is malformed: {document.error}")
         try:
             order = msgspec.convert(document.content, _Order, strict=False)
-        except msgspec.ValidationError as exc:
+        except (msgspec.ValidationError, RecursionError) as exc:
             raise MoveError(f"order is malformed: {exc}") from exc
+        if order.service != document.name:
+            raise MoveError(f"order is for another service, {order.service!r}")
         status = _status_of(document)
         rejected = set(status.rejected) if status is not None else set()
         stage, elapsed_ms = OrderStage.WAITING, 0
@@ -104,5 +112,5 @@
 def _status_of(document: Document) -> _Status | None:
     try:
         return msgspec.convert(document.status, _Status, strict=False)
-    except msgspec.ValidationError:
+    except (msgspec.ValidationError, RecursionError):
         return None  # No status, or one of another writer: there is no verdict.
--- a/marigoldchute/platform/store.py
+++ b/marigoldchute/platform/store.py
@@ -8,10 +8,17 @@
 
 import msgspec
 
-from marigoldchute.errors import NotFoundError
+from marigoldchute.errors import NotFoundError, PlatformError, ResultCode
 from marigoldchute.objectstore.caller import StoreCaller
 from marigoldchute.objectstore.documents import Document, DocumentPage
 from marigoldchute.objectstore.messages import decode_response
+from marigoldchute.platform.objects import (
+    MalformedObject,
+    Object,
+    decode_events,
+    decode_object,
+    decode_page,
+)
 
 if TYPE_CHECKING:
     import random
@@ -19,41 +26,9 @@
     from marigoldchute.objectstore.settings import StoreSettings
 
 JSON_CONTENT_TYPE = "application/json"
+MAX_LISTED_DOCUMENTS = 100_000
 
-
-class _Metadata(msgspec.Struct, frozen=True):
-    name: str
-    revision: int = 0
-    # A deleted object is kept until this list is empty; this project sets none.
-    finalizers: list[str] = []
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct, frozen=True):
-    metadata: _Metadata
-    spec: Any = None
-    status: Any = None
-
-
-class _Page(msgspec.Struct, frozen=True):
-    items: list[_Object]
-    at: int
-    more: Any = False
-
-
-class _Event(msgspec.Struct, frozen=True):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct, frozen=True):
-    events: list[_Event]
-    at: int
-
-
-_decode_page = functools.partial(decode_response, cls=_Page)
-_decode_events = functools.partial(decode_response, cls=_Events)
-_decode_object = functools.partial(decode_response, cls=_Object)
+_decode_written = functools.partial(decode_response, cls=Object)
 
 
 class PlatformDocumentStore:
@@ -91,18 +66,27 @@
 
     async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
         """Return all documents of a kind."""
-        documents: list[Document] = []
+        documents: dict[str, Document] = {}
         query = {"allow_stale": "1"} if stale_allowed else {}
+        revision = 0
         while True:
-            page = await self._caller.call(_decode_page, "GET", _path(kind, **query))
-            documents += [_to_document(kind, item) for item in page.items]
+            page = await self._caller.call(decode_page, "GET", _path(kind, **query))
+            # Changes between two pages are found by a watch from the first one.
+            revision = revision or page.at
+            count = len(documents)
+            for item in page.items:
+                documents[item.metadata.name] = _to_document(kind, item)
             if not page.more or not page.items:
-                return DocumentPage(tuple(documents), page.at)
+                return DocumentPage(tuple(documents.values()), revision)
+            if len(documents) == count or len(documents) > MAX_LISTED_DOCUMENTS:
+                raise PlatformError(
+                    f"list of {kind!r} does not end", ResultCode.STORE_ANSWER_MALFORMED
+                )
             query["after"] = page.items[-1].metadata.name
 
     async def get(self, kind: str, name: str) -> Document:
         """Return a document; raise ``NotFoundError`` when it does not exist."""
-        item = await self._caller.call(_decode_object, "GET", _path(kind, name))
+        item = await self._caller.call(decode_object, "GET", _path(kind, name))
         return _to_document(kind, item)
 
     async def changes(
@@ -110,7 +94,7 @@
     ) -> DocumentPage:
         """Wait for and return the changes of a kind after a revision."""
         path = _path(kind, watch=str(after_revision), wait_ms=str(wait_ms))
-        page = await self._caller.call(_decode_events, "GET", path, wait_ms=wait_ms)
+        page = await self._caller.call(decode_events, "GET", path, wait_ms=wait_ms)
         documents = tuple(
             _to_document(kind, event.object, event.deleted) for event in page.events
         )
@@ -152,7 +136,7 @@
     async def _write(self, kind: str, method: str, path: str, body: Any) -> Document:
         data = msgspec.json.encode(body)
         written = await self._caller.call(
-            _decode_object, method, path, data, content_type=JSON_CONTENT_TYPE
+            _decode_written, method, path, data, content_type=JSON_CONTENT_TYPE
         )
         return _to_document(kind, written)
 
@@ -164,11 +148,16 @@
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
 
-def _to_document(kind: str, item: _Object, deleted: bool = False) -> Document:
+def _to_document(kind: str, item: Object, deleted: bool = False) -> Document:
     metadata = item.metadata
-    is_deleted = deleted or metadata.deleting
     return Document(
-        kind, metadata.name, metadata.revision, item.spec, item.status, is_deleted
+        kind,
+        metadata.name,
+        metadata.revision,
+        item.spec,
+        item.status,
+        deleted or metadata.deleting,
+        item.error if isinstance(item, MalformedObject) else "",
     )
 
 
--- a/tests/test_link/test_malformed.py
+++ b/tests/test_link/test_malformed.py
@@ -17,9 +17,12 @@
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Link
+from marigoldchute.link.stream import MAX_DATA_BYTES, WINDOW_BYTES
 from tests.support.memory_transport import MemoryTransport
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from marigoldchute.link.stream import Stream
 
 KINDS = [int(kind) for kind in FrameKind] + [0, 200]
@@ -39,6 +42,10 @@
         pass
 
 
+async def _raise_key_error(link: Link, body: bytes = b"") -> bytes:
+    raise KeyError("unexpected")
+
+
 def _create_handlers() -> Handlers:
     handlers = Handlers()
     for method in range(4):
@@ -53,13 +60,68 @@
     def test_any_frames_leave_the_link_open_or_close_it_without_an_error(
         self, frames: list[tuple[int, int, bytes]]
     ) -> None:
+        self.run_link(frames)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(FRAMES, FRAMES)
+    def test_frames_behind_the_handshake_raise_no_error_either(
+        self,
+        early_frames: list[tuple[int, int, bytes]],
+        frames: list[tuple[int, int, bytes]],
+    ) -> None:
+        """Answers a peer whose first frames arrive with the end of the handshake."""
+        self.run_link(frames, early_frames)
+
+    def test_unexpected_error_of_a_handler_is_reported_and_closes_the_link(
+        self,
+    ) -> None:
+        """Answers one message that took a whole process down."""
+        failures: list[Exception] = []
+        for kind in (FrameKind.CALL, FrameKind.NOTIFY, FrameKind.OPEN):
+            handlers = _create_handlers()
+            handlers.register(9, _raise_key_error)
+            handlers.stream_handler = _raise_key_error  # type: ignore[assignment]
+            handlers.report_failure = failures.append
+            self.run_link([(kind, 1, b"\x00\x09")], handlers=handlers)
+        self.assertEqual([type(exc) for exc in failures], [KeyError] * 3)
+
+    def test_data_beyond_the_credit_closes_the_link(self) -> None:
+        """Answers a peer that sends a body without end to a reader that is slow."""
+        received: list[int] = []
+
+        async def never_read(stream: Stream) -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                received.append(stream._buffered_bytes)
+
+        handlers = _create_handlers()
+        handlers.stream_handler = never_read
+        data = [(FrameKind.DATA, 1, bytes(MAX_DATA_BYTES))] * 50
+        self.run_link([(FrameKind.OPEN, 1, b""), *data], handlers=handlers)
+        self.assertLessEqual(received[0], WINDOW_BYTES + 2 * MAX_DATA_BYTES)
+
+    def run_link(
+        self,
+        frames: list[tuple[int, int, bytes]],
+        early_frames: Sequence[tuple[int, int, bytes]] = (),
+        handlers: Handlers | None = None,
+    ) -> None:
+        """Send frames to a link; it must end without an error."""
         trio.run(
             self._send_to_link,
             frames,
+            list(early_frames),
+            handlers or _create_handlers(),
             clock=trio.testing.MockClock(autojump_threshold=0),
         )
 
-    async def _send_to_link(self, frames: list[tuple[int, int, bytes]]) -> None:
+    async def _send_to_link(
+        self,
+        frames: list[tuple[int, int, bytes]],
+        early_frames: list[tuple[int, int, bytes]],
+        handlers: Handlers,
+    ) -> None:
         ours, theirs = trio.testing.memory_stream_pair()
         peer = PeerIdentity("peer", 1, "a", "r")
         link = Link(
@@ -68,10 +130,10 @@
             peer,
             "control",
             False,
-            _create_handlers(),
+            handlers,
             HybridClock(),
             1000,
-            early_frames=[],
+            early_frames,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -183,8 +183,32 @@
                 self.assertEqual(self.decode(spec, status).stage, OrderStage.WAITING)
 
     def test_malformed_order_is_rejected(self) -> None:
-        with self.assertRaises(MoveError):
-            self.decode({"service": "turnos"}, None)
+        spec = {"service": "turnos", "target_version": "v3", "duration_s": 16}
+        nested: list[Any] = []
+        for _ in range(5_000):
+            nested = [nested]
+        odd_specs = (
+            {"service": "turnos"},
+            {**spec, "service": "reservas"},
+            {**spec, "duration_s": 0},
+            {**spec, "duration_s": -3.0},
+            {**spec, "duration_s": 1e300},
+            {**spec, "duration_s": "nan"},
+            {**spec, "target_version": nested},
+            nested,
+            None,
+        )
+        for index, odd in enumerate(odd_specs):
+            with self.subTest(index), self.assertRaises(MoveError):
+                self.decode(odd, None)
+
+    def test_deeply_nested_status_is_no_verdict(self) -> None:
+        spec = {"service": "turnos", "target_version": "v3", "duration_s": 16}
+        nested: list[Any] = []
+        for _ in range(5_000):
+            nested = [nested]
+        status = {"state": "succeeded", "target_version": "v3", "rejected": [nested]}
+        self.assertEqual(self.decode(spec, status).stage, OrderStage.WAITING)
 
 
 class BoundaryTest(unittest.TestCase):
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -4,7 +4,7 @@
 
 import random
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -19,10 +19,13 @@
 from marigoldchute.platform.store import PlatformDocumentStore
 from marigoldchute.standins.loopback import LoopbackBlock
 from tests.support.documents import DocumentStandIn
+from tests.support.odd_entries import DEEP, make_object, make_page
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from marigoldchute.objectstore.documents import DocumentPage
+
 PORT = 8627
 
 
@@ -123,3 +126,51 @@
                     await store.list("members")
 
         self.run_with_store(scenario)
+
+
+class _PagedCaller:
+    """Caller of a store whose list is split into pages."""
+
+    def __init__(self, pages: list[bytes]) -> None:
+        self.paths: list[str] = []
+        self._pages = pages
+
+    async def call(self, decode: Callable[..., Any], method: str, path: str) -> Any:
+        self.paths.append(path)
+        page = self._pages[min(len(self.paths), len(self._pages)) - 1]
+        return decode(page, method=method)
+
+
+class ListTest(unittest.TestCase):
+    """Lists that another writer, or the store itself, makes hard to read."""
+
+    def list_pages(self, *pages: bytes) -> tuple[DocumentPage, list[str]]:
+        settings = StoreSettings("127.0.0.1", PORT, 1000.0, 1000.0, 500)
+        store = PlatformDocumentStore(settings, random.Random(1), "127.0.0.1")
+        caller = _PagedCaller(list(pages))
+        store._caller = caller  # type: ignore[assignment]
+        return trio.run(store.list, "members"), caller.paths
+
+    def test_watch_continues_from_the_first_page(self) -> None:
+        """A change between two pages may concern an entry of the first one."""
+        page, paths = self.list_pages(
+            make_page(make_object("a", b"1"), at=b"5", more=b"true"),
+            make_page(make_object("b", b"2"), at=b"9"),
+        )
+        self.assertEqual(page.revision, 5)
+        self.assertEqual([d.name for d in page.documents], ["a", "b"])
+        self.assertTrue(paths[1].endswith("after=a"))
+
+    def test_odd_last_entry_does_not_end_the_list(self) -> None:
+        page, paths = self.list_pages(
+            make_page(make_object("a", DEEP), at=b"5", more=b"true"),
+            make_page(make_object("b", b"2"), at=b"9"),
+        )
+        self.assertEqual([d.name for d in page.documents], ["a", "b"])
+        self.assertTrue(page.documents[0].error)
+        self.assertTrue(paths[1].endswith("after=a"))
+
+    def test_list_that_never_ends_raises_an_error(self) -> None:
+        for more in (b"true", b"1"):
+            with self.assertRaises(PlatformError):
+                self.list_pages(make_page(make_object("a", b"1"), more=more))
