Bound what endless bytes of any side can take

Cause: bytes outside of a body were counted in heads only, so a chunk extension, a trailer or a stream of them grew or spun until the deadline; a response without a length was kept whole in memory; abandoned connections were read for 2 s at full speed; the bytes of a skipped late response counted as the head of the right one, which was then refused; a compressed difference and an answer of the store could expand without bound. A request body that stopped midway was answered with 408, a promise, although a part had gone to the server; the bundle's limit of bodies was not kept. Ruled out: heads and 1xx responses without end, which the old limit covered.

--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marigoldchute.bundle.limits import MAX_CONTENT_BYTES
 from marigoldchute.bundle.model import (
     Bundle,
     BundleContent,
@@ -132,6 +133,15 @@
     return zlib.compress(_ENCODER.encode(difference), COMPRESSION_LEVEL)
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress a difference, which may be at most ``MAX_CONTENT_BYTES`` long."""
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_CONTENT_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("the difference is too long or incomplete")
+    return content
+
+
 def apply_difference(base: Snapshot | None, data: bytes) -> Snapshot:
     """Return the snapshot that results from applying a compressed difference.
 
@@ -141,7 +151,7 @@
         The difference is malformed or was made from another snapshot.
     """
     try:
-        difference = _DIFFERENCE.decode(zlib.decompress(data))
+        difference = _DIFFERENCE.decode(_decompress(data))
     except (zlib.error, msgspec.DecodeError) as exc:
         raise PeerError(
             f"malformed difference: {exc}", ResultCode.PEER_PROTOCOL
--- a/marigoldchute/objectstore/caller.py
+++ b/marigoldchute/objectstore/caller.py
@@ -21,6 +21,7 @@
     from marigoldchute.objectstore.settings import StoreSettings
 
 MAX_CONNECTIONS = 8
+MAX_RESPONSE_BYTES = 16_000_000  # A list or an object is a megabyte at most.
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
 
@@ -40,6 +41,7 @@
         ResultCode.STORE_THROTTLED,
         ResultCode.STORE_LOG_COMPACTED,
         ResultCode.STORE_VALUE_TOO_LARGE,
+        ResultCode.STORE_ANSWER_TOO_LARGE,
     }
 )
 
@@ -139,12 +141,12 @@
         with self._track_outcome():
             self.calls += 1
             started_at = trio.current_time()
-            response = await self._send(method, url, body, headers, deadline)
+            status, content = await self._send(method, url, body, headers, deadline)
             self.min_latency_s = min(
                 self.min_latency_s, trio.current_time() - started_at
             )
-            raise_for_status(method, path, response.status, response.content)
-            return response.content
+            raise_for_status(method, path, status, content)
+            return content
 
     async def _acquire_budget(self, deadline: float) -> None:
         now = trio.current_time()
@@ -182,12 +184,14 @@
         body: bytes | None,
         headers: list[tuple[str, str]] | None,
         deadline: float,
-    ) -> httpcore.Response:
+    ) -> tuple[int, bytes]:
+        """Send a request; return the status and the content of its response."""
         try:
             with trio.fail_at(deadline):
-                return await self._pool.request(
+                async with self._pool.stream(
                     method, url, headers=headers, content=body
-                )
+                ) as response:
+                    return response.status, await _read_content(response, method)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise PlatformError(f"store cannot be reached: {exc}") from exc
         except (
@@ -199,6 +203,20 @@
             raise _lost_response_error(method, exc) from exc
 
 
+async def _read_content(response: httpcore.Response, method: str) -> bytes:
+    content = bytearray()
+    async for piece in response.aiter_stream():
+        content += piece
+        if len(content) > MAX_RESPONSE_BYTES:
+            break
+    else:
+        return bytes(content)
+    detail = f"response of the store is over {MAX_RESPONSE_BYTES} bytes"
+    if method != "GET":
+        raise UnknownOutcomeError(detail)
+    raise PlatformError(detail, ResultCode.STORE_ANSWER_TOO_LARGE)
+
+
 def _lost_response_error(method: str, exc: Exception) -> PlatformError:
     if method == "GET":
         return PlatformError(f"store sent no response: {exc!r}")
--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -181,11 +181,9 @@
                 "backend server refused the request",
                 ResultCode.REQUEST_NOT_RUN_REFUSED,
             )
-        if (
-            0 <= response.length <= self._policy.max_buffered_response_bytes
-            or response.is_unframed
-        ):
-            while not response.complete:
+        max_buffered_bytes = self._policy.max_buffered_response_bytes
+        if 0 <= response.length <= max_buffered_bytes or response.is_unframed:
+            while not response.complete and response.body_bytes <= max_buffered_bytes:
                 await self._read_more()
         head = ResponseHead(
             response.status,
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -20,6 +20,7 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 KEEP_ALIVE_MARGIN_S = 1.0  # A Keep-Alive timeout is rounded down to seconds.
 ABANDON_TIMEOUT_S = 2.0
+MAX_ABANDONED_BYTES = 2_000_000
 
 
 class BackendConn:
@@ -107,13 +108,17 @@
 
         The half-closed connection signals the backend server to cancel the request;
         when it closes its side, the slot is free. A connection that is not closed
-        within ``ABANDON_TIMEOUT_S`` is reset.
+        within ``ABANDON_TIMEOUT_S``, or on which bytes keep arriving, is reset.
         """
         self.tcp.send_eof()
+        discarded_bytes = 0
         try:
             with trio.move_on_after(ABANDON_TIMEOUT_S):
-                while await self.tcp.receive(RECEIVE_BYTES):
-                    pass
+                while discarded_bytes <= MAX_ABANDONED_BYTES:
+                    data = await self.tcp.receive(RECEIVE_BYTES)
+                    if not data:
+                        break
+                    discarded_bytes += len(data)
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -8,7 +8,12 @@
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.headers import HOP_HEADERS
 
+# Limit of the bytes outside of the body: heads, interim responses, chunk sizes and
+# extensions, and trailers. Chunks of a few bytes have several bytes of framing each.
 MAX_HEAD_BYTES = 65_536
+MAX_FRAMING_RATIO = 8
+# Limit of the bodies of late responses to earlier requests, which are skipped.
+MAX_SKIPPED_BYTES = 16_000_000
 MIN_ERROR_STATUS = 400
 _NO_LENGTH = -1
 
@@ -37,12 +42,14 @@
         "_chunked",
         "_dialect",
         "_echoed_id",
-        "_head_bytes",
         "_is_head_response",
         "_lines",
+        "_overhead_bytes",
         "_parser",
         "_request_id",
+        "_skipped_bytes",
         "_skipping",
+        "body_bytes",
         "chunks",
         "complete",
         "has_head",
@@ -73,7 +80,9 @@
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self._lines: list[bytes] = []
         self._chunked = False
-        self._head_bytes = 0
+        self._overhead_bytes = 0
+        self._skipped_bytes = 0
+        self.body_bytes = 0  # Received so far, without the framing of chunks.
         self._is_head_response = is_head_response
         self._dialect = dialect
         self._request_id = request_id
@@ -135,8 +144,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
-        if not self.complete and not self._skipping:
-            self.chunks.append(data)
+        if self._skipping:
+            self._skipped_bytes += len(data)
+        else:
+            self.body_bytes += len(data)
+            if not self.complete:
+                self.chunks.append(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, or end the skipping of another one."""
@@ -159,10 +172,11 @@
         Raises
         ------
         RequestError
-            The response is malformed, its head is too large, or its framing is not
-            accepted.
+            The response is malformed, too many of its bytes are outside of the body,
+            or its framing is not accepted.
         """
         self.started = True
+        body_bytes_before = self.body_bytes + self._skipped_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -172,11 +186,15 @@
             raise RequestError(
                 f"response of the backend server is malformed: {exc}"
             ) from exc
-        if not self.has_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES and not self._skipping:
-                raise RequestError("head of the backend server's response is too large")
-        elif self.is_unframed and not self._dialect.accepts_unframed:
+        body_bytes = self.body_bytes + self._skipped_bytes
+        self._overhead_bytes += len(data) - (body_bytes - body_bytes_before)
+        if self._overhead_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes:
+            raise RequestError(
+                "too many bytes outside of the body of the backend server's response"
+            )
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise RequestError("late response of the backend server does not end")
+        if self.is_unframed and not self._dialect.accepts_unframed:
             raise RequestError("backend server's response has no framing")
 
     def on_connection_closed(self) -> bool:
--- a/marigoldchute/routing/failure.py
+++ b/marigoldchute/routing/failure.py
@@ -36,9 +36,13 @@
 def error_to_report(call: Call, exc: MarigoldchuteError) -> MarigoldchuteError:
     """Return the error to report to the caller.
 
-    A request that an earlier attempt may have run is never reported as not run.
+    A request that may have run is never reported as not run, which also the status of
+    a caller that sent its body too slowly says.
     """
-    if call.may_have_run and isinstance(exc, NotRunError):
+    says_not_run = (
+        isinstance(exc, NotRunError) or exc.code is ResultCode.REQUEST_SENDER_TIMEOUT
+    )
+    if call.may_have_run and says_not_run:
         return RequestError(
             f"an earlier attempt may have run; last attempt: {exc.message}",
             ResultCode.REQUEST_OUTCOME_UNKNOWN,
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -17,6 +17,8 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+# Chunks of a few bytes have several bytes of framing each.
+MAX_FRAMING_RATIO = 8
 MAX_PIPELINED = 16
 BODY_PROGRESS_TIMEOUT_S = 10.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -221,8 +223,12 @@
         self._parser = httptools.HttpRequestParser(self)
         self._current_request = HttpRequest(self)
         self._head_bytes = 0
+        # Of the current request, behind its head: its body and the framing of chunks.
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self._in_head = True
         self.max_head_bytes = MAX_HEAD_BYTES
+        self.max_body_bytes = 0  # 0 for no limit.
         self._head_error: RequestError | None = None
         self._error: RequestError | None = None
 
@@ -252,6 +258,7 @@
     def on_headers_complete(self) -> None:
         """Queue the request for handling; its body may still follow."""
         self._head_bytes = 0
+        self._body_bytes = self._framing_bytes = 0
         self._in_head = False
         try:
             self._current_request.complete_head(self._parser)
@@ -263,6 +270,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
+        self._body_bytes += len(data)
         self._current_request.chunks.append(data)
 
     def on_message_complete(self) -> None:
@@ -300,7 +308,9 @@
         """
         queued_count = len(self.requests)
         previous_request = self._current_request
-        if self._in_head:
+        was_in_head = self._in_head
+        body_bytes = self._body_bytes
+        if was_in_head:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -308,8 +318,22 @@
             self._error = RequestError(
                 f"request is malformed: {exc}", ResultCode.REQUEST_MALFORMED
             )
+        if not was_in_head and self._current_request is previous_request:
+            self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
         if self._head_error is not None:
             self._error = self._head_error
+        elif 0 < self.max_body_bytes < self._body_bytes:
+            self._error = RequestError(
+                "request body is too large", ResultCode.REQUEST_BODY_TOO_LARGE
+            )
+        elif (
+            self._framing_bytes
+            > self.max_head_bytes + MAX_FRAMING_RATIO * self._body_bytes
+        ):
+            self._error = RequestError(
+                "too many bytes outside of the request's body",
+                ResultCode.REQUEST_TOO_LARGE,
+            )
         elif self._in_head and self._head_bytes > self.max_head_bytes:
             self._error = RequestError(
                 "request head is too large", ResultCode.REQUEST_TOO_LARGE
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -38,6 +38,7 @@
     ResultCode.REQUEST_MALFORMED: 400,
     ResultCode.REQUEST_SENDER_TIMEOUT: 408,
     ResultCode.REQUEST_TOO_LARGE: 431,
+    ResultCode.REQUEST_BODY_TOO_LARGE: 413,
 }
 
 
@@ -175,6 +176,7 @@
         head_timeout_s, idle_timeout_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
         if self.limits is not None:
             conn.parser.max_head_bytes = self.limits.head_bytes
+            conn.parser.max_body_bytes = self.limits.body_bytes
             head_timeout_s = self.limits.head_timeout_ms / 1000
             idle_timeout_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
         conn.expires_at = now + idle_timeout_s
--- a/marigoldchute/routing/refusal.py
+++ b/marigoldchute/routing/refusal.py
@@ -20,12 +20,14 @@
     ResultCode.REQUEST_MALFORMED: 400,
     ResultCode.REQUEST_SENDER_TIMEOUT: 408,
     ResultCode.REQUEST_TOO_LARGE: 431,
+    ResultCode.REQUEST_BODY_TOO_LARGE: 413,
 }
 CALLER_ERROR_CODES = frozenset(
     {
         ResultCode.REQUEST_MALFORMED,
         ResultCode.REQUEST_SENDER_TIMEOUT,
         ResultCode.REQUEST_TOO_LARGE,
+        ResultCode.REQUEST_BODY_TOO_LARGE,
     }
 )
 
--- a/tests/test_routing/test_entry.py
+++ b/tests/test_routing/test_entry.py
@@ -84,6 +84,17 @@
         self.assertIsInstance(reported, RequestError)
         self.assertNotIsInstance(reported, NotRunError)
 
+    def test_body_that_stopped_on_its_way_to_a_server_is_not_reported_as_not_run(
+        self,
+    ) -> None:
+        """Status 408 promises that the request has not run and never will."""
+        call = make_call()
+        stopped = RequestError("stopped", ResultCode.REQUEST_SENDER_TIMEOUT)
+        self.assertIs(error_to_report(call, stopped), stopped)
+        call.may_have_run = True
+        reported = error_to_report(call, stopped)
+        self.assertEqual(reported.code, ResultCode.REQUEST_OUTCOME_UNKNOWN)
+
     def test_refusal_by_owner_keeps_its_code(self) -> None:
         head = ResponseHead(503, code=ResultCode.REQUEST_NOT_RUN_DRAINING)
         with self.assertRaises(NotRunError) as caught:
