Handle requests that are sent ahead on a connection at the same time

Change: bytes that arrive while a complete request is in work are read by a task of the connection, up to 8 requests are handled at once and answered in their order; a request that must not run twice waits for its turn, so that none behind a closing answer is passed on; a draining server answers what it has read and closes with the last answer. Past 8 it does not read; the error for more than 16 is gone. The answer to a request in work at the drain now says that the connection closes. Tests: test_pipelining (10), of them the first fails on the former server, which starts the second request after the first answer.

--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -283,6 +283,8 @@
 
     async def _attempt_until_done(self, call: Call) -> None:
         service = call.service.name
+        if not call.idempotent:
+            await call.req.wait_for_turn()
         self.retry_budget.record_request(trio.current_time(), service)
         while True:
             call.attempts += 1
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -12,6 +12,8 @@
 from marigoldchute.routing.http_checks import check_head, parse_target
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.routing.messages import HeaderList
     from marigoldchute.util.tcp import TcpConn
 
@@ -19,7 +21,6 @@
 MAX_HEAD_BYTES = 65_536
 # Chunks of a few bytes have several bytes of framing each.
 MAX_FRAMING_RATIO = 8
-MAX_PIPELINED = 16
 BODY_PROGRESS_TIMEOUT_S = 10.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -37,6 +38,9 @@
         Set by the handler; cancelled when the caller disconnects.
     caller_disconnected : bool
         Whether the caller disconnected.
+    turn : trio.Event or None
+        Set when the responses to all earlier requests of the connection are complete;
+        None when the request has no predecessor.
     """
 
     __slots__ = (
@@ -52,10 +56,12 @@
         "keep_alive",
         "method",
         "target",
+        "turn",
     )
 
     def __init__(self, conn_parser: CallerConnParser) -> None:
         self._conn_parser = conn_parser
+        self.turn: trio.Event | None = None
         self.method = b""
         self.target = b""
         self.headers: HeaderList = []
@@ -75,6 +81,15 @@
                 return value
         return None
 
+    async def wait_for_turn(self) -> None:
+        """Wait until the responses to all earlier requests are complete.
+
+        A request that must not run twice may only be passed on after that: its caller
+        sends it again if the connection closes before.
+        """
+        if self.turn is not None:
+            await self.turn.wait()
+
     def complete_head(self, parser: httptools.HttpRequestParser) -> None:
         """Validate the complete head and set the attributes that depend on it.
 
@@ -109,6 +124,7 @@
     async def _read_body(self) -> None:
         if self._expects_continue:
             self._expects_continue = False
+            await self.wait_for_turn()
             await self._conn_parser.tcp.send(_CONTINUE)
         with trio.move_on_after(BODY_PROGRESS_TIMEOUT_S):
             await self._conn_parser.read_more()
@@ -118,21 +134,45 @@
         )
 
 
+def _always() -> bool:
+    return True
+
+
 class HttpResponder:
-    """Writes the response to one request."""
+    """Writes the response to one request after those to earlier requests.
+
+    Parameters
+    ----------
+    tcp : TcpConn
+        Connection of the caller.
+    req : HttpRequest or None
+        Request that the response belongs to.
+    may_keep_alive : callable
+        Returns whether the connection may stay open after the response; called when
+        the head is sent.
+    """
 
     __slots__ = (
         "_bodiless",
         "_chunked",
         "_close_delimited",
+        "_may_keep_alive",
+        "_req",
         "_tcp",
         "finished",
         "keep_alive",
         "started",
     )
 
-    def __init__(self, tcp: TcpConn, req: HttpRequest | None) -> None:
+    def __init__(
+        self,
+        tcp: TcpConn,
+        req: HttpRequest | None,
+        may_keep_alive: Callable[[], bool] = _always,
+    ) -> None:
         self._tcp = tcp
+        self._req = req
+        self._may_keep_alive = may_keep_alive
         self._bodiless = req is not None and req.method == b"HEAD"
         self._close_delimited = req is not None and req.http_version == "1.0"
         self._chunked = False
@@ -155,6 +195,7 @@
         self, status: int, block: bytes, has_length: bool, body: bytes
     ) -> None:
         """Send the status, encoded headers and the first piece of the body together."""
+        await self._wait_for_turn()
         head = self._encode_head(status, block, has_length)
         await self._tcp.send(head + self._encode_piece(body))
 
@@ -162,6 +203,7 @@
         self, status: int, block: bytes, has_length: bool, body: bytes
     ) -> None:
         """Send a complete response, in one write if the kernel accepts it."""
+        await self._wait_for_turn()
         head = self._encode_head(status, block, has_length)
         end = b"0\r\n\r\n" if self._chunked else b""
         await self._tcp.send(head + self._encode_piece(body) + end)
@@ -182,8 +224,13 @@
         """Reset the connection, so that the caller detects a truncated response."""
         self._tcp.abort()
 
+    async def _wait_for_turn(self) -> None:
+        if self._req is not None and self._req.turn is not None:
+            await self._req.turn.wait()
+
     def _encode_head(self, status: int, block: bytes, has_length: bool) -> bytes:
         self.started = True
+        self.keep_alive = self.keep_alive and self._may_keep_alive()
         bodiless = self._bodiless or status in (204, 304) or status < 200
         hop_headers = b""
         if not has_length and not bodiless:
@@ -338,10 +385,6 @@
             self._error = RequestError(
                 "request head is too large", ResultCode.REQUEST_TOO_LARGE
             )
-        elif len(self.requests) > MAX_PIPELINED:
-            self._error = RequestError(
-                "too many pipelined requests", ResultCode.REQUEST_MALFORMED
-            )
         made_progress = len(self.requests) > queued_count or previous_request.complete
         if self._error is not None and not made_progress:
             raise self._error
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -31,6 +31,8 @@
 IDLE_POLL_INTERVAL_S = 0.5
 EXPIRY_CHECK_INTERVAL_S = 0.5
 MAX_CALLER_CONNECTIONS = 4096
+# Requests of one connection that are handled at the same time; no more are read.
+MAX_REQUESTS_IN_PROGRESS = 8
 
 RequestHandler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
 
@@ -47,17 +49,83 @@
     raise exc
 
 
+class _Exchange:
+    """A request in progress on a connection."""
+
+    __slots__ = ("done", "req", "responder", "scope")
+
+    def __init__(self, req: HttpRequest, responder: HttpResponder) -> None:
+        self.req = req
+        self.responder = responder
+        self.done = trio.Event()
+        # Set for a request that was sent ahead, which is handled by its own task.
+        self.scope: trio.CancelScope | None = None
+
+    def abandon(self) -> None:
+        """Cancel the request because its caller does not wait for it any more."""
+        self.req.caller_disconnected = True
+        if self.req.cancel_scope is not None:
+            self.req.cancel_scope.cancel()
+        if self.scope is not None:
+            self.scope.cancel()
+
+
 class _CallerConn:
-    """State of one caller's connection."""
+    """State of one caller's connection.
 
-    __slots__ = ("expires_at", "parser", "polled_request", "request", "tcp")
+    Attributes
+    ----------
+    in_progress : list of _Exchange
+        Requests that were taken and are not answered completely, in their order.
+    read_ahead_done : trio.Event or None
+        Set at the end of the task that reads requests which are sent ahead; None
+        without one.
+    closing : bool
+        Whether a response has ended the use of the connection.
+    """
+
+    __slots__ = (
+        "closing",
+        "expires_at",
+        "idle_timeout_s",
+        "in_progress",
+        "nursery",
+        "parser",
+        "read_ahead_done",
+        "read_scope",
+        "tcp",
+    )
 
     def __init__(self, tcp: TcpConn) -> None:
         self.tcp = tcp
         self.parser = CallerConnParser(tcp)
-        self.request: HttpRequest | None = None
-        self.polled_request: HttpRequest | None = None
+        self.in_progress: list[_Exchange] = []
+        self.nursery: trio.Nursery | None = None
+        self.read_ahead_done: trio.Event | None = None
+        self.read_scope = trio.CancelScope()
+        self.closing = False
         self.expires_at = 0.0
+        self.idle_timeout_s = 0.0
+
+    def stop_reading(self) -> None:
+        """Read no further requests because a response ends the connection."""
+        self.closing = True
+        self.read_scope.cancel()
+
+    def abandon(self) -> None:
+        """Cancel all requests in progress because the caller has left."""
+        for exchange in self.in_progress:
+            exchange.abandon()
+
+    @property
+    def may_send_ahead(self) -> bool:
+        """Whether bytes that arrive now would belong to a further request."""
+        return (
+            self.read_ahead_done is None
+            and len(self.in_progress) == 1
+            and self.in_progress[0].req.complete
+            and self.in_progress[0].req.keep_alive
+        )
 
 
 class HttpServer:
@@ -93,7 +161,7 @@
     @property
     def running(self) -> int:
         """Number of requests in progress."""
-        return sum(conn.request is not None for conn in self._conns)
+        return sum(len(conn.in_progress) for conn in self._conns)
 
     @property
     def connections(self) -> int:
@@ -130,7 +198,7 @@
         if self._listener is not None:
             self._listener.close()
         for conn in tuple(self._conns):
-            if conn.request is None and conn.parser.is_between_requests:
+            if not conn.in_progress and conn.parser.is_between_requests:
                 self._close_idle(conn)
 
     def _close_idle(self, conn: _CallerConn) -> None:
@@ -138,7 +206,7 @@
             conn.tcp.close()
 
     async def serve_connection(self, tcp: TcpConn) -> None:
-        """Serve the requests of one connection, one after another."""
+        """Serve the requests of one connection, with responses in their order."""
         if len(self._conns) >= MAX_CALLER_CONNECTIONS:
             tcp.close()
             return
@@ -146,16 +214,25 @@
         self._conns.add(conn)
         self.max_connections = max(self.max_connections, len(self._conns))
         try:
-            await self._serve_requests(conn)
-        except (OSError, trio.ClosedResourceError):
-            pass
-        except Exception as exc:
-            self._on_failure(exc)
+            async with trio.open_nursery() as nursery:
+                conn.nursery = nursery
+                await self._guard(conn, self._serve_requests(conn))
+                nursery.cancel_scope.cancel()
         finally:
             self._conns.discard(conn)
             tcp.close()
             conn.parser.close()
 
+    async def _guard(self, conn: _CallerConn, serve: Awaitable[None]) -> None:
+        """Limit the effect of an error to its connection."""
+        try:
+            await serve
+        except (OSError, trio.ClosedResourceError):
+            conn.closing = True
+        except Exception as exc:
+            conn.closing = True
+            self._on_failure(exc)
+
     async def _serve_requests(self, conn: _CallerConn) -> None:
         requests = conn.parser.requests
         while True:
@@ -167,88 +244,172 @@
                 except RequestError as exc:
                     await _send_refusal(conn.tcp, exc)
                     return
-            req = requests.pop(0)
-            if not await self._handle_request(conn, req):
+            exchange = self._take_request(conn)
+            if requests:
+                self._start_reading_ahead(conn)
+            await self._handle_request(conn, exchange)
+            if conn.read_ahead_done is not None:
+                await conn.read_ahead_done.wait()
+                return
+            if conn.closing:
                 return
 
-    async def _read_head(self, conn: _CallerConn) -> None:
-        now = trio.current_time()
-        head_timeout_s, idle_timeout_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
-        if self.limits is not None:
-            conn.parser.max_head_bytes = self.limits.head_bytes
-            conn.parser.max_body_bytes = self.limits.body_bytes
-            head_timeout_s = self.limits.head_timeout_ms / 1000
-            idle_timeout_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        conn.expires_at = now + idle_timeout_s
-        while not conn.parser.requests:
-            await conn.parser.read_more()
-            conn.expires_at = min(conn.expires_at, trio.current_time() + head_timeout_s)
-
-    async def _handle_request(self, conn: _CallerConn, req: HttpRequest) -> bool:
-        """Handle a request; return whether the connection can serve another one."""
-        responder = HttpResponder(conn.tcp, req)
-        if self._draining:
-            responder.keep_alive = False
-        conn.request = req
+    def _take_request(self, conn: _CallerConn) -> _Exchange:
+        req = conn.parser.requests.pop(0)
+        if conn.in_progress:
+            req.turn = conn.in_progress[-1].done
+        exchange = _Exchange(
+            req,
+            HttpResponder(
+                conn.tcp,
+                req,
+                lambda: not self._draining or self._has_later_request(conn, exchange),
+            ),
+        )
+        conn.in_progress.append(exchange)
         self.last_request_at = trio.current_time()
+        return exchange
+
+    def _has_later_request(self, conn: _CallerConn, exchange: _Exchange) -> bool:
+        return bool(conn.parser.requests) or conn.in_progress[-1] is not exchange
+
+    def _start_reading_ahead(self, conn: _CallerConn) -> None:
+        """Take further requests of a connection before the present one is answered."""
+        assert conn.nursery is not None
+        if conn.read_ahead_done is None:
+            conn.read_ahead_done = trio.Event()
+            conn.nursery.start_soon(self._guard, conn, self._read_ahead(conn))
+
+    async def _read_ahead(self, conn: _CallerConn) -> None:
+        """Handle the requests that are sent ahead, until the connection ends."""
+        assert conn.nursery is not None
+        assert conn.read_ahead_done is not None
+        refusal: RequestError | None = None
+        try:
+            while not conn.closing:
+                last = conn.in_progress[-1] if conn.in_progress else None
+                if len(conn.in_progress) >= MAX_REQUESTS_IN_PROGRESS:
+                    await conn.in_progress[0].done.wait()
+                elif conn.parser.requests:
+                    exchange = self._take_request(conn)
+                    conn.nursery.start_soon(self._handle_ahead, conn, exchange)
+                elif last is not None and not (
+                    last.req.complete and last.req.keep_alive
+                ):
+                    # The handler reads the rest of the body.
+                    await last.done.wait()
+                elif self._draining and last is not None:
+                    await last.done.wait()
+                else:
+                    with trio.CancelScope() as conn.read_scope:
+                        await self._read_head(conn)
+        except CallerDisconnectedError:
+            conn.abandon()
+        except RequestError as exc:
+            refusal = exc
+        finally:
+            while conn.in_progress and not conn.closing:
+                await conn.in_progress[-1].done.wait()
+            if refusal is not None and not conn.closing:
+                await _send_refusal(conn.tcp, refusal)
+            conn.read_ahead_done.set()
+
+    async def _handle_ahead(self, conn: _CallerConn, exchange: _Exchange) -> None:
+        with trio.CancelScope() as exchange.scope:
+            await self._guard(conn, self._handle_request(conn, exchange))
+
+    async def _handle_request(self, conn: _CallerConn, exchange: _Exchange) -> None:
+        """Handle a request; set ``closing`` when the connection serves no other one."""
+        keeps_conn = False
+        try:
+            keeps_conn = await self._run_handler(conn, exchange)
+        finally:
+            if not keeps_conn:
+                conn.closing = True
+                # What was sent behind counts as not read; callers send it again.
+                position = conn.in_progress.index(exchange)
+                for later in conn.in_progress[position + 1 :]:
+                    later.abandon()
+            conn.in_progress.remove(exchange)
+            conn.expires_at = trio.current_time() + conn.idle_timeout_s
+            exchange.done.set()
+
+    async def _run_handler(self, conn: _CallerConn, exchange: _Exchange) -> bool:
+        """Run the handler; return whether the connection can serve another request."""
+        req, responder = exchange.req, exchange.responder
         try:
             await self._handler(req, responder)
         except RequestError as exc:
+            await req.wait_for_turn()
+            conn.stop_reading()
             await _handle_request_error(conn.tcp, responder, exc)
             return False
         except BaseException:
+            conn.stop_reading()
             conn.tcp.abort()
             raise
-        finally:
-            conn.request = None
+        if responder.finished and responder.keep_alive and req.complete:
+            return True
+        conn.stop_reading()
         if not responder.finished:
             conn.tcp.abort()
             return False
-        if responder.keep_alive and req.complete:
-            return True
         await _close_lingering(conn.tcp)
         return False
 
+    async def _read_head(self, conn: _CallerConn) -> None:
+        now = trio.current_time()
+        head_timeout_s, idle_timeout_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
+        if self.limits is not None:
+            conn.parser.max_head_bytes = self.limits.head_bytes
+            conn.parser.max_body_bytes = self.limits.body_bytes
+            head_timeout_s = self.limits.head_timeout_ms / 1000
+            idle_timeout_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        conn.idle_timeout_s = idle_timeout_s
+        conn.expires_at = now + idle_timeout_s
+        while not conn.parser.requests:
+            await conn.parser.read_more()
+            conn.expires_at = min(conn.expires_at, trio.current_time() + head_timeout_s)
+
     async def _monitor_connections(self) -> None:
         next_expiry_check = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
         while True:
             await trio.sleep(
                 DISCONNECT_POLL_INTERVAL_S if self._conns else IDLE_POLL_INTERVAL_S
             )
-            self._cancel_abandoned_requests()
+            self._poll_busy_connections()
             now = trio.current_time()
             if now >= next_expiry_check:
                 next_expiry_check = now + EXPIRY_CHECK_INTERVAL_S
                 self._close_expired(now)
 
-    def _cancel_abandoned_requests(self) -> None:
+    def _poll_busy_connections(self) -> None:
+        """Cancel the requests of callers that left; read what others send ahead."""
         poller = None
         conns_by_fd: dict[int, _CallerConn] = {}
         for conn in self._conns:
-            req = conn.request
-            if req is None:
-                continue
-            if conn.polled_request is not req:
-                conn.polled_request = req  # Most requests end before the next poll.
+            fd = conn.tcp.fileno() if conn.in_progress else -1
+            if fd < 0:
                 continue
             if poller is None:
                 poller = select.poll()
-            fd = conn.tcp.fileno()
-            if fd >= 0:
-                poller.register(fd, select.POLLRDHUP)
-                conns_by_fd[fd] = conn
+            events = select.POLLRDHUP
+            if conn.may_send_ahead and not self._draining:
+                events |= select.POLLIN
+            poller.register(fd, events)
+            conns_by_fd[fd] = conn
         if poller is None:
             return
-        for fd, _ in poller.poll(0):
-            req = conns_by_fd[fd].request
-            if req is not None:
-                req.caller_disconnected = True
-                if req.cancel_scope is not None:
-                    req.cancel_scope.cancel()
+        for fd, events in poller.poll(0):
+            conn = conns_by_fd[fd]
+            if events & ~select.POLLIN:
+                conn.abandon()
+            else:
+                self._start_reading_ahead(conn)
 
     def _close_expired(self, now: float) -> None:
         for conn in tuple(self._conns):
-            if conn.request is not None or now < conn.expires_at:
+            if conn.in_progress or now < conn.expires_at:
                 continue
             if not conn.parser.is_between_requests:
                 exc = RequestError(
