Admit by each route's run time, and nested calls up to their deadline

The owner compared the call's objective of 200 ms with 1.6 times one mean run time of all routes; bookings of 290 ms raised it above that, so each call was refused unless a slot was free. Change: run times by route (64 at most); a call whose id extends that of a request running on the entry's VM is admitted first and refused only when its deadline cannot be met.

--- a/marigoldchute/platform/settings.py
+++ b/marigoldchute/platform/settings.py
@@ -28,6 +28,8 @@
     forwards_given_id=True,
     accepts_unframed=True,
     misdirected_status=421,
+    # Not promised by the pages; calls whose ids do not follow it count as requests.
+    nested_id_separator=".",
 )
 
 
--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -26,13 +26,45 @@
 RUN_TIME_MARGIN = 1.6
 
 
+# Routes whose run times are kept apart; the others share one mean.
+MAX_TIMED_ROUTES = 64
+
+
+class RunTimes:
+    """Moving averages of the run times of a backend server, by route.
+
+    A service answers requests of very different length, such as bookings and the short
+    calls of other services. One mean for all would refuse each short request that has
+    to wait, and admit long ones that cannot be in time.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = INITIAL_RUN_TIME_S
+        self._by_route: dict[str, float] = {}
+
+    def record(self, route: str, run_s: float) -> None:
+        """Record the run time of a complete response."""
+        self.mean_s += RUN_TIME_EWMA_WEIGHT * (run_s - self.mean_s)
+        previous_s = self._by_route.get(route)
+        if previous_s is not None:
+            run_s = previous_s + RUN_TIME_EWMA_WEIGHT * (run_s - previous_s)
+        elif len(self._by_route) >= MAX_TIMED_ROUTES:
+            return
+        self._by_route[route] = run_s
+
+    def expected_s(self, route: str) -> float:
+        """Return the expected run time of a request."""
+        return self._by_route.get(route, self.mean_s)
+
+
 class _Waiter:
-    __slots__ = ("admitted", "event", "refusal", "sort_key")
+    __slots__ = ("admitted", "event", "refusal", "run_s", "sort_key")
 
-    def __init__(self, sort_key: tuple[float, int]) -> None:
+    def __init__(self, sort_key: tuple[float, int], run_s: float) -> None:
         self.event = trio.Event()
         self.admitted = False
         self.refusal: ResultCode | None = None
+        self.run_s = run_s
         self.sort_key = sort_key
 
 
@@ -44,7 +76,9 @@
     """Slots of one backend server and the bounded queue of requests for them.
 
     Queued requests are admitted by priority class, within a class by the time of their
-    latency objective, and in the order of arrival if they have none.
+    latency objective, and in the order of arrival if they have none. Nested calls come
+    first, by their deadline: the request that makes one already holds a slot, and its
+    work is lost if the call is refused.
 
     Parameters
     ----------
@@ -65,7 +99,7 @@
         )
         self._arrivals = itertools.count()
         self._queued = 0
-        self._mean_run_s = INITIAL_RUN_TIME_S
+        self._run_times = RunTimes()
         self.update(server)
 
     @property
@@ -125,7 +159,12 @@
         return True
 
     async def acquire_slot(
-        self, priority: int, remaining_s: float, objective_s: float = 0.0
+        self,
+        priority: int,
+        remaining_s: float,
+        objective_s: float = 0.0,
+        route: str = "",
+        is_nested: bool = False,
     ) -> None:
         """Wait for a slot.
 
@@ -137,7 +176,12 @@
             Time left until the caller's deadline.
         objective_s : float
             Time left until the latency objective; 0 when there is none. A request that
-            is not expected to meet it is refused at once.
+            is not expected to meet it is refused at once, a nested call only when it
+            is not expected to meet its deadline.
+        route : str
+            Name of the route, whose requests take similar times.
+        is_nested : bool
+            Whether a request that runs on another backend server waits for this one.
 
         Raises
         ------
@@ -145,21 +189,24 @@
             The queue is full, the time would not suffice, or the backend server is
             draining.
         """
-        priority = min(max(priority, 0), NUM_PRIORITIES - 1)
-        due_at = trio.current_time() + objective_s if objective_s else 0.0
-        waiter = _Waiter((due_at, next(self._arrivals)))
-        max_wait_s = remaining_s - self._mean_run_s
-        if objective_s:
-            max_wait_s = min(
-                max_wait_s, objective_s - RUN_TIME_MARGIN * self._mean_run_s
-            )
+        now = trio.current_time()
+        run_s = self._run_times.expected_s(route)
+        max_wait_s = remaining_s - run_s
+        if is_nested:
+            priority, due_at = 0, now + remaining_s
+        else:
+            priority = min(max(priority, 0), NUM_PRIORITIES - 1)
+            due_at = now + objective_s if objective_s else 0.0
+            if objective_s:
+                max_wait_s = min(max_wait_s, objective_s - RUN_TIME_MARGIN * run_s)
+        waiter = _Waiter((due_at, next(self._arrivals)), run_s)
         self._check_wait(priority, waiter, max_wait_s)
         self._ensure_queue_space(priority)
         bisect.insort(self._queues[priority], waiter, key=_sort_key_of)
         self._queued += 1
-        self._refuse_late_waiters(trio.current_time())
+        self._refuse_late_waiters(now)
         try:
-            with trio.move_on_after(max(0.0, remaining_s - self._mean_run_s)):
+            with trio.move_on_after(max(0.0, remaining_s - run_s)):
                 await waiter.event.wait()
         except BaseException:
             self._abandon(waiter, priority)
@@ -170,7 +217,7 @@
             self._abandon(waiter, priority)
             waiter.refusal = ResultCode.REQUEST_NOT_RUN_DEADLINE
         raise NotRunError(
-            "refused while waiting for a slot", waiter.refusal, self._mean_run_s
+            "refused while waiting for a slot", waiter.refusal, self._run_times.mean_s
         )
 
     def release_slot(self) -> None:
@@ -178,9 +225,11 @@
         self.running -= 1
         self._admit_waiting()
 
-    def record_sample(self, run_s: float, running: int, now: float) -> None:
+    def record_sample(
+        self, run_s: float, running: int, now: float, route: str = ""
+    ) -> None:
         """Record the run time of a complete response."""
-        self._mean_run_s += RUN_TIME_EWMA_WEIGHT * (run_s - self._mean_run_s)
+        self._run_times.record(route, run_s)
         if self._adaptive:
             self._limit.record_sample(run_s, running, now)
 
@@ -190,18 +239,24 @@
             self._limit.record_refusal(now)
 
     def _check_wait(self, priority: int, waiter: _Waiter, max_wait_s: float) -> None:
-        ahead = sum(len(queue) for queue in self._queues[:priority])
-        ahead += bisect.bisect(
-            self._queues[priority], waiter.sort_key, key=_sort_key_of
+        ahead_s = sum(
+            other.run_s for queue in self._queues[:priority] for other in queue
         )
-        wait_s = (ahead + 1) * self._mean_run_s / self.limit
+        queue = self._queues[priority]
+        position = bisect.bisect(queue, waiter.sort_key, key=_sort_key_of)
+        ahead_s += sum(other.run_s for other in queue[:position])
+        wait_s = self._wait_behind(ahead_s)
         if wait_s > max_wait_s:
             raise NotRunError(
                 "no slot is expected to be free in time",
                 ResultCode.REQUEST_NOT_RUN_DEADLINE,
-                max(self._mean_run_s, wait_s - max_wait_s),
+                max(self._run_times.mean_s, wait_s - max_wait_s),
             )
 
+    def _wait_behind(self, ahead_s: float) -> float:
+        """Return the expected wait for a slot behind waiters with a total run time."""
+        return (ahead_s + self._run_times.mean_s) / self.limit
+
     def _ensure_queue_space(self, priority: int) -> None:
         max_queued = MAX_QUEUED_PER_SLOT * self.limit
         if self._queued < QUEUE_RATIOS[priority] * max_queued:
@@ -220,14 +275,13 @@
 
         Requests of higher priority that arrived later may have delayed them.
         """
-        ahead = self._queued
+        ahead_s = sum(waiter.run_s for queue in self._queues for waiter in queue)
         for queue in reversed(self._queues):
             while queue:
-                ahead -= 1
-                due_at = queue[-1].sort_key[0]
-                response_at = (
-                    now + (ahead + 1) * self._mean_run_s / self.limit + self._mean_run_s
-                )
+                last = queue[-1]
+                ahead_s -= last.run_s
+                due_at = last.sort_key[0]
+                response_at = now + self._wait_behind(ahead_s) + last.run_s
                 if not due_at or response_at <= due_at:
                     return
                 self._refuse(queue.pop(), ResultCode.REQUEST_NOT_RUN_OVERLOADED)
@@ -258,7 +312,7 @@
         self.max_running = max(self.max_running, self.running)
 
     def _overloaded_error(self) -> NotRunError:
-        wait_s = self.queued * self._mean_run_s / self.limit
+        wait_s = self.queued * self._run_times.mean_s / self.limit
         return NotRunError(
             "queue is full", ResultCode.REQUEST_NOT_RUN_OVERLOADED, wait_s
         )
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -68,6 +68,7 @@
         caller_service: str = "",
         started_at: float = 0.0,
         bundle_version: int = 0,
+        is_nested: bool = False,
     ) -> None:
         self.req = req
         self.responder = responder
@@ -81,6 +82,7 @@
         self.caller_service = caller_service
         self.started_at = started_at
         self.bundle_version = bundle_version
+        self.is_nested = is_nested
         self.attempt_log: list[str] = []
         self.idempotent = entry.is_idempotent(req.method)
         self.body = RequestBody(req)
@@ -115,6 +117,7 @@
             self._chunked,
             self.caller_service,
             max(0, int((self.objective - now) * 1000)),
+            self.is_nested,
         )
 
     def pop_complete_body(self) -> bytes | None:
--- a/marigoldchute/routing/dialect.py
+++ b/marigoldchute/routing/dialect.py
@@ -33,6 +33,9 @@
     misdirected_status : int
         Status that a backend server returns when it is not the expected one; 0 when
         there is none.
+    nested_id_separator : str
+        Text between the id of a request and the rest of the id of a call that its
+        backend server makes for it; empty when the ids of calls are unrelated.
     """
 
     deadline: bytes = b"marigoldchute-deadline-ms"
@@ -44,6 +47,7 @@
     forwards_given_id: bool = False
     accepts_unframed: bool = False
     misdirected_status: int = 0
+    nested_id_separator: str = ""
 
     @property
     def mesh_request_headers(self) -> frozenset[bytes]:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -131,6 +131,7 @@
         self._members = members
         self._chooser = chooser
         self._sink = sink
+        self._owner = owner
         self._clock = clock
         self._rng = rng
         self._dialect = dialect
@@ -216,6 +217,7 @@
                 "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
             )
         objective_ms = entry.route.objective_ms
+        request_id = self._request_id(req, internal)
         return Call(
             req,
             responder,
@@ -223,13 +225,14 @@
             service,
             split,
             self._release_choice.pick_release(req, entry, service, split),
-            self._request_id(req, internal),
+            request_id,
             encode_request_headers(req.headers, self._own_request_headers),
             received_at + timeout_ms / 1000,
             received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
             received_at,
             self._routes.version if self._routes is not None else 0,
+            self._owner.is_nested(request_id),
         )
 
     def _find_route(self, req: HttpRequest, internal: bool) -> RouteEntry:
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -36,6 +36,8 @@
         Service on whose VM the request originated; empty when it is unknown.
     objective_ms : int
         Time left until the latency objective of the route; 0 when it has none.
+    is_nested : bool
+        Whether a request that runs on the entry node's backend server makes this one.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     chunked: bool
     caller_service: str = ""
     objective_ms: int = 0
+    is_nested: bool = False
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -96,6 +97,7 @@
         self._owned: dict[str, OwnedServer] = {}
         self._member: Member | None = None
         self._draining = False
+        self._running_ids: collections.Counter[str] = collections.Counter()
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -116,6 +118,18 @@
         """Number of requests that run on the backend servers of this VM."""
         return sum(owned.gate.running for owned in self._owned.values())
 
+    def is_nested(self, request_id: str) -> bool:
+        """Return whether a request that runs on this VM makes a request.
+
+        Backend servers derive the ids of their calls from that of their request, if
+        the dialect has a separator for that.
+        """
+        separator = self._dialect.nested_id_separator
+        if not separator:
+            return False
+        parent_id, found, _ = request_id.rpartition(separator)
+        return bool(found) and parent_id in self._running_ids
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -197,7 +211,11 @@
         if not gate.try_acquire_slot():
             queued_at = trio.current_time()
             await gate.acquire_slot(
-                head.priority, remaining_ms / 1000, head.objective_ms / 1000
+                head.priority,
+                remaining_ms / 1000,
+                head.objective_ms / 1000,
+                head.route,
+                head.is_nested,
             )
             waited_ms = int((trio.current_time() - queued_at) * 1000)
             remaining_ms = max(1, remaining_ms - waited_ms)
@@ -217,13 +235,18 @@
             self._dialect,
             self._policy,
         )
+        self._running_ids[head.request_id] += 1
         try:
             await attempt.execute()
         except BaseException as exc:
             self._release_failed(owned, attempt, isinstance(exc, trio.Cancelled))
             raise
+        finally:
+            self._running_ids[head.request_id] -= 1
+            if not self._running_ids[head.request_id]:
+                del self._running_ids[head.request_id]
         now = trio.current_time()
-        gate.record_sample(attempt.duration_s, running, now)
+        gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
             conn.limit_idle_reuse(attempt.keep_alive_s)
             owned.pool.release(conn, now)
--- a/tests/test_routing/test_overload.py
+++ b/tests/test_routing/test_overload.py
@@ -10,7 +10,12 @@
 
 from marigoldchute.errors import NotRunError
 from marigoldchute.membership.model import BackendServer
-from marigoldchute.routing.admission import MAX_QUEUED_PER_SLOT, AdmissionGate
+from marigoldchute.routing.admission import (
+    MAX_QUEUED_PER_SLOT,
+    MAX_TIMED_ROUTES,
+    AdmissionGate,
+    RunTimes,
+)
 
 SLOTS = 6
 RUN_S = 0.22
@@ -118,3 +123,91 @@
             nursery.cancel_scope.cancel()
         self.assertEqual(len(refused_after_s), 1)
         self.assertLess(refused_after_s[0], OBJECTIVE_S / 8)
+
+
+class NestedCallTest(unittest.TestCase):
+    """Bookings of 290 ms fill the slots that short calls of other services need.
+
+    A call that is refused fails the request that made it, whose work is lost.
+    """
+
+    call_s, booking_s = 0.055, 0.29
+    call_deadline_s, call_objective_s = 0.6, 0.2
+
+    def setUp(self) -> None:
+        server = BackendServer("v/1", "s", "r1", 1, SLOTS, 100)
+        self.gate = AdmissionGate(server, adaptive=False)
+        self.rng = random.Random(11)
+        self.calls = {True: 0, False: 0}
+        self.bookings = {True: 0, False: 0}
+
+    def run_load(self, load_ratio: float, duration_s: float) -> None:
+        """Generate a call for each booking, at a ratio of the capacity."""
+        per_s = load_ratio * SLOTS / (self.call_s + self.booking_s)
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                while trio.current_time() < duration_s:
+                    await trio.sleep(self.rng.expovariate(per_s))
+                    nursery.start_soon(self.send_call)
+                    nursery.start_soon(self.send_booking)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def send_call(self) -> None:
+        with trio.move_on_after(self.call_deadline_s):
+            served = await self.send(
+                "check", self.call_s, self.call_deadline_s, self.call_objective_s, True
+            )
+            self.calls[served] += 1
+            return
+        self.calls[False] += 1
+
+    async def send_booking(self) -> None:
+        served = await self.send("book", self.booking_s, 1.5, 1.0, False)
+        self.bookings[served] += 1
+
+    async def send(
+        self,
+        route: str,
+        run_s: float,
+        deadline_s: float,
+        objective_s: float,
+        is_nested: bool,
+    ) -> bool:
+        gate = self.gate
+        try:
+            if not gate.try_acquire_slot():
+                await gate.acquire_slot(1, deadline_s, objective_s, route, is_nested)
+        except NotRunError:
+            return False
+        run_s *= self.rng.lognormvariate(-0.125, 0.5)
+        running = gate.running
+        try:
+            await trio.sleep(run_s)
+            gate.record_sample(run_s, running, trio.current_time(), route)
+        finally:
+            gate.release_slot()
+        return True
+
+    def test_calls_are_served_while_bookings_fill_the_slots(self) -> None:
+        for load_ratio in (0.9, 1.1, 1.5):
+            with self.subTest(load_ratio):
+                self.setUp()
+                self.run_load(load_ratio, 60.0)
+                self.assertLess(self.calls[False], 0.01 * sum(self.calls.values()))
+
+    def test_slots_stay_busy(self) -> None:
+        self.run_load(1.3, 60.0)
+        work_s = self.calls[True] * self.call_s + self.bookings[True] * self.booking_s
+        self.assertGreater(work_s, 0.93 * 60.0 * SLOTS)
+
+
+class RunTimesTest(unittest.TestCase):
+    def test_run_times_are_kept_for_a_bounded_number_of_routes(self) -> None:
+        run_times = RunTimes()
+        for index in range(3 * MAX_TIMED_ROUTES):
+            run_times.record(f"r-{index}", 0.1)
+        self.assertEqual(len(run_times._by_route), MAX_TIMED_ROUTES)
+        self.assertEqual(run_times.expected_s("r-0"), 0.1)
+        self.assertEqual(run_times.expected_s("unknown"), run_times.mean_s)
