Expect the usual load at servers that a node has not used lately

Cause: a reported load decayed to nothing within a second, so a server that a node had not used lately looked empty to it, and to all nodes at once; they queued there while others had free slots. Ruled out: two random choices in place of the least of all (a trial): with the usual load it changed little below the capacity. Change: as a report gets older the server's own moving average replaces it, then that of its release. A first form without the release's average failed test_reported_load_decays_with_time, which stays as it is. Test: test_choice_simulation; mean wait under half a run and under 1 in 1,000 refused at 85%.

--- a/marigoldchute/routing/candidates.py
+++ b/marigoldchute/routing/candidates.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from marigoldchute.routing.target import Target
+from marigoldchute.routing.target import ServiceLoad, Target
 
 if TYPE_CHECKING:
     from marigoldchute.membership.model import Member, Members
@@ -53,6 +53,7 @@
         self._members = members
         self._tables: dict[tuple[str, str], Candidates] = {}
         self._targets: dict[tuple[str, int, str, str], Target] = {}
+        self._loads: dict[tuple[str, str], ServiceLoad] = {}
         self._is_stale = True
         self._built_at = float("-inf")
 
@@ -78,6 +79,12 @@
             matches = self._tables.get((service, release))
         return matches or NO_CANDIDATES
 
+    def _load_of(self, release_key: tuple[str, str]) -> ServiceLoad:
+        load = self._loads.get(release_key)
+        if load is None:
+            load = self._loads[release_key] = ServiceLoad()
+        return load
+
     def _rebuild(self, now: float) -> None:
         self._is_stale = False
         self._built_at = now
@@ -95,13 +102,16 @@
                     server.server_id,
                     server.release,
                 )
-                target = self._targets.get(key) or Target(member, server)
+                release_key = (server.service, server.release)
+                target = self._targets.get(key) or Target(
+                    member, server, self._load_of(release_key)
+                )
                 target.member = member
                 target.server = server
                 targets[key] = target
-                release_key = (server.service, server.release)
                 by_release.setdefault(release_key, []).append(target)
         self._targets = targets
+        self._loads = {key: self._load_of(key) for key in by_release}
         local = self._members.local
         self._tables = {
             key: _split_by_distance(local, matches)
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -12,7 +13,10 @@
 BUSY_BACKOFF_S = 0.2
 SLOW_START_MS = 5000
 COLD_WEIGHT = 0.05
-LOAD_REPORT_DECAY_S = 1.0  # About the time a request takes at the latency objective.
+LOAD_REPORT_DECAY_S = 0.4  # In twice a typical run time most requests have changed.
+USUAL_LOAD_EWMA_WEIGHT = 0.2
+USUAL_LOAD_MEMORY_S = 5.0
+SERVICE_LOAD_EWMA_WEIGHT = 0.05
 SLOWNESS_EWMA_WEIGHT = 0.1
 MAX_SLOWNESS_SAMPLE = 10.0
 EJECT_CONSECUTIVE_FAILURES = 3
@@ -23,6 +27,25 @@
 LATENCY_OFFSET_MS = 0.1  # Lets the load count at a latency near 0.
 
 
+class ServiceLoad:
+    """Usual load of the backend servers of one release, from all of their reports.
+
+    Attributes
+    ----------
+    ratio : float
+        Moving average of the requests of other nodes at a server, for each slot.
+    """
+
+    __slots__ = ("ratio",)
+
+    def __init__(self) -> None:
+        self.ratio = 0.0
+
+    def record(self, ratio: float) -> None:
+        """Record the reported load of one server for each of its slots."""
+        self.ratio += SERVICE_LOAD_EWMA_WEIGHT * (ratio - self.ratio)
+
+
 class Target:
     """One backend server as a candidate, with the entry node's own statistics.
 
@@ -32,6 +55,8 @@
         Member that owns the backend server.
     server : BackendServer
         Announced backend server.
+    service_load : ServiceLoad, optional
+        Load of all targets of the release.
 
     Attributes
     ----------
@@ -39,6 +64,8 @@
         Attempts of this node that are in progress there.
     reported_load : int
         Requests of all nodes that ran or waited there by the latest report.
+    usual_load : float or None
+        Moving average of the reported requests of other nodes; None without a report.
     in_flight_at_report : int
         Attempts of this node that were in progress when the report arrived.
     reported_at : float
@@ -59,16 +86,25 @@
         "reported_at",
         "reported_load",
         "server",
+        "service_load",
         "slowness",
+        "usual_load",
     )
 
-    def __init__(self, member: Member, server: BackendServer) -> None:
+    def __init__(
+        self,
+        member: Member,
+        server: BackendServer,
+        service_load: ServiceLoad | None = None,
+    ) -> None:
+        self.service_load = service_load if service_load is not None else ServiceLoad()
         self.member = member
         self.server = server
         self.in_flight = 0
         self.latency_ms: float | None = None
         self.slowness = 1.0
         self.reported_load = 0
+        self.usual_load: float | None = None
         self.in_flight_at_report = 0
         self.reported_at = float("-inf")
         self.error_rate = 0.0
@@ -123,16 +159,33 @@
         self.reported_load = load
         self.in_flight_at_report = self.in_flight
         self.reported_at = now
+        others = max(0, load - self.in_flight)
+        self.service_load.record(others / self.server.slots)
+        if self.usual_load is None:
+            self.usual_load = float(others)
+        else:
+            self.usual_load += USUAL_LOAD_EWMA_WEIGHT * (others - self.usual_load)
 
     def expected_load(self, now: float) -> float:
         """Return the number of requests expected to run or wait there now.
 
-        The requests of other nodes are known from the latest report only and are
-        weighted less with its age; those of this node are known exactly.
+        Those of this node are known exactly, those of other nodes from reports only. As
+        the latest report gets older, the usual load of the server replaces it, and then
+        that of the service: a server that was not used lately would otherwise look
+        empty to all nodes at once.
         """
         others = max(0, self.reported_load - self.in_flight_at_report)
         age_s = now - self.reported_at
-        return self.in_flight + others * max(0.0, 1.0 - age_s / LOAD_REPORT_DECAY_S)
+        freshness = max(0.0, 1.0 - age_s / LOAD_REPORT_DECAY_S)
+        usual = self._usual_load_at(age_s) if freshness < 1.0 else 0.0
+        return self.in_flight + others * freshness + usual * (1.0 - freshness)
+
+    def _usual_load_at(self, age_s: float) -> float:
+        of_service = self.service_load.ratio * self.server.slots
+        if self.usual_load is None:
+            return of_service
+        weight = math.exp(-age_s / USUAL_LOAD_MEMORY_S)
+        return weight * self.usual_load + (1.0 - weight) * of_service
 
     def record_slowness(self, ratio: float) -> None:
         """Record a run time as a ratio to the typical run time of its route."""
