Keep large requests and responses near

Change: the typical body bytes of a route are kept; above 16 KB its requests leave the data centre only when they would miss the objective there, and the region only when no near server takes them. Test: LargeTransferTest (two of its four cases fail with the former choice).

--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -49,6 +49,8 @@
         The error response that was kept.
     link_bytes : int
         Bytes that the attempts have sent to other nodes and received from them.
+    response_bytes : int
+        Bytes of the body that the latest attempt has returned.
     """
 
     retains_errors = False
@@ -94,9 +96,15 @@
         self.retained_error: tuple[ResponseHead, bytes] | None = None
         self.response_head: ResponseHead | None = None
         self.link_bytes = 0
+        self.response_bytes = 0
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the bodies of the request and of its response."""
+        return self.body.read_bytes + self.response_bytes
+
     def make_request_head(self, target: Target, now: float) -> RequestHead:
         """Return the request's head for an attempt at a target."""
         route = self.route_entry.route
@@ -131,6 +139,7 @@
     async def send_complete(self, head: ResponseHead, body: bytes) -> None:
         """Send a complete response to the caller, or retain an error response."""
         self.response_head = head
+        self.response_bytes = len(body)
         if self.retains_errors and head.status in RETRYABLE_STATUSES:
             self.retained_error = (head, body)
             return
@@ -144,6 +153,7 @@
     async def send_head(self, head: ResponseHead, body: bytes) -> None:
         """Send the head of a response and the first part of its body."""
         self.response_head = head
+        self.response_bytes = len(body)
         try:
             await self.responder.start_encoded(
                 head.status, head.header_block, head.has_length, body
@@ -153,6 +163,7 @@
 
     async def send(self, data: bytes) -> None:
         """Send a further part of the response body."""
+        self.response_bytes += len(data)
         try:
             await self.responder.send(data)
         except (OSError, trio.ClosedResourceError) as exc:
--- a/marigoldchute/routing/choice.py
+++ b/marigoldchute/routing/choice.py
@@ -69,8 +69,10 @@
             Properties of the request.
         """
 
-    def record_run_time(self, target: Target, route: str, run_ms: float) -> None:
-        """Record the time that a target took to run a request of a route."""
+    def record_run_time(
+        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+    ) -> None:
+        """Record the run time and the body bytes of a request of a route."""
 
     def record_failure(
         self, target: Target, candidates: Candidates, now: float
@@ -102,7 +104,9 @@
                 return self._rng.choice(remaining)
         return None
 
-    def record_run_time(self, target: Target, route: str, run_ms: float) -> None:
+    def record_run_time(
+        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+    ) -> None:
         """Do nothing."""
 
     def record_failure(
@@ -169,7 +173,9 @@
                 return target
         return self._choose_unavailable(candidates, attempted, now)
 
-    def record_run_time(self, target: Target, route: str, run_ms: float) -> None:
+    def record_run_time(
+        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+    ) -> None:
         """Do nothing: this policy uses the latency that the entry node measures."""
 
     def record_failure(
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -188,7 +188,7 @@
             if outcome is Outcome.OK:
                 run_ms = response_head.backend_us / 1000
                 self._chooser.record_run_time(
-                    target, call.route_entry.route.name, run_ms
+                    target, call.route_entry.route.name, run_ms, call.body_bytes
                 )
         self._sink.record(
             call.route_entry.route.name,
--- a/marigoldchute/routing/least_time.py
+++ b/marigoldchute/routing/least_time.py
@@ -25,6 +25,10 @@
 OTHER_DATA_CENTRE_FACTOR = 1.15
 # Part of the objective that near servers may need before remote ones are considered.
 NEAR_OBJECTIVE_RATIO = 0.8
+# Requests whose bodies are larger stay in their data centre while it serves them within
+# the objective, and in their region as long as it has a server that may take them.
+LARGE_TRANSFER_BYTES = 16_384
+BODY_BYTES_EWMA_WEIGHT = 0.1
 JITTER_RATIO = 0.1  # Keeps nodes with the same data from choosing the same target.
 EJECT_ERROR_MARGIN = 0.25
 EJECT_MIN_SAMPLES = 8
@@ -39,6 +43,8 @@
     ``OTHER_DATA_CENTRE_FACTOR``. Targets in other regions are chosen only when those
     of the own region are expected to need more than ``NEAR_OBJECTIVE_RATIO`` of the
     objective, and when they are expected to respond sooner in spite of the round trip.
+    Large requests and responses cross sooner only if the near servers refuse them: the
+    bytes between data centres cost money, and the link between regions is narrow.
 
     Parameters
     ----------
@@ -49,6 +55,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._typical_run_ms: dict[str, float] = {}
+        self._typical_body_bytes: dict[str, float] = {}
 
     def choose(
         self,
@@ -62,6 +69,10 @@
         best, best_ms = self._best(
             candidates.data_centre, attempted, now, now_ms, pick_info
         )
+        limit_ms = NEAR_OBJECTIVE_RATIO * pick_info.objective_s * 1000
+        is_large = self._is_large(pick_info.route)
+        if best is not None and is_large and best_ms <= limit_ms:
+            return best
         other, other_ms = self._best(
             candidates.region, attempted, now, now_ms, pick_info
         )
@@ -69,8 +80,7 @@
             other is not None and OTHER_DATA_CENTRE_FACTOR * other_ms < best_ms
         ):
             best, best_ms = other, other_ms
-        limit_ms = NEAR_OBJECTIVE_RATIO * pick_info.objective_s * 1000
-        if best is not None and (not limit_ms or best_ms <= limit_ms):
+        if best is not None and (is_large or not limit_ms or best_ms <= limit_ms):
             return best
         remote, remote_ms = self._best(
             candidates.remote, attempted, now, now_ms, pick_info
@@ -84,8 +94,14 @@
         all_targets = (*candidates.data_centre, *candidates.region, *candidates.remote)
         return _first_available(all_targets, attempted)
 
-    def record_run_time(self, target: Target, route: str, run_ms: float) -> None:
-        """Record the time that a target took to run a request of a route."""
+    def record_run_time(
+        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+    ) -> None:
+        """Record the run time and the body bytes of a request of a route."""
+        typical_bytes = self._typical_body_bytes.get(route, float(body_bytes))
+        self._typical_body_bytes[route] = typical_bytes + BODY_BYTES_EWMA_WEIGHT * (
+            body_bytes - typical_bytes
+        )
         typical_ms = self._typical_run_ms.get(route)
         if typical_ms is None:
             self._typical_run_ms[route] = max(run_ms, 1.0)
@@ -95,6 +111,9 @@
             1.0, typical_ms + RUN_TIME_EWMA_WEIGHT * (run_ms - typical_ms)
         )
 
+    def _is_large(self, route: str) -> bool:
+        return self._typical_body_bytes.get(route, 0.0) > LARGE_TRANSFER_BYTES
+
     def record_failure(
         self, target: Target, candidates: Candidates, now: float
     ) -> None:
--- a/marigoldchute/routing/request_body.py
+++ b/marigoldchute/routing/request_body.py
@@ -28,6 +28,7 @@
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._position = 0
+        self.read_bytes = 0  # Bytes that were read from the caller.
         self.is_rewindable = True
 
     def rewind(self) -> None:
@@ -66,10 +67,13 @@
         if data is not None and self.is_rewindable:
             self._buffer(data)
             self._position = len(self._buffered)
+        elif data is not None:
+            self.read_bytes += len(data)
         return data
 
     def _buffer(self, data: bytes) -> None:
         self._buffered.append(data)
+        self.read_bytes += len(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_REPLAY_BYTES:
             self.is_rewindable = False
--- a/tests/test_routing/test_least_time.py
+++ b/tests/test_routing/test_least_time.py
@@ -5,6 +5,7 @@
 import collections
 import random
 import unittest
+from typing import TYPE_CHECKING
 
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.candidates import Candidates
@@ -12,6 +13,9 @@
 from marigoldchute.routing.least_time import LeastExpectedTime
 from tests.test_routing.test_choice import NOW_MS, make_target
 
+if TYPE_CHECKING:
+    from marigoldchute.routing.target import Target
+
 PICK_INFO = PickInfo("r", 0.6)
 
 
@@ -86,6 +90,54 @@
         self.assertNotIn("own", chosen)
 
 
+class LargeTransferTest(unittest.TestCase):
+    """Downloads of 90 KB, whose bytes between data centres and regions are billed."""
+
+    def setUp(self) -> None:
+        self.own = make_target("own")
+        self.others = tuple(make_target(f"other{i}") for i in range(3))
+        self.remote = tuple(make_target(f"far{i}", "limon") for i in range(3))
+        self.candidates = Candidates((), (self.own,), self.others, self.remote)
+        self.chooser = LeastExpectedTime(random.Random(1))
+
+    def record(self, run_ms: float, body_bytes: int) -> None:
+        for target in (self.own, *self.others, *self.remote):
+            self.chooser.record_run_time(target, "r", run_ms, body_bytes)
+
+    def choose_all(self, attempted: tuple[Target, ...] = ()) -> set[str]:
+        chosen = set()
+        for _ in range(50):
+            target = self.chooser.choose(
+                self.candidates, set(attempted), 0.0, NOW_MS, PICK_INFO
+            )
+            assert target is not None
+            chosen.add(target.member.name)
+        return chosen
+
+    def test_they_stay_while_the_own_data_centre_meets_the_objective(self) -> None:
+        self.own.record_load(self.own.server.slots + 4, 0.0)
+        self.record(200.0, 90_000)
+        self.assertEqual(self.choose_all(), {"own"})
+
+    def test_small_ones_leave_before_they_wait(self) -> None:
+        self.own.record_load(self.own.server.slots + 4, 0.0)
+        self.record(200.0, 2_000)
+        self.assertNotIn("own", self.choose_all())
+
+    def test_they_leave_when_they_would_miss_the_objective(self) -> None:
+        self.own.record_load(4 * self.own.server.slots, 0.0)
+        self.record(200.0, 90_000)
+        self.assertLessEqual(self.choose_all(), {"other0", "other1", "other2"})
+
+    def test_they_cross_regions_only_when_no_near_server_takes_them(self) -> None:
+        for target in (self.own, *self.others):
+            target.record_load(6 * target.server.slots, 0.0)
+        self.record(200.0, 90_000)
+        self.assertTrue(all(not name.startswith("far") for name in self.choose_all()))
+        chosen = self.choose_all((self.own, *self.others))
+        self.assertTrue(all(name.startswith("far") for name in chosen))
+
+
 class FaultyServerTest(unittest.TestCase):
     """One server returns errors for half of its requests but reports good health."""
 
