--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -232,7 +232,9 @@
         return self.not_run and self.status >= MIN_ERROR_STATUS
 
     def _is_for_other_request(self) -> bool:
-        if not self._dialect.echoes_request_id or not self._request_id:
+        if not self._request_id:
+            return False
+        if self._echoed_id is None and not self._dialect.echoes_request_id:
             return False
         if self._echoed_id is None:
             # A backend server may refuse a request before it has read the id.
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -61,9 +61,11 @@
         self.finished = True
 
 
-def make_head(target: bytes = b"/1", idempotent: bool = False) -> RequestHead:
+def make_head(
+    target: bytes = b"/1", idempotent: bool = False, request_id: str = "id"
+) -> RequestHead:
     return RequestHead(
-        "id",
+        request_id,
         "turnos",
         "turnos",
         "r1",
