Compute the order of readers and the wanted links once for the same members

Cause: 20 to 30 times a second each node sorted all members for the reader's duty, and four times a second it copied all of them to select its links; both grow with the members and are done on an idle node. Change: both are kept until a member joins, leaves or moves, or its link state changes; the number of present members is counted, not summed. Test: UnchangedMembersTest counts the computations at 195 members (100 of each before).

--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -49,6 +49,9 @@
         self._discovered: dict[str, tuple[str, int]] = {}
         self._unreachable: set[str] = set()
         self._cached_view: tuple[Member, ...] | None = None
+        self._cached_reachable: list[Member] | None = None
+        self._cached_peers: dict[str, tuple[str, int]] | None = None
+        self._present_count = 0  # Members that are not gone.
         self._leaving = False
         self.on_view_changed: list[Callable[[], None]] = []
         table.subscribe(RecordKind.MEMBER, self._handle_record)
@@ -75,9 +78,14 @@
         return None if member is None else self._with_link_state(member)
 
     def reachable(self) -> list[Member]:
-        """Return the members that this node can reach, itself included."""
-        states = (MemberState.ALIVE, MemberState.DRAINING)
-        return [member for member in self.all() if member.state in states]
+        """Return the members that this node can reach, itself included.
+
+        The same list is returned until a member changes.
+        """
+        if self._cached_reachable is None:
+            states = (MemberState.ALIVE, MemberState.DRAINING)
+            self._cached_reachable = [m for m in self.all() if m.state in states]
+        return self._cached_reachable
 
     def address_of(self, name: str) -> tuple[str, int] | None:
         """Return the address and peer port of a member."""
@@ -86,8 +94,9 @@
 
     def add_discovered(self, name: str, address: str, port: int) -> None:
         """Add a member listed in the store; it is dialled until a link is up."""
-        if name != self._local.name:
+        if name != self._local.name and self._discovered.get(name) != (address, port):
             self._discovered[name] = (address, port)
+            self._cached_peers = None
 
     def publish_servers(self, servers: tuple[BackendServer, ...]) -> None:
         """Publish the backend servers of this VM to the mesh."""
@@ -111,11 +120,20 @@
     @property
     def is_full_mesh(self) -> bool:
         """Whether the mesh is small enough for a link between every pair of members."""
-        gone = sum(m.state is MemberState.GONE for m in self._members.values())
-        return len(self._members) - gone <= MAX_FULL_MESH_MEMBERS
+        return self._present_count <= MAX_FULL_MESH_MEMBERS
 
     def wanted_peers(self) -> dict[str, tuple[str, int]]:
-        """Return the address and port of each peer to keep a link to."""
+        """Return the address and port of each peer to keep a link to.
+
+        The same dictionary is returned until a member joins, leaves or moves.
+        """
+        if self._cached_peers is None:
+            self._cached_peers = self._select_peers()
+        if not self.is_full_mesh:
+            self._clear_unreachable(self._unreachable - self._cached_peers.keys())
+        return self._cached_peers
+
+    def _select_peers(self) -> dict[str, tuple[str, int]]:
         known = [m for m in self._members.values() if m.state is not MemberState.GONE]
         targets = {m.name: (m.address, m.peer_port) for m in known}
         for name, endpoint in self._discovered.items():
@@ -126,9 +144,7 @@
             return targets
         alive = [dataclasses.replace(m, state=MemberState.ALIVE) for m in known]
         names = wanted_peers(self._local, alive)
-        selected = {name: targets[name] for name in names if name in targets}
-        self._clear_unreachable(self._unreachable - selected.keys())
-        return selected
+        return {name: targets[name] for name in names if name in targets}
 
     def seeds(self) -> list[tuple[str, int]]:
         """Return addresses to try while no peer is linked."""
@@ -189,6 +205,10 @@
         member = decode_member(record)
         previous = self._members.get(member.name)
         self._members[member.name] = member
+        previous_place, place = _place_of(previous), _place_of(member)
+        if previous_place != place or previous is None:
+            self._cached_peers = None
+            self._present_count += (place is not None) - (previous_place is not None)
         if member.name == self._local.name and member != self._local:
             self._supersede_own_record(member)
         elif previous is None or (previous.state, previous.servers) != (
@@ -218,5 +238,13 @@
 
     def _notify_view_changed(self) -> None:
         self._cached_view = None
+        self._cached_reachable = None
         for listener in self.on_view_changed:
             listener()
+
+
+def _place_of(member: Member | None) -> tuple[str, int, str, str] | None:
+    """Return what the choice of links depends on; None without a present member."""
+    if member is None or member.state is MemberState.GONE:
+        return None
+    return member.address, member.peer_port, member.data_centre, member.region
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -97,6 +97,9 @@
         self._started_at = 0.0
         self._last_beacon_at: dict[str, float] = {}
         self._latest: dict[str, tuple[int, int]] = {}
+        # The order is needed many times a second and changes with the members only.
+        self._ordered_from: list[Member] | None = None
+        self._order: list[Member] = []
 
     def start_timeout(self, now: float) -> None:
         """Measure the time without beacons from ``now``, monotonic time in seconds."""
@@ -169,6 +172,12 @@
 
     def _ordered(self) -> list[Member]:
         members = self.directory.reachable()
+        if members is not self._ordered_from:
+            self._ordered_from = members
+            self._order = self._compute_order(members)
+        return self._order
+
+    def _compute_order(self, members: list[Member]) -> list[Member]:
         times = [member.store_ms for member in members if member.store_ms]
         limit_ms = NEAR_LATENCY_FACTOR * min(times, default=0)
         order = rendezvous_order(members, "store-reader")
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
+from unittest import mock
 
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted import directory as directory_module
+from marigoldchute.hosted import reader as reader_module
 from marigoldchute.hosted.directory import MAX_FULL_MESH_MEMBERS, Directory
+from marigoldchute.hosted.reader import ReaderDuty
+from marigoldchute.membership.claims import claim_record, own_record
 from marigoldchute.membership.model import BackendServer, Member, MemberState
 from marigoldchute.overlay.records import RecordKind, RecordTable
 
@@ -127,3 +133,49 @@
         peer.leave(1_000)
         replicate(other, table)
         self.assertEqual([m.name for m in directory.all()], ["vm-1"])
+
+
+class UnchangedMembersTest(unittest.TestCase):
+    """195 members: what is asked many times a second must not be computed each time."""
+
+    def setUp(self) -> None:
+        self.table = RecordTable()
+        self.directory = make_directory("vm-1", self.table)
+        for index in range(2, 196):
+            self.table.apply(own_record(make_member(f"vm-{index}")), "peer")
+
+    def test_peers_and_order_are_computed_once_for_the_same_members(self) -> None:
+        duty = ReaderDuty(self.directory)
+        with (
+            mock.patch.object(
+                directory_module, "wanted_peers", wraps=directory_module.wanted_peers
+            ) as select,
+            mock.patch.object(
+                reader_module, "rendezvous_order", wraps=reader_module.rendezvous_order
+            ) as order,
+        ):
+            for _ in range(100):
+                self.directory.wanted_peers()
+                duty.is_reader(0.0)
+                duty.is_leader(True, 0.0)
+            self.assertEqual((select.call_count, order.call_count), (1, 1))
+            # Servers do not change links, but members that leave do.
+            changed = dataclasses.replace(
+                make_member("vm-2"), sequence=1, servers=(SERVER,)
+            )
+            self.table.apply(own_record(changed), "peer")
+            self.directory.wanted_peers()
+            self.assertEqual(select.call_count, 1)
+            gone = claim_record(changed, MemberState.GONE, 5)
+            self.table.apply(gone, "peer")
+            self.assertNotIn("vm-2", self.directory.wanted_peers())
+            self.assertEqual(select.call_count, 2)
+
+    def test_member_that_leaves_and_returns_is_counted_once(self) -> None:
+        for incarnation in range(2, 6):
+            member = make_member("vm-9", incarnation)
+            self.table.apply(own_record(member), "peer")
+            self.table.apply(own_record(member), "peer")
+            self.assertEqual(self.directory._present_count, 195)
+            self.table.apply(claim_record(member, MemberState.GONE, 5), "peer")
+            self.assertEqual(self.directory._present_count, 194)
