Spend less processor time on an idle node of a large mesh

Change: targets of a flood are kept while source and neighbours are the same, the time is read once, buckets of keys are cached (4,096), the monitor of a server sleeps until a request is taken. Ruled out: request handling, which is a small part on these nodes. Tests: UnchangedNeighboursTest against fresh computations, IdleServerTest.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -121,8 +121,14 @@
     @property
     def is_suspected(self) -> bool:
         """Whether a heartbeat of the peer is overdue, so that a new link is needed."""
-        since_received_s = trio.current_time() - self._last_received_at
-        return since_received_s > SUSPECT_HEARTBEATS * self._heartbeat_s
+        return self._is_suspected_at(trio.current_time())
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the link is open and not suspected."""
+        return not self.closed.is_set() and not self._is_suspected_at(now)
+
+    def _is_suspected_at(self, now: float) -> bool:
+        return now - self._last_received_at > SUSPECT_HEARTBEATS * self._heartbeat_s
 
     @property
     def age_s(self) -> float:
--- a/marigoldchute/overlay/flooding.py
+++ b/marigoldchute/overlay/flooding.py
@@ -61,12 +61,16 @@
 
     def __init__(self, local: PeerIdentity) -> None:
         self._local = local
+        self._cached_neighbours: tuple[PeerIdentity, ...] = ()
+        self._cached_targets: dict[str, frozenset[str]] = {}
 
     def targets(
         self, source: PeerIdentity | None, neighbours: Iterable[PeerIdentity]
     ) -> set[str]:
         """Return the names of the neighbours to send a new record to.
 
+        They are computed once for each source while the neighbours are the same.
+
         Parameters
         ----------
         source : PeerIdentity or None
@@ -74,6 +78,20 @@
         neighbours : iterable of PeerIdentity
             Reachable linked members.
         """
+        present = tuple(neighbours)
+        if present != self._cached_neighbours:
+            self._cached_neighbours = present
+            self._cached_targets.clear()
+        key = source.name if source is not None else ""
+        targets = self._cached_targets.get(key)
+        if targets is None:
+            targets = frozenset(self._compute_targets(source, present))
+            self._cached_targets[key] = targets
+        return set(targets)
+
+    def _compute_targets(
+        self, source: PeerIdentity | None, neighbours: Iterable[PeerIdentity]
+    ) -> set[str]:
         local = self._local
         groups = _NeighbourGroups(local, neighbours)
         targets = self._targets_in_data_centre(source, groups.same_data_centre)
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -258,10 +258,11 @@
 
     def _flood_targets(self, source: str) -> set[str]:
         origin = self._neighbours.get(source)
+        now = trio.current_time()
         reachable = [
             item.link.peer
             for item in self._neighbours.values()
-            if item.link.is_open and not item.link.is_suspected
+            if item.link.is_usable(now)
         ]
         return self._flooding.targets(origin.link.peer if origin else None, reachable)
 
--- a/marigoldchute/overlay/records.py
+++ b/marigoldchute/overlay/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import hashlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
     from collections.abc import Iterable
 
 NUM_BUCKETS = 32
+BUCKET_CACHE_SIZE = 4096  # Takes 0.4 MB.
 
 
 class RecordKind(enum.IntEnum):
@@ -173,6 +175,7 @@
         self._digests[bucket_of(record.kind, record.key)] ^= _record_hash(record)
 
 
+@functools.lru_cache(maxsize=BUCKET_CACHE_SIZE)
 def bucket_of(kind: int, key: str) -> int:
     """Return the bucket of a record's kind and key."""
     return (
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -131,9 +131,10 @@
 class HttpServer:
     """Serves callers' connections and detects callers that disconnect.
 
-    One task monitors all connections: it cancels the requests of callers that closed
-    their connection, and closes connections that stay idle or send a request head too
-    slowly. This adds no cost per request, unlike a task or a timer for each of them.
+    One task monitors all connections while any has a request in progress: it cancels
+    the requests of callers that closed their connection, and closes connections that
+    stay idle or send a request head too slowly. This adds no cost per request, unlike a
+    task or a timer for each of them.
 
     Parameters
     ----------
@@ -155,6 +156,7 @@
         self._listener: TcpListener | None = None
         self._draining = False
         self.limits: CallerLimits | None = None
+        self._request_taken = trio.Event()
         self.last_request_at = 0.0
         self.max_connections = 0
 
@@ -267,6 +269,7 @@
             ),
         )
         conn.in_progress.append(exchange)
+        self._request_taken.set()
         self.last_request_at = trio.current_time()
         return exchange
 
@@ -374,10 +377,13 @@
     async def _monitor_connections(self) -> None:
         next_expiry_check = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
         while True:
-            await trio.sleep(
-                DISCONNECT_POLL_INTERVAL_S if self._conns else IDLE_POLL_INTERVAL_S
-            )
-            self._poll_busy_connections()
+            if any(conn.in_progress for conn in self._conns):
+                await trio.sleep(DISCONNECT_POLL_INTERVAL_S)
+                self._poll_busy_connections()
+            else:
+                self._request_taken = trio.Event()
+                with trio.move_on_after(IDLE_POLL_INTERVAL_S):
+                    await self._request_taken.wait()
             now = trio.current_time()
             if now >= next_expiry_check:
                 next_expiry_check = now + EXPIRY_CHECK_INTERVAL_S
--- a/tests/test_overlay/test_flooding.py
+++ b/tests/test_overlay/test_flooding.py
@@ -129,3 +129,22 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class UnchangedNeighboursTest(unittest.TestCase):
+    """Beacons and records pass on many times a second over the same links."""
+
+    def test_targets_follow_the_neighbours_and_the_source(self) -> None:
+        rng = random.Random(4)
+        mesh = Mesh(8)
+        peers = list(mesh.peers.values())
+        local, *others = peers
+        flooding = Flooding(local)
+        for _ in range(200):
+            neighbours = rng.sample(others, rng.randrange(len(others)))
+            source = rng.choice([None, *neighbours])
+            expected = Flooding(local).targets(source, neighbours)
+            for _ in range(2):
+                targets = flooding.targets(source, neighbours)
+                self.assertEqual(targets, expected)
+                targets.clear()  # A caller's change must not reach the next one.
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -30,6 +30,10 @@
 
     is_initiator = True
     is_suspected = False
+
+    def is_usable(self, now: float) -> bool:
+        return self.is_open and not self.is_suspected
+
     idle_s = 0.0
     age_s = 0.0
 
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -6,6 +6,7 @@
 import socket
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import httpcore
 import trio
@@ -185,6 +186,25 @@
             http_server.IDLE_TIMEOUT_S, http_server.EXPIRY_CHECK_INTERVAL_S = limits
 
 
+class IdleServerTest(ServerTestCase):
+    """Most servers of a node are asked once a second, on connections that stay."""
+
+    def test_idle_connections_are_not_polled(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+            await stream.receive_some(1000)
+            await trio.sleep(2 * http_server.DISCONNECT_POLL_INTERVAL_S)
+            with mock.patch.object(
+                self.server, "_poll_busy_connections", wraps=lambda: None
+            ) as poll:
+                await trio.sleep(10 * http_server.DISCONNECT_POLL_INTERVAL_S)
+            self.assertEqual(self.server.connections, 1)
+            self.assertEqual(poll.call_count, 0)
+
+        self.run_server(body)
+
+
 class KeepAliveTest(ServerTestCase):
     def test_pipelined_requests_get_responses_in_order(self) -> None:
         async def body(address: str) -> None:
