--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -92,10 +92,14 @@
         member = self._members.get(name)
         return None if member is None else (member.address, member.peer_port)
 
-    def add_discovered(self, name: str, address: str, port: int) -> None:
-        """Add a member listed in the store; it is dialled until a link is up."""
-        if name != self._local.name and self._discovered.get(name) != (address, port):
-            self._discovered[name] = (address, port)
+    def set_discovered(self, endpoints: dict[str, tuple[str, int]]) -> None:
+        """Replace the members that the store lists; they are dialled until linked.
+
+        A VM that was removed for good is no longer listed, and not dialled any more.
+        """
+        others = {n: e for n, e in endpoints.items() if n != self._local.name}
+        if others != self._discovered:
+            self._discovered = others
             self._cached_peers = None
 
     def publish_servers(self, servers: tuple[BackendServer, ...]) -> None:
--- a/marigoldchute/hosted/discovery.py
+++ b/marigoldchute/hosted/discovery.py
@@ -114,12 +114,14 @@
 
     async def _list_members(self, stale_allowed: bool = False) -> None:
         page = await self._store.list(MEMBER_KIND, stale_allowed)
-        for document in page.documents:
-            self._add_entry(document)
+        entries = {d.name: self._read_entry(d) for d in page.documents}
+        self._directory.set_discovered(
+            {n: (e.address, e.peer_port) for n, e in entries.items() if e is not None}
+        )
 
-    def _add_entry(self, document: Document) -> None:
+    def _read_entry(self, document: Document) -> MemberEntry | None:
         try:
-            entry = _decode_entry(document)
+            return _decode_entry(document)
         except (ValueError, RecursionError) as exc:
             if self._rejections.is_new(document):
                 self._log.emit(
@@ -129,8 +131,7 @@
                     revision=document.revision,
                     code=ResultCode.ANNOUNCEMENT_INVALID.value,
                 )
-            return
-        self._directory.add_discovered(document.name, entry.address, entry.peer_port)
+            return None
 
     def _log_failure(self, event: str, exc: PlatformError) -> None:
         self._log.emit(
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -58,10 +58,20 @@
         self.assertEqual(len(self.directory.reachable()), 2)
 
     def test_members_from_the_store_are_wanted(self) -> None:
-        self.directory.add_discovered("vm-3", "10.0.0.3", 7600)
-        self.directory.add_discovered("vm-1", "10.0.0.1", 7600)
+        listed = {"vm-3": ("10.0.0.3", 7600), "vm-1": ("10.0.0.1", 7600)}
+        self.directory.set_discovered(listed)
         self.assertEqual(set(self.directory.wanted_peers()), {"vm-2", "vm-3"})
 
+    def test_member_that_was_removed_from_the_store_is_not_dialled_any_more(
+        self,
+    ) -> None:
+        """Answers a VM that was removed for good and dialled for ever."""
+        listed = {"vm-3": ("10.0.0.3", 7600), "vm-4": ("10.0.0.4", 7600)}
+        self.directory.set_discovered(listed)
+        self.directory.set_discovered({"vm-4": ("10.0.0.4", 7600)})
+        self.assertEqual(set(self.directory.wanted_peers()), {"vm-2", "vm-4"})
+        self.assertEqual(self.directory.seeds(), [("10.0.0.4", 7600)])
+
     def test_large_mesh_wants_fewer_links_than_members(self) -> None:
         for index in range(3, 3 * MAX_FULL_MESH_MEMBERS):
             other = RecordTable()
