Cross regions only for a clear gain

Change: it must be expected to respond 1.25 times sooner, round trip included. Test: test_remote_servers_that_are_little_sooner_are_not_chosen failed before.

--- a/marigoldchute/routing/least_time.py
+++ b/marigoldchute/routing/least_time.py
@@ -14,6 +14,9 @@
     from marigoldchute.routing.target import Target
 
 INTER_REGION_RTT_MS = 60.0  # One way between regions takes 30 ms.
+# A server in another region must be expected to respond this many times sooner: when
+# both regions are overloaded, their link would carry requests that gain nothing.
+OTHER_REGION_FACTOR = 1.25
 DEFAULT_RUN_TIME_MS = 100.0
 MIN_WEIGHT = 0.25  # A cold server is expected to take at most 4 times as long.
 RUN_TIME_EWMA_WEIGHT = 0.05
@@ -86,7 +89,8 @@
             candidates.remote, attempted, now, now_ms, pick_info
         )
         if remote is not None and (
-            best is None or remote_ms + INTER_REGION_RTT_MS < best_ms
+            best is None
+            or OTHER_REGION_FACTOR * (remote_ms + INTER_REGION_RTT_MS) < best_ms
         ):
             return remote
         if best is not None:
--- a/tests/test_routing/test_least_time.py
+++ b/tests/test_routing/test_least_time.py
@@ -53,6 +53,15 @@
         chosen = {choose(self.chooser, self.candidates) for _ in range(50)}
         self.assertLessEqual(chosen, {"near0", "near1"})
 
+    def test_remote_servers_that_are_little_sooner_are_not_chosen(self) -> None:
+        """Answers an overload of both regions, in which the link carried 30 MB."""
+        for target in self.near:
+            target.record_load(48, 0.0)
+        for target in self.remote:
+            target.record_load(38, 0.0)
+        chosen = {choose(self.chooser, self.candidates) for _ in range(50)}
+        self.assertLessEqual(chosen, {"near0", "near1"})
+
     def test_reported_load_decays_with_time(self) -> None:
         for target in self.near:
             target.record_load(36, 0.0)
