Never pass on a request whose connection ended before its task began

Found in the last reading: a request that was taken and whose task had not run yet had no scope to cancel. If the response in front ended the connection at that moment, the request went on although it counts as not read, and a caller sends it again whatever its kind: it could have run twice. Change: the scope exists from the moment the request is taken, and a cancelled task does not call the handler. Test: test_request_that_was_just_taken_is_not_passed_on_either failed before.

--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -58,16 +58,16 @@
         self.req = req
         self.responder = responder
         self.done = trio.Event()
-        # Set for a request that was sent ahead, which is handled by its own task.
-        self.scope: trio.CancelScope | None = None
+        # Scope of the task of a request that was sent ahead; it may be cancelled before
+        # the task has started.
+        self.scope = trio.CancelScope()
 
     def abandon(self) -> None:
         """Cancel the request because its caller does not wait for it any more."""
         self.req.caller_disconnected = True
         if self.req.cancel_scope is not None:
             self.req.cancel_scope.cancel()
-        if self.scope is not None:
-            self.scope.cancel()
+        self.scope.cancel()
 
 
 class _CallerConn:
@@ -318,8 +318,17 @@
             conn.read_ahead_done.set()
 
     async def _handle_ahead(self, conn: _CallerConn, exchange: _Exchange) -> None:
-        with trio.CancelScope() as exchange.scope:
+        with exchange.scope:
+            await trio.lowlevel.checkpoint_if_cancelled()
             await self._guard(conn, self._handle_request(conn, exchange))
+            return
+        self._drop_exchange(conn, exchange)
+
+    def _drop_exchange(self, conn: _CallerConn, exchange: _Exchange) -> None:
+        """End a request whose task was cancelled before or while it ran."""
+        if exchange in conn.in_progress:
+            conn.in_progress.remove(exchange)
+        exchange.done.set()
 
     async def _handle_request(self, conn: _CallerConn, exchange: _Exchange) -> None:
         """Handle a request; set ``closing`` when the connection serves no other one."""
--- a/tests/test_routing/test_pipelining.py
+++ b/tests/test_routing/test_pipelining.py
@@ -218,6 +218,23 @@
                 await trio.sleep(0.005)
         self.assertCountEqual(set(self.cancelled) - {b"/" + name}, {b"/book", b"/x"})
 
+    def test_request_that_was_just_taken_is_not_passed_on_either(self) -> None:
+        """The response in front ends the connection before the request's task runs."""
+
+        async def body(address: str) -> None:
+            for _ in range(40):
+                stream = await trio.open_tcp_stream(address, PORT)
+                await stream.send_all(GET % b"cut" + POST % (b"book", 2) + b"ok")
+                await self.read_until(stream, b"no such text")
+                await stream.aclose()
+            with trio.fail_after(5):
+                while self.server.connections:
+                    await trio.sleep(0.005)
+
+        self.release("cut", "book")
+        self.run_server(body)
+        self.assertEqual(set(self.passed_on), {b"/cut"})
+
     def test_request_runs_once_when_the_earlier_ones_are_answered(self) -> None:
         async def body(address: str) -> None:
             stream = await trio.open_tcp_stream(address, PORT)
