--- a/tests/test_routing/test_attempts.py
+++ b/tests/test_routing/test_attempts.py
@@ -96,6 +96,9 @@
         self.script = script
         self.servers: list[str] = []
 
+    def is_nested(self, request_id: str) -> bool:
+        return False
+
     async def execute(self, head: RequestHead, exchange: Call) -> None:
         await trio.lowlevel.checkpoint()
         self.servers.append(head.server_id)
