Show calls that bear the service that left their machine

The rule UNASKED is broken: settings that change without a signal are read up to 2 s later, and until then calls of the new backend server name the service before it.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -586,11 +586,18 @@
             },
         }
 
+    def write_settings(self) -> pathlib.Path:
+        """Replace the settings file; return its path."""
+        path = self.deployment.folder / f"{self.name}.json"
+        new_path = path.with_suffix(".new")
+        new_path.write_text(json.dumps(self.settings()))
+        new_path.replace(path)
+        return path
+
     def start(self) -> None:
         """Start the process with the present settings."""
         folder = self.deployment.folder
-        path = folder / f"{self.name}.json"
-        path.write_text(json.dumps(self.settings()))
+        path = self.write_settings()
         env = {key: os.environ[key] for key in ("PATH", "HOME") if key in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         env["MARIGOLDCHUTE_BOOT"] = str(path)
