--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
+import enum
 import json
 import os
 import pathlib
@@ -21,7 +23,7 @@
 
 if TYPE_CHECKING:
     import signal
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
 
@@ -32,8 +34,62 @@
 HOST = "h.example"
 
 
+class ResponseFraming(enum.Enum):
+    """How the end of a backend server's response is marked."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    TWO_PARTS = "two parts"  # Chunks, of which the last is sent later.
+
+
+@dataclasses.dataclass
+class BackendRun:
+    """One execution of a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request.
+    server : str
+        Name of the backend server.
+    arrived_at : float
+        Monotonic time at which the whole request had arrived.
+    ended_at : float
+        Monotonic time of the end; infinity while the request runs.
+    answered : bool
+        Whether the whole response was written.
+    """
+
+    request_id: str
+    server: str
+    arrived_at: float
+    ended_at: float = float("inf")
+    answered: bool = False
+
+    def is_at_work(self, since: float, until: float) -> bool:
+        """Return whether the request ran at some time between two times."""
+        return self.arrived_at <= until and self.ended_at >= since
+
+
 class Backend:
-    """Backend server of a node: records its requests and reports its state."""
+    """Backend server of a node: records its requests and reports its state.
+
+    Attributes
+    ----------
+    service_time_s : float
+        Run time of a request unless ``run_time`` is set.
+    run_time : callable or None
+        Returns the run time of a request, by its target.
+    nested_call : callable or None
+        Sends a call that each request makes, by its target, in the middle of its run;
+        the response is 500 if it returns False.
+    response_framing : callable or None
+        Returns the framing of the response, by the target of the request.
+    drops_abandoned : bool
+        Whether a run ends when the connection of its request is closed.
+    runs : list of BackendRun
+        Executions in the order of their arrival.
+    """
 
     def __init__(self, name: str, service: str, address: str, release: str) -> None:
         self.name = name
@@ -46,6 +102,11 @@
         self.acknowledged_sequence = 0
         self.requests: list[dict[str, str]] = []
         self.service_time_s = 0.02
+        self.run_time: Callable[[bytes], float] | None = None
+        self.nested_call: Callable[[bytes], Awaitable[bool]] | None = None
+        self.response_framing: Callable[[bytes], ResponseFraming] | None = None
+        self.drops_abandoned = False
+        self.runs: list[BackendRun] = []
         self._http_server = HttpServer(self._handle)
 
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
@@ -89,13 +150,39 @@
             body += data
         headers = {k.decode(): v.decode() for k, v in req.headers}
         self.requests.append(headers | {"path": req.target.decode()})
-        await trio.sleep(self.service_time_s)
-        text = f"{self.name} {len(body)}".encode()
-        fields = [
-            (b"attempt-id", headers.get("attempt-id", "").encode()),
-            (b"content-length", str(len(text)).encode()),
-        ]
-        await responder.start(200, fields, text)
+        request_id = headers.get("attempt-id", "")
+        run = BackendRun(request_id, self.name, trio.current_time())
+        self.runs.append(run)
+        try:
+            with trio.CancelScope() as scope:
+                if self.drops_abandoned:
+                    req.cancel_scope = scope
+                await self._run(req, responder, len(body))
+                run.answered = True
+        finally:
+            run.ended_at = trio.current_time()
+
+    async def _run(
+        self, req: HttpRequest, responder: HttpResponder, body_bytes: int
+    ) -> None:
+        run_s = self.run_time(req.target) if self.run_time else self.service_time_s
+        status = 200
+        await trio.sleep(run_s / 2 if self.nested_call else run_s)
+        if self.nested_call is not None:
+            if not await self.nested_call(req.target):
+                status = 500
+            await trio.sleep(run_s / 2)
+        framing = ResponseFraming.LENGTH
+        if self.response_framing is not None:
+            framing = self.response_framing(req.target)
+        text = f"{self.name} {body_bytes}".encode()
+        fields = [(b"attempt-id", req.header(b"attempt-id") or b"")]
+        if framing is ResponseFraming.LENGTH:
+            fields.append((b"content-length", str(len(text)).encode()))
+        await responder.start(status, fields, text)
+        if framing is ResponseFraming.TWO_PARTS:
+            await trio.sleep(0.1)
+            await responder.send(b".")
         await responder.finish()
 
 
