Show two faults of a planned stop: calls refused, idle connections left open

Callers saw 500 for requests that ran on the backend server beside a stopping node and that needed a call of their own: the node closes its listener for callers as soon as no caller is left, while requests still run on its backend server. A connection that is accepted while the listener closes, or whose last response began before the drain, stays open until the end of the grace period; a request on it is passed on and cut.

The six ways to frame a body were ruled out as a cause.

--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     import signal
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
 
@@ -46,6 +46,8 @@
         self.acknowledged_sequence = 0
         self.requests: list[dict[str, str]] = []
         self.service_time_s = 0.02
+        # Called for each request before its response, as for calls of its own.
+        self.before_response: Callable[[Backend, str], Awaitable[None]] | None = None
         self._http_server = HttpServer(self._handle)
 
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
@@ -90,6 +92,8 @@
         headers = {k.decode(): v.decode() for k, v in req.headers}
         self.requests.append(headers | {"path": req.target.decode()})
         await trio.sleep(self.service_time_s)
+        if self.before_response is not None:
+            await self.before_response(self, headers.get("attempt-id", ""))
         text = f"{self.name} {len(body)}".encode()
         fields = [
             (b"attempt-id", headers.get("attempt-id", "").encode()),
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -318,3 +318,48 @@
                 await trio.open_tcp_stream(address, PORT)
 
         self.run_server(body)
+
+    # Guards against a stop that lasts until its end, and then cuts off a late request,
+    # because a connection without a request was accepted while the listener closed.
+    def test_idle_connection_made_before_the_close_does_not_stay_open(self) -> None:
+        async def body(address: str) -> None:
+            with socket.create_connection((address, PORT)):
+                self.server.drain()
+                self.server.stop_accepting()
+                await self.wait_until_not_busy()
+
+        self.run_server(body)
+
+    # Guards against the same stop, because of a connection whose last response had
+    # begun before it and so did not announce the close.
+    def test_connection_of_a_response_begun_before_the_drain_does_not_stay_open(
+        self,
+    ) -> None:
+        release = trio.Event()
+
+        async def respond(req: HttpRequest, responder: HttpResponder) -> None:
+            await responder.start(200, [(b"content-length", b"4")], b"ab")
+            await release.wait()
+            await responder.send(b"cd")
+            await responder.finish()
+
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            received = b""
+            while not received.endswith(b"ab"):
+                received += await stream.receive_some(1000)
+            self.server.drain()
+            self.server.stop_accepting()
+            release.set()
+            await self.wait_until_not_busy()
+            self.assertEqual(await stream.receive_some(1000), b"cd")
+
+        self.handler = respond
+        self.run_server(body)
+
+    async def wait_until_not_busy(self) -> None:
+        with trio.move_on_after(2) as scope:
+            while self.server.is_busy:
+                await trio.sleep(0.01)
+        self.assertFalse(scope.cancelled_caught, "a connection stays open")
