--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -107,6 +107,8 @@
         self.response_framing: Callable[[bytes], ResponseFraming] | None = None
         self.drops_abandoned = False
         self.runs: list[BackendRun] = []
+        # Called for each request before its response, as for calls of its own.
+        self.before_response: Callable[[Backend, str], Awaitable[None]] | None = None
         self._http_server = HttpServer(self._handle)
 
     async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
@@ -172,6 +174,9 @@
             if not await self.nested_call(req.target):
                 status = 500
             await trio.sleep(run_s / 2)
+        if self.before_response is not None:
+            request_id = (req.header(b"attempt-id") or b"").decode()
+            await self.before_response(self, request_id)
         framing = ResponseFraming.LENGTH
         if self.response_framing is not None:
             framing = self.response_framing(req.target)
