Cancel requests that still run when the process ends

The log of a stopped node named each request that was cut at the end of its drain as an unexpected error, "Nursery is closed to new arrivals".

Cause: when the process ends, the owner's nursery may close before the requests on this VM's backend server are cancelled. Each of them starts a task there that keeps its slot; this raised RuntimeError in place of the cancellation. What callers saw is the same in both cases, a reset.

The slot and the connection are now released at once then. The test failed before with that RuntimeError.

--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -261,8 +262,9 @@
             owned.gate.record_refusal(trio.current_time())
         may_still_run = attempt.written and not attempt.server_finished
         if may_still_run and self._nursery is not None:
-            self._nursery.start_soon(self._wait_abandoned, owned, attempt.conn)
-            return
+            with contextlib.suppress(RuntimeError):  # Closed when the process ends.
+                self._nursery.start_soon(self._wait_abandoned, owned, attempt.conn)
+                return
         if attempt.refused and attempt.reusable:
             owned.pool.release(attempt.conn, trio.current_time())
         else:
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -317,6 +317,36 @@
         self.run_owner(serve, body)
 
 
+class StoppedOwnerTest(OwnerTestCase):
+    # A request that still runs when the process ends is cancelled; the closed nursery
+    # of its owner is not an unexpected error of the request.
+    def test_request_cancelled_after_the_end_of_its_owner_is_no_failure(self) -> None:
+        received = trio.Event()
+
+        async def hang(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            received.set()
+            await trio.sleep_forever()
+
+        async def main() -> None:
+            async with serve_script(hang) as address, trio.open_nursery() as nursery:
+                owner = Owner(FakeServers(address), address)
+
+                async def execute() -> None:
+                    with self.assertRaises(trio.Cancelled) as caught:
+                        await owner.execute(make_head(), CollectingExchange())
+                    raise caught.exception
+
+                async with trio.open_nursery() as owner_nursery:
+                    await owner_nursery.start(owner.run)
+                    nursery.start_soon(execute)
+                    await received.wait()
+                    owner_nursery.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class AbandonedRequestTest(OwnerTestCase):
     slots = 1
 
