Log the requests that are cut and the stages of a drain

No line named a request that a stopping node cut: the entry caught neither the cancellation nor a caller that had left, and the HTTP server reset the connection without a word. Whether such a request was taken late, lost its caller or its link, or waited for something else could not be told apart.

- routing:cut, one line for each request whose connection ends without a complete response: id, cause, times, trail, body, bytes of the response; also for a request behind the last response that was not read
- owner:abandoned, one line for each run that the owner gives up, with the cause and what it waited for
- node: signal, the stages of the drain with their counts, drain_timed_out, ended
- metrics: cut_requests by cause, requests taken and refused while draining, drain_seconds

Both kinds of lines have a budget of 20 a second and 400 at once. The behaviour is unchanged.

--- a/marigoldchute/admin/metrics.py
+++ b/marigoldchute/admin/metrics.py
@@ -36,11 +36,17 @@
         Latency added to requests, by route and outcome.
     counters : mapping of str to int
         Additional counters by name, such as ``retries``.
+    cut_requests : mapping of str to int
+        Number of requests whose connection ended without a complete response, by cause.
+    drain_s : float
+        Seconds since the start of the drain; 0 when there is none.
     """
 
     store_calls: int
     latencies: tuple[RouteLatency, ...] = ()
     counters: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    cut_requests: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    drain_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +105,7 @@
         yield from _resource_metrics(snapshot.stats, snapshot.counts.store_calls)
         for name, count in sorted(snapshot.counts.counters.items()):
             yield _counter(name, f"Number of {name.replace('_', ' ')}.", count)
+        yield from _drain_metrics(snapshot.counts)
         if snapshot.counts.latencies:
             yield _latency_metric(snapshot.counts.latencies)
 
@@ -147,6 +154,18 @@
     yield _gauge("uptime_seconds", "Time since the start.", stats.uptime_s)
 
 
+def _drain_metrics(counts: NodeCounts) -> Iterator[Metric]:
+    cut_requests = CounterMetricFamily(
+        f"{METRIC_PREFIX}_cut_requests",
+        "Requests whose connection ended without a complete response.",
+        labels=["cause"],
+    )
+    for cause, count in sorted(counts.cut_requests.items()):
+        cut_requests.add_metric([cause], count)
+    yield cut_requests
+    yield _gauge("drain_seconds", "Time since the start of the drain.", counts.drain_s)
+
+
 def _latency_metric(latencies: Iterable[RouteLatency]) -> Metric:
     name = f"{METRIC_PREFIX}_added_latency_seconds"
     metric = Metric(name, "Latency that this node added to requests.", "summary")
--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import trio
@@ -28,6 +29,24 @@
 POLL_INTERVAL_S = 0.05
 
 
+class DrainStage(enum.Enum):
+    """Stage that a drain has reached; the value is the name of its log event.
+
+    ``DRAINED`` means that nothing was in progress at the end, ``TIMED_OUT`` that
+    something still was.
+    """
+
+    STARTED = "draining"
+    SERVER_WITHDRAWN = "server_withdrawn"
+    LISTENER_CLOSED = "listener_closed"
+    DRAINED = "drained"
+    TIMED_OUT = "drain_timed_out"
+
+
+def _ignore(stage: DrainStage, elapsed_s: float) -> None:
+    pass
+
+
 class NodeDrain:
     """Drains a node in stages: readiness, backend server, caller connections.
 
@@ -46,15 +65,23 @@
         Members of the mesh.
     grace_s : float
         Seconds between the stop signal and the latest end of the process.
+    report : callable, optional
+        Called when a stage is reached, with the seconds since the start of the drain.
     """
 
     def __init__(
-        self, callers: HttpServer, owner: Owner, directory: Directory, grace_s: float
+        self,
+        callers: HttpServer,
+        owner: Owner,
+        directory: Directory,
+        grace_s: float,
+        report: Callable[[DrainStage, float], None] = _ignore,
     ) -> None:
         self._callers = callers
         self._owner = owner
         self._directory = directory
         self._grace_s = grace_s
+        self._report = report
 
     async def run(self, announce: Callable[[], Awaitable[None]]) -> None:
         """Drain the node and return when the process may end.
@@ -67,17 +94,27 @@
         """
         started = trio.current_time()
         self._callers.drain()
-        with trio.move_on_at(started + self._grace_s - ANNOUNCE_RESERVE_S):
+        self._report(DrainStage.STARTED, 0.0)
+        with trio.move_on_at(started + self._grace_s - ANNOUNCE_RESERVE_S) as scope:
             await trio.sleep_until(started + MIN_ACCEPT_S)
             await self._wait_for_callers_to_leave(started, OWNER_RESERVE_S)
             self._directory.drain()
             self._owner.drain()
+            self._report_stage(DrainStage.SERVER_WITHDRAWN, started)
             await self._wait_for_callers_to_leave(started, ENTRY_RESERVE_S)
             self._callers.stop_accepting()
+            self._report_stage(DrainStage.LISTENER_CLOSED, started)
             while self._callers.is_busy or self._owner.running:
                 await trio.sleep(POLL_INTERVAL_S)
+        if scope.cancelled_caught:
+            self._report_stage(DrainStage.TIMED_OUT, started)
         with trio.move_on_after(ANNOUNCE_RESERVE_S / 2):
             await announce()
+        if not scope.cancelled_caught:
+            self._report_stage(DrainStage.DRAINED, started)
+
+    def _report_stage(self, stage: DrainStage, started: float) -> None:
+        self._report(stage, trio.current_time() - started)
 
     async def _wait_for_callers_to_leave(
         self, started: float, reserve_s: float
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -12,7 +12,7 @@
 from marigoldchute.hosted.catalog import Catalog
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.discovery import Discovery
-from marigoldchute.hosted.drain import NodeDrain
+from marigoldchute.hosted.drain import DrainStage, NodeDrain
 from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import ReaderDuty, StoreReader
 from marigoldchute.hosted.record_checks import register_checks
@@ -32,6 +32,7 @@
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
 from marigoldchute.routing.budget import WindowRetryBudget
+from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.entry import Entry
 from marigoldchute.routing.http_server import HttpServer
 from marigoldchute.routing.least_time import LeastExpectedTime
@@ -77,6 +78,15 @@
 )
 
 
+_STAGE_TEXTS = {
+    DrainStage.STARTED: "is draining",
+    DrainStage.SERVER_WITHDRAWN: "has withdrawn its backend server",
+    DrainStage.LISTENER_CLOSED: "accepts no more connections",
+    DrainStage.DRAINED: "has drained",
+    DrainStage.TIMED_OUT: "has not drained within the grace period",
+}
+
+
 class HostAdapter(Protocol):
     """Interface to the platform that hosts a mesh."""
 
@@ -132,6 +142,7 @@
         self._log = log
         self._clock = Clock()
         self._draining = False
+        self._drain_started_at: float | None = None
         self._started_at = 0.0
         self._store = adapter.store
         now_ms = self._clock.now_ms()
@@ -229,7 +240,7 @@
         metrics_page = MetricsPage(self._metrics_snapshot)
         self._metrics_http_server = HttpServer(metrics_page.handle, self._log_failure)
         self._caller_http_server = HttpServer(
-            self.entry.handle_external, self._log_failure
+            self.entry.handle_external, self._log_failure, self.entry.log_cut
         )
         self._control_http_server = HttpServer(control, self._log_failure)
         self._readiness_http_server = HttpServer(readiness, self._log_failure)
@@ -299,13 +310,35 @@
     async def drain(self) -> None:
         """Drain without interrupting requests and return when the process may end."""
         self._draining = True
-        self._log.emit("node", "draining", f"{self._cfg.name} is draining.")
-        grace_s = self._cfg.bounds.grace_s
+        self._drain_started_at = trio.current_time()
         drain = NodeDrain(
-            self._caller_http_server, self._owner, self.directory, grace_s
+            self._caller_http_server,
+            self._owner,
+            self.directory,
+            self._cfg.bounds.grace_s,
+            self._log_drain_stage,
         )
         await drain.run(self._announce_leave)
-        self._log.emit("node", "drained", f"{self._cfg.name} has drained.")
+        # What still runs is cut when the process ends.
+        self._caller_http_server.stop_cause = CutCause.DRAIN_TIMEOUT
+        self._owner.stop_cause = CutCause.DRAIN_TIMEOUT
+
+    def _log_drain_stage(self, stage: DrainStage, elapsed_s: float) -> None:
+        callers = self._caller_http_server
+        self._log.emit(
+            "node",
+            stage.value,
+            f"{self._cfg.name} {_STAGE_TEXTS[stage]}.",
+            elapsed_s=round(elapsed_s, 3),
+            grace_s=self._cfg.bounds.grace_s,
+            requests=callers.running,
+            connections=callers.connections,
+            taken=callers.taken_while_draining,
+            idle_closed=callers.idle_closed,
+            last_taken_s=round(trio.current_time() - callers.last_request_at, 3),
+            running=self._owner.running,
+            of_other_nodes=self._owner.remote_requests,
+        )
 
     async def _announce_leave(self) -> None:
         self.directory.leave(self._clock.now_ms())
@@ -337,6 +370,10 @@
         states = self._order_book.states()
         uptime_s = trio.current_time() - self._started_at
         writer = self._log.line_writer
+        callers = self._caller_http_server
+        drain_s = 0.0
+        if self._drain_started_at is not None:
+            drain_s = trio.current_time() - self._drain_started_at
         return NodeSnapshot(
             self._catalog.version,
             self._catalog.version,
@@ -353,7 +390,13 @@
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "rejected_documents": self._rejections.count,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
+                    "requests_taken_while_draining": callers.taken_while_draining,
+                    "requests_refused_while_draining": (
+                        self._owner.refused_while_draining
+                    ),
                 },
+                {cause.value: callers.cut_counts[cause] for cause in CutCause},
+                drain_s,
             ),
         )
 
--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -59,6 +59,11 @@
         self.finished_sending = False
         self._on_cancel: Callable[[], None] | None = None
 
+    @property
+    def error_code(self) -> ResultCode | None:
+        """Code with which the stream ended early; None if it did not."""
+        return self._error.code if self._error is not None else None
+
     async def receive_head(self) -> bytes:
         """Wait for the head of the response and return it."""
         while self._peer_head is None:
--- a/marigoldchute/platform/__main__.py
+++ b/marigoldchute/platform/__main__.py
@@ -29,6 +29,7 @@
         # would end the process.
         with trio.open_signal_receiver(*signal_numbers) as signals:
             async for signal_number in signals:
+                _log_signal(log, signal_number, draining)
                 if signal_number == signal.SIGHUP:
                     _reload(node, path, log)
                 elif signal_number == signal.SIGINT:
@@ -38,6 +39,13 @@
                     nursery.start_soon(_drain, node, nursery.cancel_scope)
 
 
+def _log_signal(log: EventLog, signal_number: int, draining: bool) -> None:
+    name = signal.Signals(signal_number).name
+    ignored = draining and signal_number == signal.SIGTERM
+    text = f"{name} was {'ignored in the drain' if ignored else 'received'}."
+    log.emit("node", "signal", text, signal=name, ignored=ignored)
+
+
 async def _drain(node: HostedNode, scope: trio.CancelScope) -> None:
     await node.drain()
     scope.cancel()
@@ -71,6 +79,7 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_0)
     trio.run(_run, node, path, log)
+    log.emit("node", "ended", f"{cfg.name} has ended.")
     return 0
 
 
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldchute.errors import NotRunError, PeerError, ResultCode
+from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.http_request import CallerDisconnectedError
 from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
 from marigoldchute.routing.request_body import RequestBody
@@ -105,6 +106,12 @@
         """Bytes of the bodies of the request and of its response."""
         return self.body.read_bytes + self.response_bytes
 
+    def abandon_cause(self, now: float) -> CutCause | None:
+        """Return why the request was cancelled, or None when the process ends."""
+        if self.req.caller_disconnected:
+            return CutCause.CALLER_LEFT
+        return CutCause.DEADLINE if now >= self.deadline else None
+
     def make_request_head(self, target: Target, now: float) -> RequestHead:
         """Return the request's head for an attempt at a target."""
         route = self.route_entry.route
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -18,6 +18,7 @@
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
 from marigoldchute.routing.candidates import CandidateTables
 from marigoldchute.routing.choice import PickInfo
+from marigoldchute.routing.cut import CutCause, cause_of_partial
 from marigoldchute.routing.dialect import DEFAULT_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
 from marigoldchute.routing.failure import error_to_report, outcome_of
@@ -29,7 +30,7 @@
 from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_ERROR_CODES, send_error_response
 from marigoldchute.routing.release_choice import ReleaseChoice
-from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.routing.request_log import RequestLog, cut_fields
 from marigoldchute.routing.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -46,6 +47,7 @@
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
+    from marigoldchute.routing.cut import Cut
     from marigoldchute.routing.dialect import Dialect
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.outcomes import OutcomeSink
@@ -156,6 +158,10 @@
         """Handle a request from a backend server on this VM."""
         await self._handle(req, responder, True)
 
+    def log_cut(self, cut: Cut) -> None:
+        """Log a request whose connection ended without a complete response."""
+        self._request_log.emit_cut(cut, self._dialect.request_id)
+
     async def _handle(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
     ) -> None:
@@ -173,11 +179,17 @@
                 self._request_log.emit_response(call, call.response_head.status, now)
         except CallerDisconnectedError:
             outcome = Outcome.CANCELLED
+            req.cut_cause = CutCause.CALLER_LEFT
         except (RequestError, PeerError, AuthError) as exc:
             outcome = outcome_of(exc)
             self._log_failed(req, call, outcome, exc)
-            if not responder.started:
+            if responder.started:
+                req.cut_cause = cause_of_partial(exc)
+            else:
                 await send_error_response(responder, exc, self._rng.random())
+        finally:
+            if call is not None and not responder.finished:
+                req.call_fields = cut_fields(call, trio.current_time())
         if call is not None:
             self._record_latency(call, outcome, started)
 
--- a/marigoldchute/routing/exchange.py
+++ b/marigoldchute/routing/exchange.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, runtime_checkable
 
+from marigoldchute.routing.cut import CutCause, cause_of_reset
 from marigoldchute.routing.messages import ENCODER, ResponseHead
 
 if TYPE_CHECKING:
@@ -38,12 +39,34 @@
         """Mark the response as complete."""
 
 
+@runtime_checkable
+class AbandonSource(Protocol):
+    """Exchange that knows why its request was cancelled."""
+
+    def abandon_cause(self, now: float) -> CutCause | None:
+        """Return why the request was cancelled, or None when the process ends."""
+
+
 class StreamExchange:
-    """Exchange with an entry node over a stream of a link."""
+    """Exchange with an entry node over a stream of a link.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time in seconds at which the request is cancelled.
+    """
 
     def __init__(self, stream: Stream) -> None:
         self._stream = stream
         self.started = False
+        self.deadline = 0.0
+
+    def abandon_cause(self, now: float) -> CutCause | None:
+        """Return why the request was cancelled, or None when the process ends."""
+        code = self._stream.error_code
+        if code is not None:
+            return cause_of_reset(code)
+        return CutCause.DEADLINE if now >= self.deadline else None
 
     def pop_complete_body(self) -> bytes | None:
         """Return the complete body if all of it has arrived, else None."""
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marigoldchute.routing.cut import CutCause
     from marigoldchute.routing.messages import HeaderList
     from marigoldchute.util.tcp import TcpConn
 
@@ -41,15 +42,21 @@
     turn : trio.Event or None
         Set when the responses to all earlier requests of the connection are complete;
         None when the request has no predecessor.
+    cut_cause : CutCause or None
+        Set by a handler that returns without a complete response.
+    call_fields : dict of str to object, or None
+        What the handler did with a request that got no complete response, for the log.
     """
 
     __slots__ = (
         "_conn_parser",
         "_expects_continue",
+        "call_fields",
         "caller_disconnected",
         "cancel_scope",
         "chunks",
         "complete",
+        "cut_cause",
         "has_body",
         "headers",
         "http_version",
@@ -72,6 +79,8 @@
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self.cancel_scope: trio.CancelScope | None = None
         self.caller_disconnected = False
+        self.cut_cause: CutCause | None = None
+        self.call_fields: dict[str, object] | None = None
         self._expects_continue = False
 
     def header(self, name: bytes) -> bytes | None:
@@ -157,6 +166,7 @@
         "_chunked",
         "_close_delimited",
         "_may_keep_alive",
+        "_position",
         "_req",
         "_tcp",
         "finished",
@@ -176,6 +186,7 @@
         self._bodiless = req is not None and req.method == b"HEAD"
         self._close_delimited = req is not None and req.http_version == "1.0"
         self._chunked = False
+        self._position = 0  # Of the response among the bytes of the connection.
         self.keep_alive = req is not None and req.keep_alive
         self.started = False
         self.finished = False
@@ -185,6 +196,11 @@
         """IP address of the caller."""
         return self._tcp.peer_address
 
+    @property
+    def sent_bytes(self) -> int:
+        """Number of bytes of the response that the kernel has accepted."""
+        return self._tcp.bytes_written - self._position if self.started else 0
+
     async def start(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send the status and headers together with the first piece of the body."""
         block = b"".join([b"%s: %s\r\n" % pair for pair in headers])
@@ -230,6 +246,7 @@
 
     def _encode_head(self, status: int, block: bytes, has_length: bool) -> bytes:
         self.started = True
+        self._position = self._tcp.bytes_written
         self.keep_alive = self.keep_alive and self._may_keep_alive()
         bodiless = self._bodiless or status in (204, 304) or status < 200
         hop_headers = b""
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
@@ -9,6 +10,7 @@
 import trio
 
 from marigoldchute.errors import RequestError, ResultCode
+from marigoldchute.routing.cut import Cut, CutCause, is_cancelled
 from marigoldchute.routing.http_request import (
     CallerConnParser,
     CallerDisconnectedError,
@@ -26,6 +28,7 @@
 IDLE_MARGIN_S = 0.5
 LINGER_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 262_144
+MAX_UNREAD_BYTES = 2_048  # Kept of the discarded bytes, for the log.
 # A request may be 24 calls deep, and each node adds this delay to its cancellation.
 DISCONNECT_POLL_INTERVAL_S = 0.05
 IDLE_POLL_INTERVAL_S = 0.5
@@ -52,18 +55,39 @@
 class _Exchange:
     """A request in progress on a connection."""
 
-    __slots__ = ("done", "req", "responder", "scope")
+    __slots__ = (
+        "cause",
+        "conn_requests",
+        "done",
+        "req",
+        "responder",
+        "scope",
+        "seen",
+        "taken_at",
+    )
 
-    def __init__(self, req: HttpRequest, responder: HttpResponder) -> None:
+    def __init__(
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        taken_at: float,
+        conn_requests: int,
+    ) -> None:
         self.req = req
         self.responder = responder
+        self.taken_at = taken_at
+        self.conn_requests = conn_requests
+        self.cause: CutCause | None = None
+        self.seen = ""
         self.done = trio.Event()
         # Scope of the task of a request that was sent ahead; it may be cancelled before
         # the task has started.
         self.scope = trio.CancelScope()
 
-    def abandon(self) -> None:
+    def abandon(self, cause: CutCause, seen: str) -> None:
         """Cancel the request because its caller does not wait for it any more."""
+        if self.cause is None:
+            self.cause, self.seen = cause, seen
         self.req.caller_disconnected = True
         if self.req.cancel_scope is not None:
             self.req.cancel_scope.cancel()
@@ -82,10 +106,15 @@
         without one.
     closing : bool
         Whether a response has ended the use of the connection.
+    taken_count : int
+        Number of requests taken.
+    cut_cause : CutCause
+        Why requests behind those in progress get no response.
     """
 
     __slots__ = (
         "closing",
+        "cut_cause",
         "expires_at",
         "idle_timeout_s",
         "in_progress",
@@ -93,6 +122,7 @@
         "parser",
         "read_ahead_done",
         "read_scope",
+        "taken_count",
         "tcp",
     )
 
@@ -104,6 +134,8 @@
         self.read_ahead_done: trio.Event | None = None
         self.read_scope = trio.CancelScope()
         self.closing = False
+        self.taken_count = 0
+        self.cut_cause = CutCause.EARLIER_RESPONSE
         self.expires_at = 0.0
         self.idle_timeout_s = 0.0
 
@@ -112,10 +144,11 @@
         self.closing = True
         self.read_scope.cancel()
 
-    def abandon(self) -> None:
+    def abandon(self, seen: str) -> None:
         """Cancel all requests in progress because the caller has left."""
+        self.cut_cause = CutCause.CALLER_LEFT
         for exchange in self.in_progress:
-            exchange.abandon()
+            exchange.abandon(CutCause.CALLER_LEFT, seen)
 
     @property
     def may_send_ahead(self) -> bool:
@@ -143,15 +176,35 @@
     on_failure : callable
         Called with an unexpected exception of the handler; only the connection of
         its request is lost.
+    on_cut : callable, optional
+        Called with each request whose connection ends without a complete response.
+
+    Attributes
+    ----------
+    cut_counts : collections.Counter of CutCause
+        Number of these requests by cause.
+    taken_while_draining : int
+        Number of requests taken since the drain began.
+    idle_closed : int
+        Number of connections that were closed while no request was in progress.
+    stop_cause : CutCause
+        Cause of the requests that are cut when the server is cancelled.
     """
 
     def __init__(
         self,
         handler: RequestHandler,
         on_failure: Callable[[Exception], None] = reraise,
+        on_cut: Callable[[Cut], None] | None = None,
     ) -> None:
         self._handler = handler
         self._on_failure = on_failure
+        self._on_cut = on_cut
+        self.cut_counts: collections.Counter[CutCause] = collections.Counter()
+        self.taken_while_draining = 0
+        self.idle_closed = 0
+        self.stop_cause = CutCause.STOPPED
+        self._drain_started_at: float | None = None
         self._conns: set[_CallerConn] = set()
         self._listener: TcpListener | None = None
         self._draining = False
@@ -193,10 +246,13 @@
     def drain(self) -> None:
         """Close each connection after its current request."""
         self._draining = True
+        self._drain_started_at = trio.current_time()
 
     def stop_accepting(self) -> None:
         """Close the listener and the connections that wait for a request."""
         self._draining = True
+        if self._drain_started_at is None:
+            self._drain_started_at = trio.current_time()
         if self._listener is not None:
             self._listener.close()
         for conn in tuple(self._conns):
@@ -205,6 +261,7 @@
 
     def _close_idle(self, conn: _CallerConn) -> None:
         if conn.tcp.is_idle():
+            self.idle_closed += 1
             conn.tcp.close()
 
     async def serve_connection(self, tcp: TcpConn) -> None:
@@ -221,6 +278,7 @@
                 await self._guard(conn, self._serve_requests(conn))
                 nursery.cancel_scope.cancel()
         finally:
+            self._report_unanswered(conn)
             self._conns.discard(conn)
             tcp.close()
             conn.parser.close()
@@ -267,10 +325,15 @@
                 req,
                 lambda: not self._draining or self._has_later_request(conn, exchange),
             ),
+            trio.current_time(),
+            conn.taken_count,
         )
+        conn.taken_count += 1
         conn.in_progress.append(exchange)
         self._request_taken.set()
-        self.last_request_at = trio.current_time()
+        self.last_request_at = exchange.taken_at
+        if self._draining:
+            self.taken_while_draining += 1
         return exchange
 
     def _has_later_request(self, conn: _CallerConn, exchange: _Exchange) -> bool:
@@ -307,7 +370,7 @@
                     with trio.CancelScope() as conn.read_scope:
                         await self._read_head(conn)
         except CallerDisconnectedError:
-            conn.abandon()
+            conn.abandon("read")
         except RequestError as exc:
             refusal = exc
         finally:
@@ -328,8 +391,56 @@
         """End a request whose task was cancelled before or while it ran."""
         if exchange in conn.in_progress:
             conn.in_progress.remove(exchange)
+            self._report_cut(conn, exchange, CutCause.EARLIER_RESPONSE)
         exchange.done.set()
 
+    def _report_cut(
+        self, conn: _CallerConn, exchange: _Exchange, cause: CutCause
+    ) -> None:
+        """Report a request in progress; a cause that was found earlier has priority."""
+        if exchange.cause is not None:
+            cause = exchange.cause
+        elif exchange.req.cut_cause is not None:
+            cause = exchange.req.cut_cause
+        if cause is CutCause.CALLER_LEFT and not exchange.seen and conn.tcp.closed:
+            cause = CutCause.CLOSED_HERE
+        conn.cut_cause = cause
+        self._emit_cut(
+            Cut(
+                exchange.req,
+                exchange.responder,
+                cause,
+                exchange.seen,
+                trio.current_time(),
+                exchange.taken_at,
+                self._drain_started_at,
+                exchange.conn_requests,
+            )
+        )
+
+    def _report_unanswered(self, conn: _CallerConn) -> None:
+        """Report the requests of a connection that were read and not handled."""
+        for exchange in conn.in_progress:
+            self._report_cut(conn, exchange, self.stop_cause)
+        for req in conn.parser.requests:
+            self._emit_cut(
+                Cut(
+                    req,
+                    None,
+                    conn.cut_cause,
+                    "",
+                    trio.current_time(),
+                    None,
+                    self._drain_started_at,
+                    conn.taken_count,
+                )
+            )
+
+    def _emit_cut(self, cut: Cut) -> None:
+        self.cut_counts[cut.cause] += 1
+        if self._on_cut is not None:
+            self._on_cut(cut)
+
     async def _handle_request(self, conn: _CallerConn, exchange: _Exchange) -> None:
         """Handle a request; set ``closing`` when the connection serves no other one."""
         keeps_conn = False
@@ -341,7 +452,7 @@
                 # What was sent behind counts as not read; callers send it again.
                 position = conn.in_progress.index(exchange)
                 for later in conn.in_progress[position + 1 :]:
-                    later.abandon()
+                    later.abandon(conn.cut_cause, "")
             conn.in_progress.remove(exchange)
             conn.expires_at = trio.current_time() + conn.idle_timeout_s
             exchange.done.set()
@@ -354,21 +465,54 @@
         except RequestError as exc:
             await req.wait_for_turn()
             conn.stop_reading()
-            await _handle_request_error(conn.tcp, responder, exc)
+            if responder.started or isinstance(exc, CallerDisconnectedError):
+                self._report_cut(conn, exchange, _cause_of_error(exc))
+                conn.tcp.abort()
+            else:
+                await _send_refusal(conn.tcp, exc)
             return False
-        except BaseException:
+        except BaseException as exc:
             conn.stop_reading()
+            cause = self.stop_cause if is_cancelled(exc) else _cause_of_error(exc)
+            self._report_cut(conn, exchange, cause)
             conn.tcp.abort()
             raise
         if responder.finished and responder.keep_alive and req.complete:
             return True
         conn.stop_reading()
         if not responder.finished:
+            self._report_cut(
+                conn,
+                exchange,
+                CutCause.PARTIAL_RESPONSE
+                if responder.started
+                else CutCause.HANDLER_ERROR,
+            )
             conn.tcp.abort()
             return False
-        await _close_lingering(conn.tcp)
+        unread = await _close_lingering(conn.tcp)
+        if unread and req.complete:
+            self._report_unread(conn, exchange, unread)
         return False
 
+    def _report_unread(
+        self, conn: _CallerConn, exchange: _Exchange, unread: bytes
+    ) -> None:
+        """Report bytes behind the last response, which may be a further request."""
+        self._emit_cut(
+            Cut(
+                exchange.req,
+                exchange.responder,
+                CutCause.UNREAD,
+                "",
+                trio.current_time(),
+                exchange.taken_at,
+                self._drain_started_at,
+                conn.taken_count,
+                unread,
+            )
+        )
+
     async def _read_head(self, conn: _CallerConn) -> None:
         now = trio.current_time()
         head_timeout_s, idle_timeout_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
@@ -418,7 +562,7 @@
         for fd, events in poller.poll(0):
             conn = conns_by_fd[fd]
             if events & ~select.POLLIN:
-                conn.abandon()
+                conn.abandon(f"poll {events:#x}")
             else:
                 self._start_reading_ahead(conn)
 
@@ -432,9 +576,19 @@
                     ResultCode.REQUEST_SENDER_TIMEOUT,
                 )
                 conn.tcp.send_now(_encode_refusal(exc))
+            self.idle_closed += 1
             conn.tcp.close()
 
 
+def _cause_of_error(exc: BaseException) -> CutCause:
+    lost = (OSError, trio.ClosedResourceError, CallerDisconnectedError)
+    if isinstance(exc, lost):
+        return CutCause.CALLER_LEFT
+    if isinstance(exc, RequestError):
+        return CutCause.PARTIAL_RESPONSE
+    return CutCause.HANDLER_ERROR
+
+
 def _encode_refusal(exc: RequestError) -> bytes:
     status = _REFUSAL_STATUSES.get(exc.code, 400)
     body = f"{exc}\n".encode()
@@ -446,28 +600,25 @@
     )
 
 
-async def _handle_request_error(
-    tcp: TcpConn, responder: HttpResponder, exc: RequestError
-) -> None:
-    if responder.started or isinstance(exc, CallerDisconnectedError):
-        tcp.abort()
-    else:
-        await _send_refusal(tcp, exc)
-
-
 async def _send_refusal(tcp: TcpConn, exc: RequestError) -> None:
     await tcp.send(_encode_refusal(exc))
     await _close_lingering(tcp)
 
 
-async def _close_lingering(tcp: TcpConn) -> None:
-    """Half-close first, so that a caller that still sends can read its response."""
+async def _close_lingering(tcp: TcpConn) -> bytes:
+    """Half-close first, so that a caller that still sends can read its response.
+
+    Returns the first of the bytes that were discarded.
+    """
     tcp.send_eof()
     discarded_bytes = 0
+    unread = b""
     with trio.move_on_after(LINGER_TIMEOUT_S):
         while discarded_bytes < MAX_LINGER_BYTES:
             data = await tcp.receive(MAX_LINGER_BYTES)
             if not data:
                 break
             discarded_bytes += len(data)
+            unread += data[: MAX_UNREAD_BYTES - len(unread)]
     tcp.close()
+    return unread
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -18,8 +18,9 @@
 from marigoldchute.routing.admission import AdmissionGate
 from marigoldchute.routing.backend_attempt import BackendAttempt
 from marigoldchute.routing.backend_conn import BackendConnPool
+from marigoldchute.routing.cut import CutCause, is_cancelled
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
-from marigoldchute.routing.exchange import StreamExchange
+from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
 
@@ -79,7 +80,16 @@
     policy : PathPolicy
         Options of the request path.
     log : RequestLog, optional
-        Log for failed requests of other nodes.
+        Log for failed requests of other nodes and for abandoned requests.
+
+    Attributes
+    ----------
+    remote_requests : int
+        Number of requests of other nodes that wait or run here.
+    refused_while_draining : int
+        Number of requests that were refused because of a drain.
+    stop_cause : CutCause
+        Cause of the requests that are abandoned when the process ends.
     """
 
     def __init__(
@@ -100,6 +110,9 @@
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
         self._nursery: trio.Nursery | None = None
+        self.remote_requests = 0
+        self.refused_while_draining = 0
+        self.stop_cause = CutCause.STOPPED
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -155,9 +168,11 @@
         except msgspec.DecodeError:
             stream.reset(ResultCode.PEER_PROTOCOL)
             return
+        self.remote_requests += 1
         try:
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + head.remaining_ms / 1000
+                exchange.deadline = scope.deadline
                 stream.on_cancel(scope.cancel)
                 if not scope.cancel_called:
                     await self.execute(head, exchange)
@@ -179,6 +194,8 @@
         except MarigoldchuteError as exc:
             self._log_failed_request(head, exc)
             stream.reset(exc.code)
+        finally:
+            self.remote_requests -= 1
 
     def _log_failed_request(self, head: RequestHead, exc: MarigoldchuteError) -> None:
         if self._log is not None:
@@ -186,6 +203,21 @@
             load = owned.gate.load if owned is not None else 0
             self._log.emit_owner_failure(head, exc, load, trio.current_time())
 
+    def _log_abandoned(
+        self,
+        head: RequestHead,
+        exchange: Exchange,
+        waits_for: str,
+        written: bool = False,
+    ) -> None:
+        if self._log is not None:
+            now = trio.current_time()
+            cause = None
+            if isinstance(exchange, AbandonSource):
+                cause = exchange.abandon_cause(now)
+            cause = cause or self.stop_cause
+            self._log.emit_abandoned(head, cause, waits_for, written, now)
+
     async def execute(self, head: RequestHead, exchange: Exchange) -> None:
         """Run one request on the backend server named in its head.
 
@@ -209,22 +241,32 @@
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
         remaining_ms = head.remaining_ms
-        if not gate.try_acquire_slot():
-            queued_at = trio.current_time()
-            await gate.acquire_slot(
-                head.priority,
-                remaining_ms / 1000,
-                head.objective_ms / 1000,
-                head.route,
-                head.is_nested,
-            )
-            waited_ms = int((trio.current_time() - queued_at) * 1000)
-            remaining_ms = max(1, remaining_ms - waited_ms)
+        try:
+            if not gate.try_acquire_slot():
+                queued_at = trio.current_time()
+                await gate.acquire_slot(
+                    head.priority,
+                    remaining_ms / 1000,
+                    head.objective_ms / 1000,
+                    head.route,
+                    head.is_nested,
+                )
+                waited_ms = int((trio.current_time() - queued_at) * 1000)
+                remaining_ms = max(1, remaining_ms - waited_ms)
+        except NotRunError as exc:
+            if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+                self.refused_while_draining += 1
+            raise
+        except trio.Cancelled:
+            self._log_abandoned(head, exchange, "slot")
+            raise
         running = gate.running
         try:
             conn = await owned.pool.acquire(head.idempotent, server.connections)
-        except BaseException:
+        except BaseException as exc:
             gate.release_slot()
+            if is_cancelled(exc):
+                self._log_abandoned(head, exchange, "connection")
             raise
         attempt = BackendAttempt(
             head,
@@ -240,7 +282,10 @@
         try:
             await attempt.execute()
         except BaseException as exc:
-            self._release_failed(owned, attempt, isinstance(exc, trio.Cancelled))
+            cancelled = is_cancelled(exc)
+            if cancelled:
+                self._log_abandoned(head, exchange, "response", attempt.written)
+            self._release_failed(owned, attempt, cancelled)
             raise
         finally:
             self._running_ids[head.request_id] -= 1
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -92,8 +92,12 @@
             clock,
             rng,
         )
-        self._caller_server = HttpServer(self.entry.handle_external, self._log_failure)
-        self._internal_server = HttpServer(self._handle_internal, self._log_failure)
+        self._caller_server = HttpServer(
+            self.entry.handle_external, self._log_failure, self.entry.log_cut
+        )
+        self._internal_server = HttpServer(
+            self._handle_internal, self._log_failure, self.entry.log_cut
+        )
         membership.on_view_changed.append(self.entry.candidate_tables.mark_stale)
         table.subscribe(
             RecordKind.MEMBER, lambda record: self.entry.candidate_tables.mark_stale()
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -7,11 +7,13 @@
 
 from marigoldchute.routing.budget import TokenBucket
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS
+from marigoldchute.routing.cut import CutCause
 
 if TYPE_CHECKING:
     from marigoldchute.errors import MarigoldchuteError
     from marigoldchute.events import EventLog
     from marigoldchute.routing.call import Call
+    from marigoldchute.routing.cut import Cut
     from marigoldchute.routing.http_request import HttpRequest
     from marigoldchute.routing.messages import RequestHead
     from marigoldchute.routing.outcomes import Outcome
@@ -20,6 +22,8 @@
 FAILED_BURST_LINES = 400.0  # 0.2 MB; a burst of 40 dropped 411 of 1,015 failures.
 RETRIED_LINES_PER_S = 4.0
 OWNER_LINES_PER_S = 10.0
+CUT_LINES_PER_S = 20.0
+CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
 DROPPED_REPORT_INTERVAL_S = 5.0
 
@@ -44,6 +48,8 @@
             "failed": TokenBucket(FAILED_LINES_PER_S, FAILED_BURST_LINES),
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
+            "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
+            "abandoned": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
         }
         self._dropped_counts: collections.Counter[str] = collections.Counter()
         self._dropped_reported_at = 0.0
@@ -130,6 +136,87 @@
             remaining_ms=head.remaining_ms,
         )
 
+    def emit_cut(self, cut: Cut, id_header: bytes) -> None:
+        """Log a request whose connection ended without a complete response.
+
+        Parameters
+        ----------
+        cut : Cut
+            The request and the cause.
+        id_header : bytes
+            Lower-case name of the header with the request's id.
+        """
+        if not self._admit("cut", cut.at):
+            return
+        req, responder = cut.req, cut.responder
+        if cut.cause is CutCause.UNREAD:
+            self._log.emit(
+                "routing",
+                "cut",
+                f"{len(cut.unread)} bytes behind a response were not read.",
+                request=_id_in(cut.unread, id_header),
+                cause=cut.cause.value,
+                after=_text(req.header(id_header)),
+                **_cut_times(cut),
+            )
+            return
+        fields: dict[str, object] = {"request": _text(req.header(id_header))}
+        fields |= req.call_fields or {"tries": 0}
+        self._log.emit(
+            "routing",
+            "cut",
+            f"{req.target.decode('latin-1')} was cut: {cut.cause.value}.",
+            cause=cut.cause.value,
+            seen=cut.seen,
+            waits_for=_waits_for(cut),
+            response_bytes=responder.sent_bytes if responder is not None else 0,
+            response_complete=responder is not None and responder.finished,
+            body=_framing(req),
+            body_complete=req.complete,
+            **_cut_times(cut),
+            **fields,
+        )
+
+    def emit_abandoned(
+        self,
+        head: RequestHead,
+        cause: CutCause,
+        waits_for: str,
+        written: bool,
+        now: float,
+    ) -> None:
+        """Log a request that the owner ended before its response was complete.
+
+        Parameters
+        ----------
+        head : RequestHead
+            Head of the request.
+        cause : CutCause
+            Why it was ended.
+        waits_for : str
+            What it waited for: ``slot``, ``connection`` or ``response``.
+        written : bool
+            Whether a byte was sent to the backend server.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._admit("abandoned", now):
+            return
+        self._log.emit(
+            "owner",
+            "abandoned",
+            f"Request to {head.server_id or 'unknown server'} was abandoned:"
+            f" {cause.value}.",
+            request=head.request_id,
+            cause=cause.value,
+            waits_for=waits_for,
+            written=written,
+            route=head.route,
+            service=head.service,
+            release=head.release,
+            remaining_ms=head.remaining_ms,
+        )
+
     def _admit(self, kind: str, now: float) -> bool:
         if (
             now - self._dropped_reported_at >= DROPPED_REPORT_INTERVAL_S
@@ -149,6 +236,61 @@
         return False
 
 
+def cut_fields(call: Call, now: float) -> dict[str, object]:
+    """Return what was done with a request that got no complete response."""
+    return {
+        "request": call.request_id,
+        "passed_on": call.may_have_run,
+        "idempotent": call.idempotent,
+        "body_bytes": call.body.read_bytes,
+        "deadline_s": round(call.deadline - now, 3),
+        **_call_fields(call, now),
+    }
+
+
+def _cut_times(cut: Cut) -> dict[str, object]:
+    taken_at, drain_started_at = cut.taken_at, cut.drain_started_at
+    return {
+        "taken_s": None if taken_at is None else round(cut.at - taken_at, 3),
+        "drain_s": (
+            None if drain_started_at is None else round(cut.at - drain_started_at, 3)
+        ),
+        "conn_requests": cut.conn_requests,
+    }
+
+
+def _waits_for(cut: Cut) -> str:
+    req, responder = cut.req, cut.responder
+    if responder is None:
+        return "reading"
+    if responder.started:
+        return "rest"
+    if req.turn is not None and not req.turn.is_set():
+        return "turn"
+    if not req.complete:
+        return "body"
+    return "start" if req.call_fields is None else "response"
+
+
+def _framing(req: HttpRequest) -> str:
+    if not req.has_body:
+        return "none"
+    return "chunked" if req.header(b"content-length") is None else "length"
+
+
+def _text(value: bytes | None) -> str:
+    return (value or b"").decode("latin-1")
+
+
+def _id_in(data: bytes, id_header: bytes) -> str:
+    """Return the id in the head of a request that was not parsed."""
+    for line in data.split(b"\r\n"):
+        name, found, value = line.partition(b":")
+        if found and name.lower() == id_header:
+            return _text(value.strip())
+    return ""
+
+
 def _call_fields(call: Call | None, now: float) -> dict[str, object]:
     if call is None:
         return {"tries": 0}
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -231,6 +231,14 @@
     def read_log(self, name: str) -> str:
         return (self.directory / f"{name}.log").read_text()
 
+    def read_events(self, name: str) -> list[dict[str, Any]]:
+        """Return the logged events of a node, named ``component:event``."""
+        lines = [json.loads(line) for line in self.read_log(name).splitlines()]
+        return [
+            line | {"event": line["message_type"].removeprefix("marigoldchute:")}
+            for line in lines
+        ]
+
     def stop(self) -> None:
         for process in self.processes.values():
             if process.poll() is None:
--- a/tests/test_admin/test_metrics.py
+++ b/tests/test_admin/test_metrics.py
@@ -25,6 +25,8 @@
         17,
         (RouteLatency("turnos", "ok", 12, 400, 580, 900, 1000),),
         {"retries": 3},
+        {"drain_timeout": 2},
+        1.25,
     ),
 )
 
@@ -57,6 +59,8 @@
             ("resident_memory_bytes",): 2048,
             ("uptime_seconds",): 60,
             ("retries_total",): 3,
+            ("cut_requests_total", "drain_timeout"): 2,
+            ("drain_seconds",): 1.25,
             ("added_latency_seconds", "0.5", "ok", "turnos"): 0.0004,
             ("added_latency_seconds", "0.99", "ok", "turnos"): 0.00058,
             ("added_latency_seconds", "0.999", "ok", "turnos"): 0.0009,
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -8,7 +8,12 @@
 import trio
 from trio.testing import MockClock
 
-from marigoldchute.hosted.drain import ANNOUNCE_RESERVE_S, OWNER_RESERVE_S, NodeDrain
+from marigoldchute.hosted.drain import (
+    ANNOUNCE_RESERVE_S,
+    OWNER_RESERVE_S,
+    DrainStage,
+    NodeDrain,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -116,5 +121,49 @@
         self.assertAlmostEqual(self.announced_at, GRACE_S - ANNOUNCE_RESERVE_S)
 
 
+class DrainStageTest(unittest.TestCase):
+    """Stages that a drain reports, with the seconds since its start."""
+
+    def stages(self, run_s: float) -> dict[DrainStage, float]:
+        """Drain a node and return when it reached each stage."""
+        stages: dict[DrainStage, float] = {}
+
+        async def announce_leave() -> None:
+            await trio.sleep(0.1)
+
+        async def main() -> None:
+            drain = NodeDrain(
+                FakeCallers([]),  # type: ignore[arg-type]
+                FakeOwner(run_s),  # type: ignore[arg-type]
+                FakeDirectory(),  # type: ignore[arg-type]
+                GRACE_S,
+                stages.__setitem__,
+            )
+            await drain.run(announce_leave)
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        return stages
+
+    def test_stages_are_reported_in_their_order(self) -> None:
+        stages = self.stages(RUN_S)
+        self.assertEqual(
+            list(stages),
+            [
+                DrainStage.STARTED,
+                DrainStage.SERVER_WITHDRAWN,
+                DrainStage.LISTENER_CLOSED,
+                DrainStage.DRAINED,
+            ],
+        )
+        self.assertEqual(list(stages.values()), sorted(stages.values()))
+
+    def test_drain_with_an_endless_request_is_reported_as_timed_out(self) -> None:
+        stages = self.stages(100.0)
+        self.assertEqual(list(stages)[-1], DrainStage.TIMED_OUT)
+        self.assertAlmostEqual(
+            stages[DrainStage.TIMED_OUT], GRACE_S - ANNOUNCE_RESERVE_S
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -6,7 +6,7 @@
 import json
 import signal
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import httpcore
 import trio
@@ -21,6 +21,10 @@
 SERVICES = ("turnos", "reservas", "turnos")
 
 
+def named(events: list[dict[str, Any]], name: str) -> list[dict[str, Any]]:
+    return [event for event in events if event["event"] == name]
+
+
 class ProcessTestCase(unittest.TestCase):
     def run_mesh(
         self,
@@ -96,6 +100,9 @@
                 "store_calls_total",
                 "links",
                 "retries_total",
+                "requests_taken_while_draining_total",
+                "requests_refused_while_draining_total",
+                "drain_seconds",
             ):
                 self.assertIn(f"\nmarigoldchute_{name} ", text)
             self.assertIn('outcome="ok"', text)
@@ -207,6 +214,76 @@
 
         self.run_mesh(scenario)
 
+    def test_request_cut_at_the_end_of_a_drain_is_logged_with_its_cause(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            for backend in mesh.backends.values():
+                backend.service_time_s = 30.0
+            mesh.put_configuration(timeout_ms=20_000)
+            await trio.sleep(1.0)
+
+            async def send_request(request_id: str) -> None:
+                with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+                    await mesh.send_request(
+                        "vm-0", request_id=request_id, deadline_ms=20_000
+                    )
+
+            async with trio.open_nursery() as nursery:
+                for index in range(4):
+                    nursery.start_soon(send_request, f"cut-{index}")
+                await trio.sleep(0.3)
+                for signal_number in (signal.SIGTERM, signal.SIGTERM):
+                    mesh.signal_node("vm-0", signal_number)
+                    await trio.sleep(0.1)
+                self.assertEqual(await mesh.wait_for_exit("vm-0"), 0)
+            events = mesh.read_events("vm-0")
+            cut = {e["request"]: e for e in events if e["event"] == "routing:cut"}
+            self.assertEqual(set(cut), {f"cut-{index}" for index in range(4)})
+            for fields in cut.values():
+                self.assertEqual(fields["cause"], "drain_timeout")
+                self.assertEqual(fields["waits_for"], "response")
+                self.assertTrue(fields["passed_on"])
+                self.assertGreater(fields["drain_s"], 4.0)
+                self.assertGreater(fields["taken_s"], fields["drain_s"])
+                self.assertEqual(len(fields["trail"]), 1)
+            # Those on the backend server of this VM also have a line of its owner.
+            local = {i for i, f in cut.items() if f["trail"][0].startswith("vm-0 ")}
+            abandoned = [e for e in events if e["event"] == "owner:abandoned"]
+            self.assertEqual({e["request"] for e in abandoned}, local)
+            self.assertEqual({e["cause"] for e in abandoned} - {"drain_timeout"}, set())
+            self.assertEqual(
+                [(e["signal"], e["ignored"]) for e in named(events, "node:signal")],
+                [("SIGTERM", False), ("SIGTERM", True)],
+            )
+            (started,) = named(events, "node:draining")
+            self.assertEqual((started["requests"], started["connections"]), (4, 4))
+            (timed_out,) = named(events, "node:drain_timed_out")
+            self.assertEqual(timed_out["requests"], 4)
+            self.assertGreater(timed_out["elapsed_s"], 4.0)
+            self.assertEqual(named(events, "node:drained"), [])
+            self.assertEqual(len(named(events, "node:ended")), 1)
+
+        self.run_mesh(scenario)
+
+    def test_drain_is_logged_stage_by_stage(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.signal_node("vm-0", signal.SIGTERM)
+            self.assertEqual(await mesh.wait_for_exit("vm-0"), 0)
+            events = mesh.read_events("vm-0")
+            stages = [e for e in events if "elapsed_s" in e]
+            self.assertEqual(
+                [e["event"] for e in stages],
+                [
+                    "node:draining",
+                    "node:server_withdrawn",
+                    "node:listener_closed",
+                    "node:drained",
+                ],
+            )
+            self.assertEqual(stages[-1]["requests"], 0)
+            self.assertEqual(named(events, "routing:cut"), [])
+
+        self.run_mesh(scenario)
+
 
 class LossTest(ProcessTestCase):
     def test_mesh_serves_again_after_all_nodes_were_killed(self) -> None:
--- a/tests/test_routing/test_request_log.py
+++ b/tests/test_routing/test_request_log.py
@@ -7,7 +7,10 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.routing.cut import Cut, CutCause
+from marigoldchute.routing.http_request import HttpRequest
 from marigoldchute.routing.request_log import (
+    CUT_BURST_LINES,
     DROPPED_REPORT_INTERVAL_S,
     FAILED_BURST_LINES,
     SAMPLE_EVERY,
@@ -78,3 +81,52 @@
         self.assertEqual(len(self.logged_fields("backend_failed")), FAILED_BURST_LINES)
         self.log.emit_response(make_call("later"), 500, 1.0 + DROPPED_REPORT_INTERVAL_S)
         self.assertEqual(self.logged_fields("left_out"), [{"failed": 100}])
+
+    def make_cut(self, request_id: bytes = b"id-1", unread: bytes = b"") -> Cut:
+        """Return a request whose body is incomplete 2.5 s after it was taken."""
+        req = HttpRequest(None)  # type: ignore[arg-type]
+        req.target = b"/reservas/7"
+        req.headers = [(b"x-id", request_id), (b"transfer-encoding", b"chunked")]
+        req.has_body = True
+        cause = CutCause.UNREAD if unread else CutCause.DRAIN_TIMEOUT
+        return Cut(req, None, cause, "", 4.0, 1.5, 0.5, 3, unread)
+
+    def test_cut_request_is_logged_with_its_id_and_cause(self) -> None:
+        self.log.emit_cut(self.make_cut(), b"x-id")
+        (fields,) = self.logged_fields("cut")
+        expected = {
+            "request": "id-1",
+            "cause": "drain_timeout",
+            "taken_s": 2.5,
+            "drain_s": 3.5,
+            "conn_requests": 3,
+            "body": "chunked",
+            "body_complete": False,
+            "response_bytes": 0,
+            "response_complete": False,
+            "tries": 0,
+        }
+        self.assertEqual(fields | expected, fields)
+
+    def test_fields_of_the_call_are_part_of_the_line(self) -> None:
+        cut = self.make_cut()
+        cut.req.call_fields = {"request": "id-1", "tries": 2, "trail": [ATTEMPT]}
+        self.log.emit_cut(cut, b"x-id")
+        (fields,) = self.logged_fields("cut")
+        self.assertEqual(fields["trail"], [ATTEMPT])
+        self.assertEqual(fields["tries"], 2)
+
+    def test_request_that_was_not_read_is_named_by_its_head(self) -> None:
+        unread = b"POST /a HTTP/1.1\r\nHost: a\r\nX-Id: id-2\r\n\r\n"
+        self.log.emit_cut(self.make_cut(unread=unread), b"x-id")
+        (fields,) = self.logged_fields("cut")
+        self.assertEqual((fields["request"], fields["after"]), ("id-2", "id-1"))
+        self.assertEqual(fields["cause"], "unread")
+
+    def test_cut_requests_above_the_burst_are_dropped_and_counted(self) -> None:
+        for _ in range(int(CUT_BURST_LINES) + 50):
+            self.log.emit_cut(self.make_cut(), b"x-id")
+        self.assertEqual(len(self.logged_fields("cut")), CUT_BURST_LINES)
+        later = 4.0 + DROPPED_REPORT_INTERVAL_S
+        self.log.emit_response(make_call("later"), 500, later)
+        self.assertEqual(self.logged_fields("left_out"), [{"cut": 50}])
