Take a request in a stop only if it ends before the node

What callers saw: around the SIGTERM of the node that took it, a request that had been passed on and had run ended with a reset; among them requests that may not be repeated.

Cause: a stopping node took requests for up to 4 s of its grace period of 6 s and passed them on with their whole time, although it gives up what is unfinished at 5.3 s. A request that came late and took longer than what was left was cut. Callers come that late on connections that they keep, and when other nodes of their zone stop as well. The owner did the same with requests of other nodes.

Class: work is accepted for longer than the life of what carries it.

Change: a stop opens a window that ends with the drain. A request whose own deadline lies behind the end is refused at once as not run (506), with the time until the end as Retry-After; a request of another node as well, which that node then tries elsewhere. Only while callers cannot know of the stop, the first 2.6 s, such a request is taken, with its deadline brought forward to the end, so that its backend server does not work beyond it. The deadline decides and not the usual run time, since the long requests are the ones that were cut. The node without a hosting platform has the same window of 30 s.

--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -7,10 +7,13 @@
 
 import trio
 
+from marigoldchute.routing.stop_window import StopWindow
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from marigoldchute.hosted.directory import Directory
+    from marigoldchute.routing.entry import Entry
     from marigoldchute.routing.http_server import HttpServer
     from marigoldchute.routing.owner import Owner
 
@@ -55,10 +58,15 @@
     requests until the callers have left, so that it is unused only while its last
     requests end and the next node process starts.
 
+    Callers may go on sending until the end, on connections that they keep and while
+    other nodes are down as well. A request that may outlast the node is not taken.
+
     Parameters
     ----------
     callers : HttpServer
         HTTP server for callers.
+    entry : Entry
+        Entry side of the node, which takes the requests of callers.
     owner : Owner
         Owner side of the node, which runs requests on the backend server of this VM.
     directory : Directory
@@ -72,12 +80,14 @@
     def __init__(
         self,
         callers: HttpServer,
+        entry: Entry,
         owner: Owner,
         directory: Directory,
         grace_s: float,
         report: Callable[[DrainStage, float], None] = _ignore,
     ) -> None:
         self._callers = callers
+        self._entry = entry
         self._owner = owner
         self._directory = directory
         self._grace_s = grace_s
@@ -93,9 +103,12 @@
             of the reserve.
         """
         started = trio.current_time()
+        ends_at = started + self._grace_s - ANNOUNCE_RESERVE_S
+        window = StopWindow(started + MIN_ACCEPT_S, ends_at)
+        self._entry.stop_window = self._owner.stop_window = window
         self._callers.drain()
         self._report(DrainStage.STARTED, 0.0)
-        with trio.move_on_at(started + self._grace_s - ANNOUNCE_RESERVE_S) as scope:
+        with trio.move_on_at(ends_at) as scope:
             await trio.sleep_until(started + MIN_ACCEPT_S)
             await self._wait_for_callers_to_leave(started, OWNER_RESERVE_S)
             self._directory.drain()
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -313,6 +313,7 @@
         self._drain_started_at = trio.current_time()
         drain = NodeDrain(
             self._caller_http_server,
+            self.entry,
             self._owner,
             self.directory,
             self._cfg.bounds.grace_s,
@@ -392,7 +393,8 @@
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
-                        self._owner.refused_while_draining
+                        self.entry.refused_while_draining
+                        + self._owner.refused_while_draining
                     ),
                 },
                 {cause.value: callers.cut_counts[cause] for cause in CutCause},
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -54,6 +54,7 @@
     from marigoldchute.routing.owner import Owner
     from marigoldchute.routing.policy import PathPolicy
     from marigoldchute.routing.route_table import RouteEntry
+    from marigoldchute.routing.stop_window import StopWindow
     from marigoldchute.routing.target import Target
     from marigoldchute.util.clock import Clock
 
@@ -104,6 +105,13 @@
     caller_service : callable
         Returns the service on this VM, which is sent to backend servers as the
         caller's service.
+
+    Attributes
+    ----------
+    stop_window : StopWindow or None
+        Which requests are still taken; None unless the node was told to stop.
+    refused_while_draining : int
+        Number of requests that were refused because they may outlast the node.
     """
 
     def __init__(
@@ -124,6 +132,8 @@
         caller_service: Callable[[], str] = _no_service,
     ) -> None:
         self.metrics = RouteMetrics()
+        self.stop_window: StopWindow | None = None
+        self.refused_while_draining = 0
         self.candidate_tables = CandidateTables(members)
         self.retry_budget: RetryLimit = retry_budget or RetryBudget(
             RETRY_RATIO, MIN_RETRIES_PER_S, RETRY_BURST
@@ -228,6 +238,9 @@
             raise NotRunError(
                 "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
             )
+        deadline = received_at + timeout_ms / 1000
+        if self.stop_window is not None:
+            deadline = self._limit_deadline(self.stop_window, deadline, received_at)
         objective_ms = entry.route.objective_ms
         request_id = self._request_id(req, internal)
         return Call(
@@ -239,7 +252,7 @@
             self._release_choice.pick_release(req, entry, service, split),
             request_id,
             encode_request_headers(req.headers, self._own_request_headers),
-            received_at + timeout_ms / 1000,
+            deadline,
             received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
             received_at,
@@ -247,6 +260,13 @@
             self._owner.is_nested(request_id),
         )
 
+    def _limit_deadline(self, window: StopWindow, deadline: float, now: float) -> float:
+        try:
+            return window.limit_deadline(deadline, now)
+        except NotRunError:
+            self.refused_while_draining += 1
+            raise
+
     def _find_route(self, req: HttpRequest, internal: bool) -> RouteEntry:
         if self._routes is None:
             raise NotRunError(
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -31,6 +31,7 @@
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
     from marigoldchute.routing.request_log import RequestLog
+    from marigoldchute.routing.stop_window import StopWindow
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -90,6 +91,8 @@
         Number of requests that were refused because of a drain.
     stop_cause : CutCause
         Cause of the requests that are abandoned when the process ends.
+    stop_window : StopWindow or None
+        Which requests are still taken; None unless the node was told to stop.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         policy: PathPolicy = STREAMING_POLICY,
         log: RequestLog | None = None,
     ) -> None:
+        self.stop_window: StopWindow | None = None
         self._log = log
         self._servers = servers
         self._address = address
@@ -233,6 +237,7 @@
                 "node is fenced: too few members are reachable",
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
+        self._check_stop_window(head.remaining_ms / 1000, trio.current_time())
         owned = self._find(head.server_id)
         if owned is None:
             raise NotRunError("backend server is not on this VM")
@@ -300,6 +305,15 @@
             owned.pool.discard(conn)
         gate.release_slot()
 
+    def _check_stop_window(self, remaining_s: float, now: float) -> None:
+        if self.stop_window is None:
+            return
+        try:
+            self.stop_window.check_fits(now + remaining_s, now)
+        except NotRunError:
+            self.refused_while_draining += 1
+            raise
+
     def _release_failed(
         self, owned: OwnedServer, attempt: BackendAttempt, cancelled: bool
     ) -> None:
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -13,6 +13,7 @@
 from marigoldchute.routing.entry import Entry
 from marigoldchute.routing.http_server import HttpServer
 from marigoldchute.routing.owner import Owner
+from marigoldchute.routing.stop_window import StopWindow
 
 if TYPE_CHECKING:
     import random
@@ -124,9 +125,12 @@
         elsewhere. For ``DRAIN_ACCEPT_S`` callers are still served, by backend servers
         on other VMs.
         """
+        started = trio.current_time()
+        ends_at = started + DRAIN_LIMIT_S
+        self.entry.stop_window = StopWindow(started + DRAIN_ACCEPT_S, ends_at)
         self.owner.drain()
         self._caller_server.drain()
-        with trio.move_on_after(DRAIN_LIMIT_S) as scope:
+        with trio.move_on_at(ends_at) as scope:
             await trio.sleep(DRAIN_ACCEPT_S)
             self._caller_server.stop_accepting()
             while self._caller_server.is_busy or self.owner.running:
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from marigoldchute.routing.stop_window import StopWindow
+
 GRACE_S = 6.0
 RUN_S = 0.3  # Service time of a request at the backend server.
 
@@ -46,11 +48,16 @@
         self.accepts = False
 
 
+class FakeEntry:
+    stop_window: StopWindow | None = None
+
+
 class FakeOwner:
     """Owner side with running requests until it has drained."""
 
     def __init__(self, run_s: float = RUN_S) -> None:
         self._run_s = run_s
+        self.stop_window: StopWindow | None = None
         self.drained_at: float | None = None
 
     @property
@@ -77,6 +84,7 @@
     """Drain of one node while the nodes are restarted one after another, 1 s apart."""
 
     def setUp(self) -> None:
+        self.entry = FakeEntry()
         self.owner = FakeOwner()
         self.directory = FakeDirectory()
         self.announced_at = 0.0
@@ -88,9 +96,8 @@
             self.announced_at = trio.current_time()
 
         async def main() -> float:
-            await NodeDrain(callers, self.owner, self.directory, GRACE_S).run(
-                announce_leave
-            )
+            drain = NodeDrain(callers, self.entry, self.owner, self.directory, GRACE_S)
+            await drain.run(announce_leave)
             return trio.current_time()
 
         return trio.run(main, clock=MockClock(autojump_threshold=0))
@@ -115,6 +122,13 @@
         self.assertFalse(callers.accepts)
         self.assertLess(elapsed_s, GRACE_S - ANNOUNCE_RESERVE_S)
 
+    def test_requests_are_taken_only_if_they_end_before_the_announcement(self) -> None:
+        self.leave(FakeCallers([]))
+        window = self.entry.stop_window
+        assert window is not None
+        self.assertIs(self.owner.stop_window, window)
+        self.assertAlmostEqual(window.ends_at, GRACE_S - ANNOUNCE_RESERVE_S)
+
     def test_endless_request_leaves_time_for_the_announcement(self) -> None:
         self.owner = FakeOwner(run_s=100.0)
         self.leave(FakeCallers([]))
@@ -134,6 +148,7 @@
         async def main() -> None:
             drain = NodeDrain(
                 FakeCallers([]),  # type: ignore[arg-type]
+                FakeEntry(),  # type: ignore[arg-type]
                 FakeOwner(run_s),  # type: ignore[arg-type]
                 FakeDirectory(),  # type: ignore[arg-type]
                 GRACE_S,
