Answer the requests that outlast a stopping node instead of resetting them

What callers saw: at the end of a stop the connection of a request that was still in progress was reset, which they could not tell from a crash.

Cause: the drain gives up what is in progress 0.7 s before the grace period ends by cancelling its tasks, and a cancelled request resets its connection. The deadline of each request in progress is now brought forward to that moment when the stop begins, so that the usual handling of deadlines reports the unknown outcome (504, code 511) while the connection still stands, and the log says that the node stopped. The same in the node without a hosting platform, whose drain ends after 30 s.

--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -107,6 +107,7 @@
         window = StopWindow(started + MIN_ACCEPT_S, ends_at)
         self._entry.stop_window = self._owner.stop_window = window
         self._callers.drain()
+        self._callers.limit_requests(ends_at)
         self._report(DrainStage.STARTED, 0.0)
         with trio.move_on_at(ends_at) as scope:
             await trio.sleep_until(started + MIN_ACCEPT_S)
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -260,6 +260,9 @@
             self._owner.is_nested(request_id),
         )
 
+    def _has_stopped(self, now: float) -> bool:
+        return self.stop_window is not None and now >= self.stop_window.ends_at
+
     def _limit_deadline(self, window: StopWindow, deadline: float, now: float) -> float:
         try:
             return window.limit_deadline(deadline, now)
@@ -308,8 +311,10 @@
             await self._forward_retained_error(call)
             return
         if call.may_have_run:
+            stops = self._has_stopped(trio.current_time())
             raise RequestError(
-                "no complete response before the deadline",
+                "no complete response before "
+                + ("the node stops" if stops else "the deadline"),
                 ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE,
             )
         raise NotRunError(
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -84,6 +84,12 @@
         # the task has started.
         self.scope = trio.CancelScope()
 
+    def limit(self, ends_at: float) -> None:
+        """Bring the deadline of the request forward."""
+        scope = self.req.cancel_scope
+        if scope is not None:
+            scope.deadline = min(scope.deadline, ends_at)
+
     def abandon(self, cause: CutCause, seen: str) -> None:
         """Cancel the request because its caller does not wait for it any more."""
         if self.cause is None:
@@ -248,6 +254,12 @@
         self._draining = True
         self._drain_started_at = trio.current_time()
 
+    def limit_requests(self, ends_at: float) -> None:
+        """End the requests in progress at a monotonic time in seconds at the latest."""
+        for conn in self._conns:
+            for exchange in conn.in_progress:
+                exchange.limit(ends_at)
+
     def stop_accepting(self) -> None:
         """Close the listener and the connections that wait for a request."""
         self._draining = True
--- a/marigoldchute/routing/path.py
+++ b/marigoldchute/routing/path.py
@@ -130,6 +130,7 @@
         self.entry.stop_window = StopWindow(started + DRAIN_ACCEPT_S, ends_at)
         self.owner.drain()
         self._caller_server.drain()
+        self._caller_server.limit_requests(ends_at)
         with trio.move_on_at(ends_at) as scope:
             await trio.sleep(DRAIN_ACCEPT_S)
             self._caller_server.stop_accepting()
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
         self._sent_at = sorted(sent_at)
         self.accepts = True
         self.draining = False
+        self.requests_end_at = math.inf
 
     @property
     def last_request_at(self) -> float:
@@ -44,6 +46,9 @@
     def drain(self) -> None:
         self.draining = True
 
+    def limit_requests(self, ends_at: float) -> None:
+        self.requests_end_at = ends_at
+
     def stop_accepting(self) -> None:
         self.accepts = False
 
@@ -129,6 +134,11 @@
         self.assertIs(self.owner.stop_window, window)
         self.assertAlmostEqual(window.ends_at, GRACE_S - ANNOUNCE_RESERVE_S)
 
+    def test_requests_in_progress_end_before_the_announcement(self) -> None:
+        callers = FakeCallers([])
+        self.leave(callers)
+        self.assertAlmostEqual(callers.requests_end_at, GRACE_S - ANNOUNCE_RESERVE_S)
+
     def test_endless_request_leaves_time_for_the_announcement(self) -> None:
         self.owner = FakeOwner(run_s=100.0)
         self.leave(FakeCallers([]))
