Keep the caller listener open while requests run on the stopping node's server

What callers saw: requests that ran on the backend server beside a stopping node failed with the 500 of that server. Cause: the node closed its listener for callers when the callers had left, 2.6 to 4 s after the signal, while requests of other nodes still ran on its backend server; the calls that these make go through the same listener and were refused a connection. The listener now closes once no request runs there.

Ruled out: a refusal by the called service; the calls did not connect at all.

--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -116,11 +116,15 @@
             self._owner.drain()
             self._report_stage(DrainStage.SERVER_WITHDRAWN, started)
             await self._wait_for_callers_to_leave(started, ENTRY_RESERVE_S)
+            # What still runs on the backend server may call others through this node.
+            while self._owner.running:
+                await trio.sleep(POLL_INTERVAL_S)
             self._callers.stop_accepting()
             self._report_stage(DrainStage.LISTENER_CLOSED, started)
-            while self._callers.is_busy or self._owner.running:
+            while self._callers.is_busy:
                 await trio.sleep(POLL_INTERVAL_S)
         if scope.cancelled_caught:
+            self._callers.stop_accepting()
             self._report_stage(DrainStage.TIMED_OUT, started)
         with trio.move_on_after(ANNOUNCE_RESERVE_S / 2):
             await announce()
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -32,6 +32,7 @@
         self._sent_at = sorted(sent_at)
         self.accepts = True
         self.draining = False
+        self.closed_at: float | None = None
         self.requests_end_at = math.inf
 
     @property
@@ -51,6 +52,7 @@
 
     def stop_accepting(self) -> None:
         self.accepts = False
+        self.closed_at = trio.current_time()
 
 
 class FakeEntry:
@@ -134,6 +136,17 @@
         self.assertIs(self.owner.stop_window, window)
         self.assertAlmostEqual(window.ends_at, GRACE_S - ANNOUNCE_RESERVE_S)
 
+    # Guards against failures of requests whose nested calls find the listener closed.
+    def test_callers_are_accepted_while_requests_run_on_the_backend_server(
+        self,
+    ) -> None:
+        self.owner = FakeOwner(run_s=1.2)
+        callers = FakeCallers([])
+        self.leave(callers)
+        assert self.owner.drained_at is not None
+        assert callers.closed_at is not None
+        self.assertGreaterEqual(callers.closed_at, self.owner.drained_at + 1.2)
+
     def test_requests_in_progress_end_before_the_announcement(self) -> None:
         callers = FakeCallers([])
         self.leave(callers)
