Test the causes of cut requests and describe their lines

The lines are checked per cause at the HTTP server and at the owner, and with real processes on a kept connection at both ends. The drain's lines count the connections that wait for the rest of a head; bytes behind a last response are also reported if the wait for the caller fails.

--- a/marigoldchute/admin/metrics.py
+++ b/marigoldchute/admin/metrics.py
@@ -105,7 +105,8 @@
         yield from _resource_metrics(snapshot.stats, snapshot.counts.store_calls)
         for name, count in sorted(snapshot.counts.counters.items()):
             yield _counter(name, f"Number of {name.replace('_', ' ')}.", count)
-        yield from _drain_metrics(snapshot.counts)
+        if snapshot.counts.cut_requests:
+            yield from _drain_metrics(snapshot.counts)
         if snapshot.counts.latencies:
             yield _latency_metric(snapshot.counts.latencies)
 
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -333,6 +333,7 @@
             grace_s=self._cfg.bounds.grace_s,
             requests=callers.running,
             connections=callers.connections,
+            reading=callers.reading,
             taken=callers.taken_while_draining,
             idle_closed=callers.idle_closed,
             last_taken_s=round(trio.current_time() - callers.last_request_at, 3),
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -223,6 +223,14 @@
         """Number of open connections."""
         return len(self._conns)
 
+    @property
+    def reading(self) -> int:
+        """Number of connections that wait for the rest of a request's head."""
+        return sum(
+            not conn.in_progress and not conn.parser.is_between_requests
+            for conn in self._conns
+        )
+
     @property
     def is_busy(self) -> bool:
         """Whether connections are open or may still be accepted."""
@@ -490,9 +498,12 @@
             )
             conn.tcp.abort()
             return False
-        unread = await _close_lingering(conn.tcp)
-        if unread and req.complete:
-            self._report_unread(conn, exchange, unread)
+        unread = bytearray()
+        try:
+            await _close_lingering(conn.tcp, unread)
+        finally:
+            if unread and req.complete:
+                self._report_unread(conn, exchange, bytes(unread))
         return False
 
     def _report_unread(
@@ -602,17 +613,16 @@
 
 async def _send_refusal(tcp: TcpConn, exc: RequestError) -> None:
     await tcp.send(_encode_refusal(exc))
-    await _close_lingering(tcp)
+    await _close_lingering(tcp, bytearray())
 
 
-async def _close_lingering(tcp: TcpConn) -> bytes:
+async def _close_lingering(tcp: TcpConn, unread: bytearray) -> None:
     """Half-close first, so that a caller that still sends can read its response.
 
-    Returns the first of the bytes that were discarded.
+    The first of the bytes that are discarded are appended to ``unread``.
     """
     tcp.send_eof()
     discarded_bytes = 0
-    unread = b""
     with trio.move_on_after(LINGER_TIMEOUT_S):
         while discarded_bytes < MAX_LINGER_BYTES:
             data = await tcp.receive(MAX_LINGER_BYTES)
@@ -621,4 +631,3 @@
             discarded_bytes += len(data)
             unread += data[: MAX_UNREAD_BYTES - len(unread)]
     tcp.close()
-    return unread
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -12,7 +12,7 @@
 import trio
 
 from marigoldchute.platform.settings import METRICS_PORT
-from tests.support.hosted import HostedMesh, hosted_mesh
+from tests.support.hosted import CALLER_PORT, HOST, HostedMesh, hosted_mesh
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -264,6 +264,55 @@
 
         self.run_mesh(scenario)
 
+    def test_cut_on_a_kept_connection_is_logged_at_both_ends(self) -> None:
+        head = (
+            f"POST /a/1 HTTP/1.1\r\nHost: {HOST}\r\nDeadline-Ms: 20000\r\n"
+            "Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.put_configuration(timeout_ms=20_000)
+            await trio.sleep(1.0)
+            streams = {}
+            for name in ("part", "whole"):
+                stream = await trio.open_tcp_stream(mesh.address("vm-1"), CALLER_PORT)
+                await stream.send_all((head % f"{name}-0").encode() + b"0\r\n\r\n")
+                self.assertIn(b" 200 ", await stream.receive_some(10_000))
+                streams[name] = stream
+            for backend in mesh.backends.values():
+                backend.service_time_s = 30.0
+            for name, end in (("part", b""), ("whole", b"0\r\n\r\n")):
+                data = (head % f"{name}-1").encode() + b"3\r\nabc\r\n" + end
+                await streams[name].send_all(data)
+            await trio.sleep(0.3)
+            mesh.signal_node("vm-1", signal.SIGTERM)
+            self.assertEqual(await mesh.wait_for_exit("vm-1"), 0)
+            await trio.sleep(0.3)
+            for stream in streams.values():
+                with self.assertRaises(trio.BrokenResourceError):
+                    await stream.receive_some(1)
+                await stream.aclose()
+            events = mesh.read_events("vm-1")
+            cut = {e["request"]: e for e in named(events, "routing:cut")}
+            for name, waits_for in (("part", "body"), ("whole", "response")):
+                fields = cut.pop(f"{name}-1")
+                self.assertEqual(fields["cause"], "drain_timeout")
+                self.assertEqual(fields["waits_for"], waits_for)
+                self.assertEqual(fields["body_complete"], name == "whole")
+                self.assertEqual((fields["body"], fields["body_bytes"]), ("chunked", 3))
+                self.assertEqual(fields["conn_requests"], 1)
+                owner = fields["trail"][0].split()[0]
+                (line,) = (
+                    e
+                    for e in named(mesh.read_events(owner), "owner:abandoned")
+                    if e["request"] == f"{name}-1"
+                )
+                self.assertIn(line["cause"], ("entry_cancelled", "link"))
+                self.assertEqual(line["waits_for"], "response")
+            self.assertEqual(cut, {})
+
+        self.run_mesh(scenario)
+
     def test_drain_is_logged_stage_by_stage(self) -> None:
         async def scenario(mesh: HostedMesh) -> None:
             mesh.signal_node("vm-0", signal.SIGTERM)
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -11,7 +11,9 @@
 import httpcore
 import trio
 
+from marigoldchute.errors import RequestError
 from marigoldchute.routing import http_server
+from marigoldchute.routing.cut import Cut, CutCause
 from marigoldchute.routing.http_server import HttpServer
 from marigoldchute.standins.loopback import LoopbackBlock
 
@@ -75,7 +77,8 @@
     def run_server(self, body: Callable[[str], Awaitable[None]]) -> None:
         block = LoopbackBlock()
         address = f"127.{block.number}.1.1"
-        self.server = HttpServer(self.handler)
+        self.cuts: list[Cut] = []
+        self.server = HttpServer(self.handler, on_cut=self.cuts.append)
 
         async def main() -> None:
             with trio.fail_after(10):
@@ -318,3 +321,149 @@
                 await trio.open_tcp_stream(address, PORT)
 
         self.run_server(body)
+
+
+class CutTest(ServerTestCase):
+    """Requests whose connection ends without a complete response are reported."""
+
+    GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    def check_cut(self, cause: CutCause, target: bytes = b"/a") -> Cut:
+        """Check that one request was cut and return it."""
+        (cut,) = self.cuts
+        self.assertEqual((cut.req.target, cut.cause), (target, cause))
+        self.assertEqual(self.server.cut_counts, {cause: 1})
+        return cut
+
+    async def hang(self, req: HttpRequest, responder: HttpResponder) -> None:
+        with trio.CancelScope() as scope:
+            req.cancel_scope = scope
+            await trio.sleep_forever()
+
+    def cut_by_the_handler(self, exc: Exception | None) -> None:
+        async def fail(req: HttpRequest, responder: HttpResponder) -> None:
+            await responder.start(200, [(b"content-length", b"99")], b"part")
+            if exc is not None:
+                raise exc
+
+        async def body(address: str) -> None:
+            self.server._on_failure = lambda exc: None
+            await self.exchange(address, self.GET % b"a")
+
+        self.handler = fail
+        self.run_server(body)
+
+    def test_answered_requests_are_not_reported(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            for _ in range(2):
+                await stream.send_all(self.GET % b"a")
+                await stream.receive_some(1000)
+            await stream.aclose()
+            await trio.sleep(0.1)
+
+        self.run_server(body)
+        self.assertEqual(self.cuts, [])
+
+    def test_unexpected_error_of_the_handler(self) -> None:
+        self.cut_by_the_handler(KeyError("test"))
+        cut = self.check_cut(CutCause.HANDLER_ERROR)
+        assert cut.responder is not None
+        self.assertGreater(cut.responder.sent_bytes, len(b"part"))
+        self.assertFalse(cut.responder.finished)
+
+    def test_partial_response(self) -> None:
+        self.cut_by_the_handler(RequestError("test"))
+        self.check_cut(CutCause.PARTIAL_RESPONSE)
+
+    def test_response_that_the_handler_never_ends(self) -> None:
+        self.cut_by_the_handler(None)
+        self.check_cut(CutCause.PARTIAL_RESPONSE)
+
+    def test_caller_that_closes_its_connection(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(self.GET % b"a")
+            await trio.sleep(0.02)
+            await stream.aclose()
+            while not self.cuts:
+                await trio.sleep(0.01)
+
+        self.handler = self.hang
+        self.run_server(body)
+        self.assertTrue(self.check_cut(CutCause.CALLER_LEFT).seen.startswith("poll "))
+
+    def test_server_that_is_stopped(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(self.GET % b"a")
+            await trio.sleep(0.02)
+
+        self.handler = self.hang
+        self.run_server(body)
+        cut = self.check_cut(CutCause.STOPPED)
+        self.assertIsNone(cut.drain_started_at)
+
+    def test_request_taken_while_draining_is_cut_at_the_end(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(self.GET % b"first")
+            await stream.receive_some(1000)
+            self.server.drain()
+            await trio.sleep(0.02)
+            await stream.send_all(self.GET % b"a")
+            await trio.sleep(0.02)
+            self.server.stop_cause = CutCause.DRAIN_TIMEOUT
+
+        async def handler(req: HttpRequest, responder: HttpResponder) -> None:
+            await (echo if req.target == b"/first" else self.hang)(req, responder)
+
+        self.handler = handler
+        self.run_server(body)
+        cut = self.check_cut(CutCause.DRAIN_TIMEOUT)
+        assert cut.drain_started_at is not None
+        assert cut.taken_at is not None
+        self.assertGreater(cut.taken_at, cut.drain_started_at)
+        self.assertEqual(cut.conn_requests, 1)
+        self.assertEqual(self.server.taken_while_draining, 1)
+
+    def test_requests_behind_one_that_is_cut(self) -> None:
+        async def fail(req: HttpRequest, responder: HttpResponder) -> None:
+            if req.target != b"/0":
+                await self.hang(req, responder)
+                return
+            await trio.sleep(0.1)
+            await responder.start(200, [(b"content-length", b"99")], b"part")
+
+        async def body(address: str) -> None:
+            names = [b"%d" % index for index in range(12)]
+            data = b"".join(self.GET % name for name in names)
+            await self.exchange(address, data)
+            await trio.sleep(0.1)
+
+        self.handler = fail
+        self.run_server(body)
+        self.assertEqual(
+            sorted(cut.req.target for cut in self.cuts),
+            sorted(b"/%d" % index for index in range(12)),
+        )
+        self.assertEqual(
+            self.server.cut_counts, {CutCause.PARTIAL_RESPONSE: len(self.cuts)}
+        )
+        self.assertTrue(any(cut.taken_at is None for cut in self.cuts))
+
+    def test_request_sent_behind_the_last_response(self) -> None:
+        late = b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n"
+
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            self.server.drain()
+            await stream.send_all(self.GET % b"a")
+            self.assertIn(b"connection: close", await stream.receive_some(1000))
+            await stream.send_all(late)
+            await stream.aclose()
+            while not self.cuts:
+                await trio.sleep(0.01)
+
+        self.run_server(body)
+        self.assertEqual(self.check_cut(CutCause.UNREAD).unread, late)
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 import trio
 
 from marigoldchute.errors import NotRunError, RequestError, ResultCode
+from marigoldchute.events import MemoryEventLog
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.routing import backend_conn
+from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.messages import ENCODER, RequestHead, ResponseHead
 from marigoldchute.routing.owner import Owner
+from marigoldchute.routing.request_log import RequestLog
 from tests.support.servers import PORT, read_request, serve_script
 
 if TYPE_CHECKING:
@@ -347,6 +351,106 @@
         trio.run(main)
 
 
+class RunningStream(FakeStream):
+    """Stream of a request that runs until the stream ends."""
+
+    def __init__(self, remaining_ms: int) -> None:
+        head = msgspec.structs.replace(make_head(), remaining_ms=remaining_ms)
+        self.head = ENCODER.encode(head)
+        self.error_code: ResultCode | None = None
+
+    def pop_complete_data(self) -> bytes:
+        return b""
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        self._on_cancel = callback
+
+    def fail(self, code: ResultCode) -> None:
+        self.error_code = code
+        self._on_cancel()
+
+
+class AbandonedLineTest(unittest.TestCase):
+    """Runs that are given up are logged with the cause and what they waited for."""
+
+    def abandon(
+        self,
+        *codes: ResultCode | None,
+        remaining_ms: int = 5000,
+        cause_of_stop: CutCause = CutCause.STOPPED,
+    ) -> list[dict[str, Any]]:
+        """Serve a request for each code, which ends its stream; return the lines.
+
+        One request runs at a time. Without a code the process ends at last.
+        """
+        sink = MemoryEventLog()
+
+        async def hang(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await trio.sleep_forever()
+
+        async def main() -> None:
+            async with serve_script(hang) as address, trio.open_nursery() as nursery:
+                log = RequestLog(sink)  # type: ignore[arg-type]
+                owner = Owner(FakeServers(address, 1), address, log=log)
+                await nursery.start(owner.run)
+                streams = [RunningStream(remaining_ms) for _ in codes]
+                for stream in streams:
+                    nursery.start_soon(owner.serve, stream)
+                    await trio.sleep(0.02)
+                self.assertEqual(owner.remote_requests, len(codes))
+                for stream, code in zip(streams, codes, strict=True):
+                    if code is not None:
+                        stream.fail(code)
+                await trio.sleep(0.1)
+                owner.stop_cause = cause_of_stop
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return [e.fields for e in sink.events if e.event == "abandoned"]
+
+    def check_line(self, fields: dict[str, Any], cause: str, waits_for: str) -> None:
+        self.assertEqual((fields["cause"], fields["waits_for"]), (cause, waits_for))
+        self.assertEqual(fields["written"], waits_for == "response")
+        self.assertEqual(fields["request"], "id")
+
+    def test_entry_node_that_cancels_its_request(self) -> None:
+        (fields,) = self.abandon(ResultCode.REQUEST_CANCELLED)
+        self.check_line(fields, "entry_cancelled", "response")
+
+    def test_link_that_closes(self) -> None:
+        (fields,) = self.abandon(ResultCode.PEER_UNREACHABLE)
+        self.check_line(fields, "link", "response")
+
+    def test_deadline(self) -> None:
+        (fields,) = self.abandon(None, remaining_ms=50)
+        self.check_line(fields, "deadline", "response")
+
+    def test_end_of_the_process(self) -> None:
+        (fields,) = self.abandon(None)
+        self.check_line(fields, "stopped", "response")
+
+    def test_request_that_waits_for_a_slot(self) -> None:
+        cause = CutCause.DRAIN_TIMEOUT
+        running, waiting = sorted(
+            self.abandon(None, None, cause_of_stop=cause),
+            key=lambda fields: str(fields["waits_for"]),
+        )
+        self.check_line(running, "drain_timeout", "response")
+        self.check_line(waiting, "drain_timeout", "slot")
+
+    def test_refusals_because_of_a_drain_are_counted(self) -> None:
+        owner = Owner(FakeServers("127.0.0.1"), "127.0.0.1")
+        owner.drain()
+
+        async def main() -> None:
+            with self.assertRaises(NotRunError):
+                await owner.execute(make_head(), CollectingExchange())
+
+        trio.run(main)
+        self.assertEqual(owner.refused_while_draining, 1)
+
+
 class AbandonedRequestTest(OwnerTestCase):
     slots = 1
 
