Do not end the process when the time for a refused head runs out

What callers saw: one malformed request head, sent slowly, ended the process of a node, and each request that it had passed on ended without a response.

Cause: a connection whose head was refused waits for up to a second until the caller has read the response, with its sending side shut down. If the time for the head ran out in that second, the monitor of all connections wrote a 408 to it, and the error left the monitor, the server and the process. Such a connection now counts as closing, for which no time runs, and a connection that breaks at that moment is only closed.

Class: an error of one connection in a task that serves all of them.

--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
@@ -322,6 +323,7 @@
                 except CallerDisconnectedError:
                     return
                 except RequestError as exc:
+                    conn.closing = True
                     await _send_refusal(conn.tcp, exc)
                     return
             exchange = self._take_request(conn)
@@ -397,6 +399,7 @@
             while conn.in_progress and not conn.closing:
                 await conn.in_progress[-1].done.wait()
             if refusal is not None and not conn.closing:
+                conn.closing = True
                 await _send_refusal(conn.tcp, refusal)
             conn.read_ahead_done.set()
 
@@ -591,14 +594,15 @@
 
     def _close_expired(self, now: float) -> None:
         for conn in tuple(self._conns):
-            if conn.in_progress or now < conn.expires_at:
+            if conn.in_progress or conn.closing or now < conn.expires_at:
                 continue
             if not conn.parser.is_between_requests:
                 exc = RequestError(
                     "request head was sent too slowly",
                     ResultCode.REQUEST_SENDER_TIMEOUT,
                 )
-                conn.tcp.send_now(_encode_refusal(exc))
+                with contextlib.suppress(OSError):
+                    conn.tcp.send_now(_encode_refusal(exc))
             self.idle_closed += 1
             conn.tcp.close()
 
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -177,6 +177,28 @@
         finally:
             http_server.HEAD_TIMEOUT_S, http_server.EXPIRY_CHECK_INTERVAL_S = limits
 
+    # Guards against one refused head that ends the process with all its requests.
+    def test_time_limit_of_a_head_that_was_refused_does_not_end_the_server(
+        self,
+    ) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(b"GET / HTTP/1.1\r\n")
+            await trio.sleep(0.1)
+            await stream.send_all(b"no header\r\n")
+            self.assertIn(b" 400 ", await stream.receive_some(1000))
+            await trio.sleep(0.5)
+            response = await self.exchange(
+                address, b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            )
+            self.assertIn(b"/x 0", response)
+
+        with (
+            mock.patch.object(http_server, "HEAD_TIMEOUT_S", 0.3),
+            mock.patch.object(http_server, "EXPIRY_CHECK_INTERVAL_S", 0.05),
+        ):
+            self.run_server(body)
+
     def test_idle_connection_is_closed_without_a_response(self) -> None:
         async def body(address: str) -> None:
             self.assertEqual(await self.exchange(address, b""), b"")
