Close the connections that a stopping node would keep without a request

What callers saw: a connection that was accepted while the listener closed, or whose last response had begun before the stop, stayed open until the end of the grace period.

Cause: the node closed the connections without a request once, at the moment at which it closed its listener. Connections that came to wait for a request after that moment waited for their usual idle time. They now wait a quarter of a second, enough for a request that is on its way. The time for a head counts from its first byte on, so that this wait does not shorten it, and a connection on which a request has arrived is read instead of closed.

--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -30,6 +30,9 @@
 LINGER_TIMEOUT_S = 1.0
 MAX_LINGER_BYTES = 262_144
 MAX_UNREAD_BYTES = 2_048  # Kept of the discarded bytes, for the log.
+# A connection without a request is kept this long once no more are accepted, so that a
+# request that is already on its way is read.
+LAST_REQUEST_WAIT_S = 0.25
 # A request may be 24 calls deep, and each node adds this delay to its cancellation.
 DISCONNECT_POLL_INTERVAL_S = 0.05
 IDLE_POLL_INTERVAL_S = 0.5
@@ -215,6 +218,7 @@
         self._conns: set[_CallerConn] = set()
         self._listener: TcpListener | None = None
         self._draining = False
+        self._stopped_accepting = False
         self.limits: CallerLimits | None = None
         self._request_taken = trio.Event()
         self.last_request_at = 0.0
@@ -274,6 +278,8 @@
         self._draining = True
         if self._drain_started_at is None:
             self._drain_started_at = trio.current_time()
+        self._stopped_accepting = True
+        self._request_taken.set()
         if self._listener is not None:
             self._listener.close()
         for conn in tuple(self._conns):
@@ -547,16 +553,21 @@
             conn.parser.max_body_bytes = self.limits.body_bytes
             head_timeout_s = self.limits.head_timeout_ms / 1000
             idle_timeout_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        if self._stopped_accepting:
+            idle_timeout_s = min(idle_timeout_s, LAST_REQUEST_WAIT_S)
         conn.idle_timeout_s = idle_timeout_s
         conn.expires_at = now + idle_timeout_s
+        has_begun = False
         while not conn.parser.requests:
             await conn.parser.read_more()
-            conn.expires_at = min(conn.expires_at, trio.current_time() + head_timeout_s)
+            if not has_begun:
+                has_begun = True
+                conn.expires_at = trio.current_time() + head_timeout_s
 
     async def _monitor_connections(self) -> None:
         next_expiry_check = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
         while True:
-            if any(conn.in_progress for conn in self._conns):
+            if self._stopped_accepting or any(c.in_progress for c in self._conns):
                 await trio.sleep(DISCONNECT_POLL_INTERVAL_S)
                 self._poll_busy_connections()
             else:
@@ -564,7 +575,7 @@
                 with trio.move_on_after(IDLE_POLL_INTERVAL_S):
                     await self._request_taken.wait()
             now = trio.current_time()
-            if now >= next_expiry_check:
+            if self._stopped_accepting or now >= next_expiry_check:
                 next_expiry_check = now + EXPIRY_CHECK_INTERVAL_S
                 self._close_expired(now)
 
@@ -603,6 +614,8 @@
                 )
                 with contextlib.suppress(OSError):
                     conn.tcp.send_now(_encode_refusal(exc))
+            elif not conn.tcp.is_idle():
+                continue  # A request has arrived and is read next.
             self.idle_closed += 1
             conn.tcp.close()
 
