Do not count a pause of this process as silence of its peers

A node that did not run for 1.2 to 1.4 s closed links whose peers were alive, and callers got 502 for the requests on them, on both sides of the link. The task that checks the heartbeats wakes up together with the tasks that read the links; if it runs first, it takes the time of the pause for silence, although heartbeats wait to be read. The delay of the check is now left out of the silence. A peer that is silent while this process runs is still found within the same time.

--- a/marigoldchute/link/endpoint.py
+++ b/marigoldchute/link/endpoint.py
@@ -220,10 +220,11 @@
         # One task serves all links, because waking a task per link costs more than
         # sending the few bytes of a heartbeat.
         while True:
-            await trio.sleep(self._heartbeat_ms / 1000)
+            due_at = trio.current_time() + self._heartbeat_ms / 1000
+            await trio.sleep_until(due_at)
             now = trio.current_time()
             for link in tuple(self.links):
-                link.check_heartbeat(now)
+                link.check_heartbeat(now, now - due_at)
 
     async def _handle_connection(self, stream: trio.SocketStream) -> None:
         if (
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -168,7 +168,7 @@
         finally:
             self.close()
 
-    def check_heartbeat(self, now: float) -> None:
+    def check_heartbeat(self, now: float, delay_s: float = 0.0) -> None:
         """Close the link if the peer timed out, else send a heartbeat if one is due.
 
         A heartbeat is due when nothing was sent for ``HEARTBEAT_IDLE_FRACTION`` of the
@@ -178,7 +178,11 @@
         ----------
         now : float
             Monotonic time in seconds.
+        delay_s : float
+            Delay of this check in seconds. It does not count as silence of the peer:
+            this process did not run, and what has arrived may not be read yet.
         """
+        self._last_received_at = min(now, self._last_received_at + delay_s)
         if now - self._last_received_at > TIMEOUT_HEARTBEATS * self._heartbeat_s:
             self.close()
         elif now - self._last_sent_at > HEARTBEAT_IDLE_FRACTION * self._heartbeat_s:
