Keep a replaced link to a paused peer until its requests have ended

A peer that was paused for longer than 1.1 s is dialled anew. The new link closed the old one at once, since it was suspected, and with it the requests that the peer still ran; callers got 502. A suspected link is now closed at once only if the peer has been started again.

The new test of the overlay failed before.

--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -231,16 +231,20 @@
         lower_opened_old = old.is_initiator == (self._name < name)
         if simultaneous and lower_opened_old:
             return False
-        self._retire(old)
+        if old.is_suspected and old.peer.incarnation != link.peer.incarnation:
+            old.close()
+        else:
+            self._retire(old)
         return True
 
     def _retire(self, link: Link) -> None:
-        """Close a replaced link once it is idle, or at once when it is suspected."""
-        if link.is_suspected:
-            link.close()
-        else:
-            assert self._nursery is not None
-            self._nursery.start_soon(_close_when_idle, link)
+        """Close a replaced link once it is idle.
+
+        A suspected link may belong to a peer that was only paused and still runs the
+        requests on it. If the peer is lost, its missing heartbeats close the link.
+        """
+        assert self._nursery is not None
+        self._nursery.start_soon(_close_when_idle, link)
 
     def _flood(self, record: Record, source: str) -> None:
         for name in self._flood_targets(source):
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -165,3 +165,27 @@
             await self.check_closed_when_idle(older)
 
         self.run_overlay(accept)
+
+    # Guards against requests that are cut off by a new link to a peer which was only
+    # paused for a moment and goes on running them.
+    def test_replaced_link_of_a_paused_peer_is_closed_only_when_idle(self) -> None:
+        async def accept(overlay: Overlay) -> None:
+            older = self.endpoint.links["vm-2"]
+            older.is_suspected = True
+            overlay.accept(self.accepted)
+            await trio.sleep(RETIRE_IDLE_S / 2)
+            self.assertIs(overlay.link_to("vm-2"), self.accepted)
+            await self.check_closed_when_idle(older)
+
+        self.run_overlay(accept)
+
+    def test_suspected_link_of_an_earlier_incarnation_is_closed_at_once(self) -> None:
+        async def accept(overlay: Overlay) -> None:
+            older = self.endpoint.links["vm-2"]
+            older.is_suspected = True
+            self.accepted.peer = PeerIdentity("vm-2", 2, "dc", "r")
+            overlay.accept(self.accepted)
+            await trio.sleep(RETIRE_IDLE_S / 2)
+            self.assertFalse(older.is_open)
+
+        self.run_overlay(accept)
