Announce the close of a connection whose request body was not read

Callers that reuse connections saw a connection end without an answer to their next request. A response that is sent before its request body has arrived, such as a refusal, ends the use of the connection: the rest of the body is discarded for up to a second and then the connection is closed. The response did not say so, and a further request of the caller was discarded along with the rest of the body. The response now has 'Connection: close'.

The new test failed before: the header was missing for a body with a length and for one in chunks.

--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -231,6 +231,8 @@
     def _encode_head(self, status: int, block: bytes, has_length: bool) -> bytes:
         self.started = True
         self.keep_alive = self.keep_alive and self._may_keep_alive()
+        if self._req is not None and not self._req.complete:
+            self.keep_alive = False  # The rest of the body may never be read.
         bodiless = self._bodiless or status in (204, 304) or status < 200
         hop_headers = b""
         if not has_length and not bodiless:
--- a/tests/test_platform/test_stop_chain.py
+++ b/tests/test_platform/test_stop_chain.py
@@ -43,14 +43,16 @@
         self._received = b""
         self.closing = False
 
-    async def request(self, name: bytes, piece_delay_s: float = 0.2) -> int:
+    async def request(
+        self, name: bytes, request_id: bytes = b"1", piece_delay_s: float = 0.2
+    ) -> int:
         """Send a request framed in one of ``FRAMINGS``; return the final status.
 
         The status is 0 if the connection ends without a complete response.
         """
         fields, pieces = FRAMINGS[name]
         try:
-            head = HEAD % (name, fields)
+            head = HEAD % (request_id, fields)
             if len(pieces) == 1 and EXPECT not in fields:
                 await self._stream.send_all(head + pieces[0])
             else:
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -247,6 +247,21 @@
 
         self.run_server(body)
 
+    # Guards against a further request that is discarded without a response, because
+    # its caller was not told that the connection closes.
+    def test_response_before_the_end_of_the_body_announces_the_close(self) -> None:
+        async def refuse(req: HttpRequest, responder: HttpResponder) -> None:
+            await responder.start(503, [(b"content-length", b"0")])
+            await responder.finish()
+
+        async def body(address: str) -> None:
+            for head in (CHUNKED + b"1\r\n", POST + b"Content-Length: 5\r\n\r\n"):
+                response = await self.exchange(address, head + b"a")
+                self.assertIn(b"connection: close", response)
+
+        self.handler = refuse
+        self.run_server(body)
+
 
 class TruncatedResponseTest(ServerTestCase):
     def test_truncated_response_is_an_error_for_the_client(self) -> None:
