Show requests of other nodes that a stopping node takes and cannot complete

Callers of other nodes saw 502 for requests that were passed on to a node after its SIGTERM and that took longer than its grace period: it goes on taking requests until its callers have left, whatever time they need.

--- a/tests/test_platform/test_stop_chain.py
+++ b/tests/test_platform/test_stop_chain.py
@@ -9,7 +9,7 @@
 import trio
 
 from tests.support.hosted import CALLER_PORT, HOST
-from tests.test_platform.test_processes import ProcessTestCase
+from tests.test_platform.test_processes import GRACE_S, ProcessTestCase
 
 if TYPE_CHECKING:
     from tests.support.hosted import Backend, HostedMesh
@@ -176,6 +176,31 @@
         self.run_mesh(scenario)
 
 
+class OwnerStopTest(ProcessTestCase):
+    # Guards against requests of other nodes that a stopping node takes although they
+    # last longer than it does, and that end with 502 when it ends.
+    def test_stopping_node_takes_no_request_that_it_cannot_complete(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.put_configuration(timeout_ms=9000)
+            await mesh.wait_until_serving()
+            for backend in mesh.backends.values():
+                backend.service_time_s = GRACE_S - 0.5
+            statuses: list[int] = []
+
+            async def send_request() -> None:
+                response = await mesh.send_request("vm-1", deadline_ms=9000)
+                statuses.append(response.status)
+
+            mesh.signal_node("vm-0", signal.SIGTERM)
+            await trio.sleep(0.3)
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(send_request)
+            self.assertEqual(statuses, [200] * 8)
+
+        self.run_mesh(scenario)
+
+
 class IdleConnectionTest(ProcessTestCase):
     # Guards against a request that is taken on a connection without any request just
     # before the end of the grace period, passed on and then cut off.
