Ignore SIGHUP while the modules of a node process are loaded

A SIGHUP in the first half second of a node process ended it with status -1, since the handler was installed only after its modules were loaded. The signal is now ignored from the first line on; the settings are read after that, and again every 2 s. The rest of the entry point moves to a module of its own, which is loaded after the signal is set.

SIGTERM still ends a process that loads its modules; it has accepted nothing by then.

--- a/marigoldchute/platform/__main__.py
+++ b/marigoldchute/platform/__main__.py
@@ -2,76 +2,18 @@
 
 from __future__ import annotations
 
-import gc
-import random
 import signal
 import sys
 
-import trio
-
-from marigoldchute.errors import MarigoldchuteError, SettingsError
-from marigoldchute.events import EventLog
-from marigoldchute.hosted.node import HostedNode
-from marigoldchute.platform.adapter import PlatformAdapter
-from marigoldchute.platform.settings import read_settings, settings_path
-
-RELOAD_INTERVAL_S = 2.0  # The settings file may change without a SIGHUP.
-GC_THRESHOLD_0 = 20_000  # Net allocations that start a garbage collection.
-
-
-async def _run(node: HostedNode, path: str, log: EventLog) -> None:
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(node.run)
-        nursery.start_soon(_reload_periodically, node, path, log)
-        draining = False
-        signal_numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        # The receiver stays open during a drain: the default action of a further signal
-        # would end the process.
-        with trio.open_signal_receiver(*signal_numbers) as signals:
-            async for signal_number in signals:
-                if signal_number == signal.SIGHUP:
-                    _reload(node, path, log)
-                elif signal_number == signal.SIGINT:
-                    nursery.cancel_scope.cancel()
-                elif not draining:
-                    draining = True
-                    nursery.start_soon(_drain, node, nursery.cancel_scope)
-
-
-async def _drain(node: HostedNode, scope: trio.CancelScope) -> None:
-    await node.drain()
-    scope.cancel()
-
-
-async def _reload_periodically(node: HostedNode, path: str, log: EventLog) -> None:
-    while True:
-        await trio.sleep(RELOAD_INTERVAL_S)
-        _reload(node, path, log)
-
-
-def _reload(node: HostedNode, path: str, log: EventLog) -> None:
-    try:
-        node.reload(read_settings(path))
-    except SettingsError as exc:
-        log.emit("node", "reload_failed", f"{exc.message}.", code=exc.code.value)
-
 
 def main() -> int:
     """Run the node until it is stopped by a signal; return the exit status."""
-    try:
-        path = settings_path()
-        cfg = read_settings(path)
-    except MarigoldchuteError as exc:
-        print(exc, file=sys.stderr)
-        return exc.code.exit_status
-    rng = random.Random()
-    log = EventLog(cfg.name)
-    node = HostedNode(cfg, PlatformAdapter(cfg, rng), log, rng)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD_0)
-    trio.run(_run, node, path, log)
-    return 0
+    # The default action would end the process while its modules are loaded. The
+    # settings are read after that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from marigoldchute.platform import process
+
+    return process.main()
 
 
 if __name__ == "__main__":
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -232,6 +232,11 @@
                 await trio.sleep(0.05)
         return status
 
+    def has_loaded(self, name: str, package: str) -> bool:
+        """Return whether a node process has loaded a compiled module of a package."""
+        pid = self.processes[name].pid
+        return f"/{package}/" in pathlib.Path(f"/proc/{pid}/maps").read_text()
+
     def read_log(self, name: str) -> str:
         return (self.directory / f"{name}.log").read_text()
 
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -119,6 +119,23 @@
         self.run_mesh(scenario)
 
 
+class ReloadTest(ProcessTestCase):
+    # Guards against a node process that ends when its settings change just after its
+    # start.
+    def test_sighup_does_not_end_a_process_that_loads_its_modules(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.signal_node("vm-0", signal.SIGKILL)
+            await mesh.wait_for_exit("vm-0")
+            mesh.start_node("vm-0")
+            while not mesh.has_loaded("vm-0", "msgspec"):
+                await trio.sleep(0.002)
+            mesh.signal_node("vm-0", signal.SIGHUP)
+            await mesh.wait_until_serving("vm-0")
+            self.assertIsNone(mesh.processes["vm-0"].poll())
+
+        self.run_mesh(scenario)
+
+
 class LeavingTest(ProcessTestCase):
     def test_backend_server_gets_no_requests_after_its_drain_is_acknowledged(
         self,
