Skip refusals without an id on connections that are kept

Callers were told "not run" for requests that a backend server had run or was running; the node may also have sent such a request to a second one.

Cause: a response without an id was skipped as a late one, unless it was a refusal, a 421 or a 400. So a refusal that was written once more without its id was taken for the response to the next request on the connection. What proves that a refusal belongs to a request is its id or, since a backend server may refuse before it has read the id, that nothing else was sent on the connection. Any other one is now skipped like each late response: the right answer behind it is still found, and without one the outcome is unknown.

Ruled out: copies with their ids, and the header in interim responses and in trailers. Their tests passed before as well, and guard it: without the comparison of ids test_repeated_refusal_with_id and the table of the parser fail.

All refusals with ids are still reported at once.

--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -80,7 +80,7 @@
         self._sent_at = 0.0
         self._request_id = head.request_id.encode("latin-1")
         self._response = BackendResponse(
-            head.method == b"HEAD", dialect, self._request_id
+            head.method == b"HEAD", dialect, self._request_id, not conn.was_used
         )
 
     @property
@@ -149,7 +149,7 @@
 
     async def _send_first(self, data: bytes) -> None:
         try:
-            self.written = True
+            self.written = self.conn.was_used = True
             await self.conn.send_first(data)
         except NotRunError:
             self.written = False
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -26,11 +26,12 @@
 class BackendConn:
     """One connection to a backend server; used for one request at a time."""
 
-    __slots__ = ("closed_by_peer", "idle_since", "reusable_for_s", "tcp")
+    __slots__ = ("closed_by_peer", "idle_since", "reusable_for_s", "tcp", "was_used")
 
     def __init__(self, tcp: TcpConn) -> None:
         self.tcp = tcp
         self.closed_by_peer = False
+        self.was_used = False
         self.idle_since = 0.0
         self.reusable_for_s = MAX_IDLE_S
 
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -26,7 +26,9 @@
     if the connection was closed without an error.
 
     If backend servers echo the id of the request, a complete response with another id
-    is a late response to an earlier request, and is skipped.
+    is a late response to an earlier request, and is skipped. So is one without an id,
+    unless it is a refusal and the first response on its connection: a backend server
+    may refuse a request before it has read the id.
 
     Parameters
     ----------
@@ -36,12 +38,15 @@
         Header names of the backend servers.
     request_id : bytes
         Id of the request.
+    is_first : bool
+        Whether no other request was sent on the connection before.
     """
 
     __slots__ = (
         "_chunked",
         "_dialect",
         "_echoed_id",
+        "_is_first",
         "_is_head_response",
         "_lines",
         "_overhead_bytes",
@@ -67,6 +72,7 @@
         is_head_response: bool,
         dialect: Dialect = DEFAULT_DIALECT,
         request_id: bytes = b"",
+        is_first: bool = True,
     ) -> None:
         self.status = 0
         self.has_head = False
@@ -86,6 +92,7 @@
         self._is_head_response = is_head_response
         self._dialect = dialect
         self._request_id = request_id
+        self._is_first = is_first
         self._echoed_id: bytes | None = None
         self._skipping = False
         self._parser = httptools.HttpResponseParser(self)
@@ -231,18 +238,24 @@
             return True
         return self.not_run and self.status >= MIN_ERROR_STATUS
 
+    @property
+    def has_own_id(self) -> bool:
+        """Whether the response has the id of the request."""
+        return bool(self._request_id) and self._echoed_id == self._request_id
+
     def _is_for_other_request(self) -> bool:
         if not self._request_id:
             return False
-        if self._echoed_id is None and not self._dialect.echoes_request_id:
+        if self._echoed_id is not None:
+            return not self.has_own_id
+        if not self._dialect.echoes_request_id:
             return False
-        if self._echoed_id is None:
-            # A backend server may refuse a request before it has read the id.
-            misdirected = self._dialect.misdirected_status
-            return not (
-                self.not_run or self._parser.get_status_code() in (400, misdirected)
-            )
-        return self._echoed_id != self._request_id
+        misdirected = self._dialect.misdirected_status
+        is_refusal = self.not_run or self._parser.get_status_code() in (
+            400,
+            misdirected,
+        )
+        return not (self._is_first and is_refusal)
 
     def _clear_head(self) -> None:
         self._lines.clear()
