Close connections on which a refusal without an id arrived

Where backend servers echo no ids, as in the product's own meshes, callers were told "not run" for requests that a backend server had run, when it wrote an earlier refusal once more on a connection that was in use again.

Cause: a connection was kept after a refusal. Without an id nothing tells a second copy from the refusal of a later request, and a copy that arrives between the look at the idle connection and the request's answer is read as that answer. Now a connection is closed after a refusal without the id of its request, so a refusal on a kept connection cannot be a copy, and is still retried elsewhere at once. A refusal with the id keeps its connection: copies of it are skipped.

Ruled out: dropping the connection after every refusal, which would open new ones just when a backend server is full.

What remains without ids: the second copy of a response that is not a refusal, if it arrives after the connection is in use again.

--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -176,7 +176,11 @@
         if response.refused:
             self.refused = True
             self.server_finished = response.complete
-            self.reusable = response.complete and response.keep_alive
+            # A second copy of a refusal without an id could be taken for the response
+            # to a later request.
+            self.reusable = (
+                response.complete and response.keep_alive and response.has_own_id
+            )
             raise NotRunError(
                 "backend server refused the request",
                 ResultCode.REQUEST_NOT_RUN_REFUSED,
--- a/tests/test_routing/test_repeated_refusals.py
+++ b/tests/test_routing/test_repeated_refusals.py
@@ -13,6 +13,7 @@
 from marigoldchute.hosted.node import POLICY
 from marigoldchute.platform.settings import DIALECT
 from marigoldchute.routing.backend_response import BackendResponse
+from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.owner import Owner
 from tests.support.servers import read_request, serve_script
 from tests.test_routing.test_owner import CollectingExchange, FakeServers, make_head
@@ -20,8 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from marigoldchute.routing.dialect import Dialect
-
 REQUEST_COUNT = 120
 DEADLINE_S = 0.1
 STATUSES = (b"503 Full", b"429 Later", b"421 Misdirected", b"400 Bad")
@@ -292,3 +291,14 @@
                 counts = self.run_requests(DIALECT, True, False, place, 2)
                 self.check_all_told_truly(counts)
                 self.assertGreater(counts.repeated, 10)
+
+    # Guards against "not run" for a request that runs, when a refusal without an id is
+    # written once more.
+    def test_connection_with_a_refusal_without_id_is_not_kept(self) -> None:
+        for place in PLACES:
+            with self.subTest(place):
+                counts = self.run_requests(DEFAULT_DIALECT, False, False, place, 3)
+                self.check_all_told_truly(counts)
+                self.assertEqual(counts.repeated_in_use, 0)
+        counts = self.run_requests(DIALECT, False, False, "before", 4)
+        self.assertEqual(counts.repeated_in_use, 0)
