Read the framing of responses as the parser does

A caller could get a 200 with a short body that was framed as whole, when a backend server stopped within its response and closed.

Cause: the length and the transfer coding were compared without removing the white space that may follow a header's value, which the parser leaves there but ignores itself, and "gzip, chunked" was not taken for chunked. Such a response counted as one without a length that ends with its connection, so each close within its body completed it, and the head sent to the caller had the old length beside a chunked coding. Now a response is without a length only if it has neither header. Codings other than chunked, whose name is not forwarded, are rejected; "chunked" before a tab too, since the parser takes it for another one.

Ruled out by a table of each cut in 192 responses in each of two dialects (length, chunks, trailers, HEAD, 204, 304, after interim and late responses), each with a close and a reset, in one piece and byte by byte: a cut within the status line, a header, a line end or a chunk.

Evidence: test_cut_response_is_never_complete and test_response_with_another_transfer_coding_is_rejected failed on the old code, the first with "Content-Length: 10 " complete after any byte of its body.

--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import httptools
 
 from marigoldchute.errors import RequestError
@@ -43,7 +45,7 @@
     """
 
     __slots__ = (
-        "_chunked",
+        "_codings",
         "_dialect",
         "_echoed_id",
         "_is_first",
@@ -85,7 +87,7 @@
         self.skipped_count = 0
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self._lines: list[bytes] = []
-        self._chunked = False
+        self._codings: tuple[bytes, ...] = ()
         self._overhead_bytes = 0
         self._skipped_bytes = 0
         self.body_bytes = 0  # Received so far, without the framing of chunks.
@@ -110,7 +112,7 @@
     @property
     def is_unframed(self) -> bool:
         """Whether the body ends when the connection is closed."""
-        return self.has_head and not (self.complete or self.has_length or self._chunked)
+        return self.has_head and not (self.complete or self.has_length or self._codings)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailers are discarded."""
@@ -118,8 +120,9 @@
             return
         name = name.lower()
         if name == b"transfer-encoding":
-            self._chunked = value.lower() == b"chunked"
-        elif name == b"content-length":
+            self._codings = _add_codings(self._codings, value)
+        value = value.rstrip()  # The parser leaves trailing white space.
+        if name == b"content-length":
             self.length = int(value) if value.isdigit() else _NO_LENGTH
         elif name == b"keep-alive":
             self.keep_alive_s = _parse_keep_alive_timeout(value)
@@ -201,6 +204,8 @@
             )
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
             raise RequestError("late response of the backend server does not end")
+        if self.has_head and self._codings not in ((), (b"chunked",)):
+            raise RequestError("transfer coding of the response is not supported")
         if self.is_unframed and not self._dialect.accepts_unframed:
             raise RequestError("backend server's response has no framing")
 
@@ -260,11 +265,22 @@
     def _clear_head(self) -> None:
         self._lines.clear()
         self._echoed_id = None
-        self._chunked = False
+        self._codings = ()
         self.length = _NO_LENGTH
         self.not_run = False
 
 
+def _add_codings(codings: tuple[bytes, ...], value: bytes) -> tuple[bytes, ...]:
+    """Return the transfer codings with those of a further header.
+
+    The parser does not take a coding that is followed by a tab for a chunked one.
+    """
+    added = (part.strip(b" ") for part in value.lower().split(b","))
+    return tuple(
+        itertools.dropwhile(lambda coding: coding == b"identity", (*codings, *added))
+    )
+
+
 def _parse_keep_alive_timeout(value: bytes) -> float | None:
     """Return the seconds of a Keep-Alive header's timeout, or None."""
     for part in value.split(b","):
