Skip responses with several different request ids

A request that runs could be reported as not run, if a refusal had the id of the request behind that of another one: the last id counted. Of several different ids none proves that a response belongs to the request, so such a response is skipped like one with another id.

--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -130,7 +130,9 @@
             self.not_run = True
             return
         elif name == self._dialect.request_id:
-            self._echoed_id = value
+            # Of several different ids none identifies the request.
+            is_only = self._echoed_id in (None, value)
+            self._echoed_id = value if is_only else b""
         if name not in HOP_HEADERS:
             self._lines.append(b"%s: %s\r\n" % (name, value))
 
--- a/tests/test_routing/test_repeated_refusals.py
+++ b/tests/test_routing/test_repeated_refusals.py
@@ -105,6 +105,18 @@
                 self.assertFalse(response.has_head)
                 self.assertFalse(response.on_connection_closed())
 
+    # Guards against "not run" for a request that runs, when a refusal has its id beside
+    # that of another request.
+    def test_refusal_with_two_ids_is_skipped(self) -> None:
+        own = encode_answer(DIALECT, b"own")
+        for ids in ((b"old", b"own"), (b"own", b"old"), (b"own", b"", b"own")):
+            echo = b"".join(_line(b"Attempt-Id", value) for value in ids)
+            refusal = encode_refusal(DIALECT, None).replace(b"\r\n", b"\r\n" + echo, 1)
+            for is_first in (True, False):
+                for response in self.feed(refusal + own, is_first):
+                    self.assertFalse(response.refused)
+                    self.assertEqual(response.pop_body(), b"own")
+
     def test_proven_refusal_is_accepted(self) -> None:
         refusals = [
             (refusal, is_first)
