Choose connections on which no earlier response can pass for the request's own

A request that ran was reported as not run, or got the answer to another one, when the backend server wrote an earlier response once more and the id could not tell: the request had no id, or its id had been refused on the same connection before.

Cause: any idle connection was taken. A request without an id accepted every response, and a second copy of a refusal has the very id when that request comes again, which happens if a caller uses an id twice or a server leaves the list of targets and returns to it. Now a request without an id gets a new connection, and a connection that refused an id is not used for it again. Only refused ids are kept, 64 at most for a connection.

Ruled out: dropping the connection after every refusal, for its cost under load.

--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -179,7 +179,10 @@
             # A second copy of a refusal without an id could be taken for the response
             # to a later request.
             self.reusable = (
-                response.complete and response.keep_alive and response.has_own_id
+                response.complete
+                and response.keep_alive
+                and response.has_own_id
+                and self.conn.record_refused_id(self._head.request_id)
             )
             raise NotRunError(
                 "backend server refused the request",
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -21,17 +21,34 @@
 KEEP_ALIVE_MARGIN_S = 1.0  # A Keep-Alive timeout is rounded down to seconds.
 ABANDON_TIMEOUT_S = 2.0
 MAX_ABANDONED_BYTES = 2_000_000
+MAX_REFUSED_IDS = 64  # A connection with as many refusals is closed.
 
 
 class BackendConn:
-    """One connection to a backend server; used for one request at a time."""
+    """One connection to a backend server; used for one request at a time.
 
-    __slots__ = ("closed_by_peer", "idle_since", "reusable_for_s", "tcp", "was_used")
+    Attributes
+    ----------
+    was_used : bool
+        Whether a request was sent on it.
+    refused_ids : frozenset of str
+        Ids of the requests that the backend server refused on it.
+    """
+
+    __slots__ = (
+        "closed_by_peer",
+        "idle_since",
+        "refused_ids",
+        "reusable_for_s",
+        "tcp",
+        "was_used",
+    )
 
     def __init__(self, tcp: TcpConn) -> None:
         self.tcp = tcp
         self.closed_by_peer = False
         self.was_used = False
+        self.refused_ids: frozenset[str] = frozenset()
         self.idle_since = 0.0
         self.reusable_for_s = MAX_IDLE_S
 
@@ -42,6 +59,11 @@
                 MAX_IDLE_S, max(0.0, keep_alive_s - KEEP_ALIVE_MARGIN_S)
             )
 
+    def record_refused_id(self, request_id: str) -> bool:
+        """Record a refusal; return whether the connection may still be reused."""
+        self.refused_ids |= {request_id}
+        return len(self.refused_ids) < MAX_REFUSED_IDS
+
     async def send_first(self, data: bytes) -> None:
         """Send the beginning of a request.
 
@@ -149,22 +171,32 @@
         self.open_count = 0
         self.max_open_count = 0
 
-    async def acquire(self, idempotent: bool, limit: int) -> BackendConn:
+    async def acquire(
+        self, idempotent: bool, limit: int, request_id: str
+    ) -> BackendConn:
         """Return an idle connection, or a new one.
 
+        A late second copy of an earlier response on the connection must not be taken
+        for the response to the request. Therefore a request without an id gets a new
+        connection, and a request whose id was refused on a connection gets another one.
+
         Parameters
         ----------
         idempotent : bool
             Whether the request may run more than once.
         limit : int
             Maximum number of connections that the backend server accepts.
+        request_id : str
+            Id of the request; empty if it has none.
 
         Raises
         ------
         NotRunError
             The backend server does not accept a connection.
         """
-        conn = self._acquire_idle(idempotent, trio.current_time())
+        conn = None
+        if request_id:
+            conn = self._acquire_idle(idempotent, request_id, trio.current_time())
         if conn is not None:
             return conn
         if self.open_count >= limit and not self._close_oldest_idle():
@@ -174,11 +206,17 @@
             )
         return await self._connect()
 
-    def _acquire_idle(self, idempotent: bool, now: float) -> BackendConn | None:
+    def _acquire_idle(
+        self, idempotent: bool, request_id: str, now: float
+    ) -> BackendConn | None:
         while self._idle:
             conn = self._idle.pop()
             idle_s = now - conn.idle_since
-            if idle_s >= conn.reusable_for_s or not conn.tcp.is_idle():
+            if (
+                idle_s >= conn.reusable_for_s
+                or request_id in conn.refused_ids
+                or not conn.tcp.is_idle()
+            ):
                 self.discard(conn)
             elif not idempotent and idle_s >= MAX_IDLE_NON_IDEMPOTENT_S:
                 self._idle.append(conn)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -221,7 +221,9 @@
             remaining_ms = max(1, remaining_ms - waited_ms)
         running = gate.running
         try:
-            conn = await owned.pool.acquire(head.idempotent, server.connections)
+            conn = await owned.pool.acquire(
+                head.idempotent, server.connections, head.request_id
+            )
         except BaseException:
             gate.release_slot()
             raise
--- a/tests/test_routing/test_repeated_refusals.py
+++ b/tests/test_routing/test_repeated_refusals.py
@@ -314,3 +314,64 @@
                 self.assertEqual(counts.repeated_in_use, 0)
         counts = self.run_requests(DIALECT, False, False, "before", 4)
         self.assertEqual(counts.repeated_in_use, 0)
+
+
+class SameConnectionTest(unittest.TestCase):
+    """Requests whose answers the id does not tell from those of an earlier one."""
+
+    def send_two(self, first_id: str, second_id: str, first: bytes) -> list[str]:
+        """Send two requests; return the outcomes.
+
+        The backend server answers the first as given and runs the second. On the
+        connection of the first it writes that answer once more.
+        """
+        outcomes = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            copy = b""
+            while request := await read_request(stream):
+                if request.split()[1] == b"/first":
+                    copy = first
+                    await stream.send_all(first)
+                    continue
+                await stream.send_all(copy)
+                await trio.sleep(0.01)
+                echo = _line(DIALECT.request_id, second_id.encode())
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\n%sContent-Length: 6\r\n\r\nsecond"
+                    % (echo if second_id else b"")
+                )
+
+        async def send(owner: Owner, target: bytes, request_id: str) -> None:
+            exchange = CollectingExchange()
+            try:
+                await owner.execute(make_head(target, request_id=request_id), exchange)
+            except NotRunError:
+                outcomes.append("not run")
+            else:
+                outcomes.append(exchange.body.decode())
+
+        async def main() -> None:
+            async with serve_script(serve) as address, trio.open_nursery() as nursery:
+                owner = Owner(FakeServers(address, 1), address, DIALECT, POLICY)
+                await nursery.start(owner.run)
+                await send(owner, b"/first", first_id)
+                await send(owner, b"/second", second_id)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return outcomes
+
+    # Guards against "not run" for a request that runs, when its id was refused before
+    # on the same connection and the refusal is written once more.
+    def test_connection_that_refused_an_id_is_not_used_for_it_again(self) -> None:
+        refusal = encode_refusal(DIALECT, b"own")
+        self.assertEqual(self.send_two("own", "own", refusal), ["not run", "second"])
+
+    # Guards against "not run" for a request without an id that runs, and against the
+    # answer to another one, when an earlier answer is written once more.
+    def test_request_without_id_gets_a_new_connection(self) -> None:
+        refusal = encode_refusal(DIALECT, b"old")
+        self.assertEqual(self.send_two("old", "", refusal), ["not run", "second"])
+        answer = encode_answer(DIALECT, b"old")
+        self.assertEqual(self.send_two("old", "", answer), ["old", "second"])
