--- a/tests/test_routing/paths.py
+++ b/tests/test_routing/paths.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 import httpcore
+import msgspec
 import trio
 
+from marigoldchute.membership.announcement import ANNOUNCE_TARGET, Announcement
 from marigoldchute.standins.backend import BackendSettings
 from marigoldchute.standins.loopback import BACKEND_PORT, INTERNAL_PORT
 from tests.support.meshes import MeshTestCase
 
 if TYPE_CHECKING:
     import signal
+    from collections.abc import Awaitable, Callable
 
     from marigoldchute.standins.backend_faults import BackendState
 
+    Script = Callable[[trio.SocketStream], Awaitable[None]]
+
 BUNDLE = """{
   "services": [
     {"name": "reservas", "release": "r1"},
@@ -29,6 +36,7 @@
 }"""
 FIRST = "cartago-norte-1"
 SECOND = "cartago-norte-2"
+ANNOUNCE_INTERVAL_S = 0.3
 
 
 class PathTestCase(MeshTestCase):
@@ -68,6 +76,28 @@
             await self.mesh.wait_until(vm.name, lambda s: s.version == 1)
         await self.wait_routed()
 
+    async def run_scripted(
+        self, body: Callable[[], Awaitable[None]], scripts: dict[str, Script]
+    ) -> None:
+        """Run a test body with a scripted backend server on each named VM."""
+        self.start_nodes()
+        async with trio.open_nursery() as nursery:
+            for name, script in scripts.items():
+                address = self.mesh.vm(name).address
+                serve = functools.partial(trio.serve_tcp, host=address)
+                await nursery.start(serve, script, BACKEND_PORT)
+                nursery.start_soon(_announce, address)
+            for vm in self.mesh.plan.vms:
+                await self.mesh.wait_until(
+                    vm.name,
+                    lambda s: sum(bool(m.servers) for m in s.members) == len(scripts),
+                )
+            status, _, err = await self.roll(self.write_bundle(BUNDLE), FIRST)
+            self.assertEqual(status, 0, err)
+            await self.wait_routed()
+            await body()
+            nursery.cancel_scope.cancel()
+
     async def wait_routed(self) -> None:
         """Wait until every node can reach a backend server."""
         async with httpcore.AsyncConnectionPool() as pool:
@@ -114,3 +144,16 @@
     """Return the value of a response's outcome header, or ``completed``."""
     value = dict(response.headers).get(b"marigoldchute-outcome", b"completed")
     return value.decode()
+
+
+async def _announce(address: str) -> None:
+    """Announce a scripted backend server to the node on its VM."""
+    url = f"http://{address}:{INTERNAL_PORT}{ANNOUNCE_TARGET.decode()}"
+    body = msgspec.json.encode(
+        Announcement("reservas", "r1", BACKEND_PORT, 12, 100, instance="a")
+    )
+    async with httpcore.AsyncConnectionPool(local_address=address) as pool:
+        while True:
+            with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+                await pool.request("POST", url, content=body)
+            await trio.sleep(ANNOUNCE_INTERVAL_S)
--- a/tests/test_routing/test_cut_responses.py
+++ b/tests/test_routing/test_cut_responses.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import unittest
 from typing import TYPE_CHECKING
 
+import trio
+
 from marigoldchute.errors import RequestError
+from marigoldchute.hosted.node import POLICY
 from marigoldchute.platform.settings import DIALECT
 from marigoldchute.routing.backend_response import BackendResponse
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
+from marigoldchute.routing.owner import Owner
+from tests.support.servers import read_request, serve_script
+from tests.test_routing.test_owner import CollectingExchange, FakeServers, make_head
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -167,5 +174,59 @@
                     )
 
 
+class CutOwnerTest(unittest.TestCase):
+    """Cut responses through the owner, each the second one on its connection."""
+
+    def fetch(self, whole: Whole, cut: int, is_reset: bool) -> CollectingExchange:
+        """Return what is forwarded of the response to the second request."""
+        exchange = CollectingExchange()
+        first = b"HTTP/1.1 200 OK\r\nAttempt-Id: first\r\nContent-Length: 0\r\n\r\n"
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(first)
+            await read_request(stream)
+            await stream.send_all(whole.data[:cut])
+            if is_reset:
+                await trio.sleep(0.005)
+                linger = (1).to_bytes(4, "little") + bytes(4)
+                stream.socket.setsockopt(
+                    trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
+                )
+
+        async def main() -> None:
+            async with serve_script(serve) as address, trio.open_nursery() as nursery:
+                owner = Owner(FakeServers(address, 1), address, DIALECT, POLICY)
+                await nursery.start(owner.run)
+                head = make_head(request_id="first")
+                await owner.execute(head, CollectingExchange())
+                with contextlib.suppress(RequestError):
+                    await owner.execute(make_head(request_id="own"), exchange)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return exchange
+
+    # Guards against a 200 with an empty or short body that is framed as whole, when the
+    # backend server stops within its response and closes.
+    def test_cut_response_is_never_finished(self) -> None:
+        id_line = b"Attempt-Id: own\r\n"
+        large = bytes(range(256)) * 1600
+        length_line = b"Content-Length: %d \r\n" % len(large)
+        wholes = [
+            *with_length(id_line),
+            *chunked(id_line),
+            Whole(STATUS_LINE + id_line + length_line + b"\r\n" + large, large),
+        ]
+        for whole in wholes:
+            size = len(whole.data)
+            for cut in (17, 40, size - 2, size - 1, size):
+                for is_reset in (False, True):
+                    exchange = self.fetch(whole, cut, is_reset)
+                    self.assertEqual(exchange.finished, cut == size, (whole, cut))
+                    if cut == size:
+                        self.assertEqual(exchange.body, whole.body)
+
+
 if __name__ == "__main__":
     unittest.main()
