Take no response of the platform's store for another call's

A read could return the document of another name, and a write could be taken for done that was not, when the store's response to an earlier call was read once more on its connection: bytes behind a response stay in the connection's buffer, and the next call starts with them. No store did this; it was looked for since backend servers do.

Responses have no ids, but objects have names: one of another name is now a malformed response to a read, which is repeated, and an unknown outcome of a write.

Not covered: a second copy of a list, of changes, of an error or of a response to a call for the same name.

--- a/marigoldchute/platform/store.py
+++ b/marigoldchute/platform/store.py
@@ -8,11 +8,17 @@
 
 import msgspec
 
-from marigoldchute.errors import NotFoundError, PlatformError, ResultCode
+from marigoldchute.errors import (
+    NotFoundError,
+    PlatformError,
+    ResultCode,
+    UnknownOutcomeError,
+)
 from marigoldchute.objectstore.caller import StoreCaller
 from marigoldchute.objectstore.documents import Document, DocumentPage
-from marigoldchute.objectstore.messages import decode_response
+from marigoldchute.objectstore.messages import decode_response, malformed_error
 from marigoldchute.platform.objects import (
+    READ_METHOD,
     MalformedObject,
     Object,
     decode_events,
@@ -22,6 +28,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from marigoldchute.objectstore.settings import StoreSettings
 
@@ -86,7 +93,8 @@
 
     async def get(self, kind: str, name: str) -> Document:
         """Return a document; raise ``NotFoundError`` when it does not exist."""
-        item = await self._caller.call(decode_object, "GET", _path(kind, name))
+        decode = functools.partial(_decode_named, decode=decode_object, name=name)
+        item = await self._caller.call(decode, "GET", _path(kind, name))
         return _to_document(kind, item)
 
     async def changes(
@@ -103,7 +111,7 @@
     async def create(self, kind: str, name: str, content: Any) -> Document:
         """Create a document; raise ``ConflictError`` when it exists."""
         body = {"metadata": {"name": name}, "spec": content}
-        return await self._write(kind, "POST", _path(kind), body)
+        return await self._write(kind, name, "POST", _path(kind), body)
 
     async def replace(
         self, kind: str, name: str, content: Any, expected_revision: int
@@ -113,7 +121,7 @@
             "metadata": {"name": name, "revision": expected_revision},
             "spec": content,
         }
-        return await self._write(kind, "PUT", _path(kind, name), body)
+        return await self._write(kind, name, "PUT", _path(kind, name), body)
 
     async def write_status(
         self, kind: str, name: str, status: Any, expected_revision: int
@@ -124,7 +132,7 @@
             "status": status,
         }
         path = _path(kind, name) + "/status"
-        return await self._write(kind, "PUT", path, body)
+        return await self._write(kind, name, "PUT", path, body)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete a document if it exists."""
@@ -133,14 +141,37 @@
         except NotFoundError:
             return
 
-    async def _write(self, kind: str, method: str, path: str, body: Any) -> Document:
+    async def _write(
+        self, kind: str, name: str, method: str, path: str, body: Any
+    ) -> Document:
         data = msgspec.json.encode(body)
+        decode = functools.partial(_decode_named, decode=_decode_written, name=name)
         written = await self._caller.call(
-            _decode_written, method, path, data, content_type=JSON_CONTENT_TYPE
+            decode, method, path, data, content_type=JSON_CONTENT_TYPE
         )
         return _to_document(kind, written)
 
 
+def _decode_named(
+    body: bytes, method: str, decode: Callable[..., Object], name: str
+) -> Object:
+    """Decode an object; one of another name is a response to another call.
+
+    Raises
+    ------
+    UnknownOutcomeError
+        The response to a write is malformed or has another name.
+    PlatformError
+        The response to a read is malformed or has another name.
+    """
+    item = decode(body, method=method)
+    if item.metadata.name == name:
+        return item
+    if method != READ_METHOD:
+        raise UnknownOutcomeError("response of the store has another name")
+    raise malformed_error("another name")
+
+
 def _path(kind: str, name: str = "", **query: str) -> str:
     path = f"/api/objects/{urllib.parse.quote(kind, safe='')}"
     if name:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -4,8 +4,10 @@
 
 import random
 import unittest
+import urllib.parse
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import trio
 
 from marigoldchute.errors import (
@@ -20,6 +22,8 @@
 from marigoldchute.standins.loopback import LoopbackBlock
 from tests.support.documents import DocumentStandIn
 from tests.support.odd_entries import DEEP, make_object, make_page
+from tests.support.servers import PORT as SCRIPT_PORT
+from tests.support.servers import read_request, serve_script
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -27,6 +31,7 @@
     from marigoldchute.objectstore.documents import DocumentPage
 
 PORT = 8627
+MIN_NAMED_PARTS = 4  # Of a path; one with a name has more.
 
 
 class StoreTestCase(unittest.TestCase):
@@ -128,6 +133,62 @@
         self.run_with_store(scenario)
 
 
+class SecondCopyTest(unittest.TestCase):
+    """A store that writes each of its responses twice."""
+
+    def run_with_copies(
+        self, scenario: Callable[[PlatformDocumentStore], Awaitable[None]]
+    ) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                parts = urllib.parse.unquote(request.split()[1].decode()).split("/")
+                content = request.partition(b"\r\n\r\n")[2]
+                is_named = len(parts) > MIN_NAMED_PARTS
+                name = (
+                    parts[MIN_NAMED_PARTS]
+                    if is_named
+                    else msgspec.json.decode(content)["metadata"]["name"]
+                )
+                body = make_object(name, b"1")
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    % (len(body), body)
+                    * 2
+                )
+
+        async def main() -> None:
+            with trio.fail_after(10):
+                async with serve_script(serve) as address:
+                    settings = StoreSettings(address, SCRIPT_PORT, 1000.0, 1000.0, 900)
+                    rng = random.Random(1)
+                    await scenario(PlatformDocumentStore(settings, rng, address))
+
+        trio.run(main)
+
+    # Guards against the document of another call, when the response to that call is
+    # read once more on its connection.
+    def test_document_of_another_name_is_not_the_one_that_was_read(self) -> None:
+        async def scenario(store: PlatformDocumentStore) -> None:
+            for name in ("a", "b", "c d", "e"):
+                self.assertEqual((await store.get("members", name)).name, name)
+
+        self.run_with_copies(scenario)
+
+    # Guards against a write that is taken for done, when the response to another call
+    # is read once more on its connection.
+    def test_document_of_another_name_confirms_no_write(self) -> None:
+        async def scenario(store: PlatformDocumentStore) -> None:
+            for write in (store.replace, store.write_status):
+                await store.get("members", "a")
+                with self.assertRaises(UnknownOutcomeError):
+                    await write("members", "b", {}, 1)
+            await store.get("members", "a")
+            with self.assertRaises(UnknownOutcomeError):
+                await store.create("members", "b", {})
+
+        self.run_with_copies(scenario)
+
+
 class _PagedCaller:
     """Caller of a store whose list is split into pages."""
 
