--- a/tests/test_routing/test_repeated_refusals.py
+++ b/tests/test_routing/test_repeated_refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import random
 import unittest
@@ -9,7 +10,7 @@
 
 import trio
 
-from marigoldchute.errors import MarigoldchuteError, NotRunError
+from marigoldchute.errors import MarigoldchuteError, NotRunError, RequestError
 from marigoldchute.hosted.node import POLICY
 from marigoldchute.platform.settings import DIALECT
 from marigoldchute.routing.backend_response import BackendResponse
@@ -136,6 +137,19 @@
             self.assertFalse(response.refused)
             self.assertEqual(response.status, 503)
 
+    # Guards against "not run", and against another body, when the response that is
+    # written once more was to a HEAD request, so that its body is taken from the next.
+    def test_second_copy_without_its_body_refuses_nothing(self) -> None:
+        own = encode_answer(DIALECT, b"own")
+        head = encode_refusal(DIALECT, b"old", framing="none")
+        for length in range(len(own) + 2):
+            copy = head.replace(b"Length: 0", b"Length: %d" % length)
+            response = BackendResponse(False, DIALECT, b"own", False)
+            with contextlib.suppress(RequestError):
+                response.feed(copy + own)
+            self.assertFalse(response.refused)
+            self.assertEqual(response.complete, length == 0)
+
     def test_trailer_refuses_nothing(self) -> None:
         trailer = b"Not-Executed: 1\r\nAttempt-Id: own\r\n\r\n"
         late = encode_refusal(DIALECT, b"old", framing="chunked")[:-2] + trailer
@@ -375,3 +389,64 @@
         self.assertEqual(self.send_two("old", "", refusal), ["not run", "second"])
         answer = encode_answer(DIALECT, b"old")
         self.assertEqual(self.send_two("old", "", answer), ["old", "second"])
+
+
+class Upload(CollectingExchange):
+    """Exchange whose body arrives in pieces while the response may begin."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused = False
+        self._pieces = [b"one", b"two"]
+
+    def pop_complete_body(self) -> bytes | None:
+        return None
+
+    async def receive(self) -> bytes | None:
+        await trio.sleep(0.01)
+        return self._pieces.pop(0) if self._pieces else None
+
+
+class UploadTest(unittest.TestCase):
+    def send_upload(self, refusal: bytes) -> Upload:
+        """Send an upload; the refusal arrives between its head and its body."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(encode_answer(DIALECT, b"first"))
+            data = await stream.receive_some(65_536)
+            await stream.send_all(refusal)
+            while b"0\r\n\r\n" not in data:
+                data += await stream.receive_some(65_536)
+            await stream.send_all(encode_answer(DIALECT, b"own"))
+            await stream.receive_some(1)
+
+        upload = Upload()
+
+        async def main() -> None:
+            async with serve_script(serve) as address, trio.open_nursery() as nursery:
+                owner = Owner(FakeServers(address, 1), address, DIALECT, POLICY)
+                await nursery.start(owner.run)
+                await owner.execute(make_head(request_id="first"), CollectingExchange())
+                head = make_head(request_id="own")
+                fields = {name: getattr(head, name) for name in head.__struct_fields__}
+                fields |= {"has_body": True, "chunked": True, "header_block": b""}
+                try:
+                    await owner.execute(type(head)(**fields), upload)
+                except NotRunError:
+                    upload.refused = True
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return upload
+
+    # Guards against "not run" for an upload that runs, when an earlier refusal arrives
+    # between its head and its body.
+    def test_refusal_within_an_upload_does_not_refuse_it(self) -> None:
+        for request_id in (b"first", b"other", None):
+            upload = self.send_upload(encode_refusal(DIALECT, request_id))
+            self.assertEqual((upload.body, upload.finished), (b"own", True))
+
+    def test_early_refusal_of_an_upload_is_reported_at_once(self) -> None:
+        upload = self.send_upload(encode_refusal(DIALECT, b"own"))
+        self.assertTrue(upload.refused)
