Report a refusal without an id beside an answer as an unknown outcome

A request that ran was reported as not run, and could be sent to a second backend server, when a refusal without an id was read together with the request's answer on the first use of a connection. There a refusal needs no id, and what followed it was not looked at. A response with another status right behind it now takes its proof away; the outcome is unknown, and the connection is not reused. A second copy of the refusal takes nothing away.

What remains: the answer may also arrive later, which no one waits for.

Evidence: test_refusal_without_id_beside_an_answer_proves_nothing failed on the old code.

--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -173,6 +173,8 @@
         while not response.has_head:
             await self._read_more()
         head_received_at = time.perf_counter()
+        if response.refused and response.is_contradicted and not response.has_own_id:
+            raise RequestError("backend server sent a refusal and another response")
         if response.refused:
             self.refused = True
             self.server_finished = response.complete
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -60,6 +60,7 @@
         "chunks",
         "complete",
         "has_head",
+        "is_contradicted",
         "keep_alive",
         "keep_alive_s",
         "length",
@@ -84,6 +85,7 @@
         self.keep_alive_s: float | None = None
         self.not_run = False
         self.started = False
+        self.is_contradicted = False  # Whether one with another status followed.
         self.skipped_count = 0
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self._lines: list[bytes] = []
@@ -140,6 +142,8 @@
         """Process the complete head; interim responses are discarded."""
         if self.complete:
             self.keep_alive = False  # Bytes after the response belong to no request.
+            if self._parser.get_status_code() != self.status:
+                self.is_contradicted = True
             return
         status = self._parser.get_status_code()
         if status < 200:
--- a/tests/test_routing/test_repeated_refusals.py
+++ b/tests/test_routing/test_repeated_refusals.py
@@ -391,6 +391,49 @@
         self.assertEqual(self.send_two("old", "", answer), ["old", "second"])
 
 
+class FirstUseTest(unittest.TestCase):
+    def send_one(self, dialect: Dialect, data: bytes) -> str:
+        """Return the outcome of a request on a new connection that gets the data."""
+        outcome = "not run"
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            await stream.send_all(data)
+            await stream.receive_some(1)
+
+        async def main() -> None:
+            nonlocal outcome
+            async with serve_script(serve) as address, trio.open_nursery() as nursery:
+                owner = Owner(FakeServers(address, 1), address, dialect, POLICY)
+                await nursery.start(owner.run)
+                try:
+                    head = make_head(request_id="own")
+                    await owner.execute(head, CollectingExchange())
+                    outcome = "answered"
+                except NotRunError:
+                    outcome = "not run"
+                except RequestError:
+                    outcome = "unknown"
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return outcome
+
+    # Guards against "not run" for a request that ran, when a refusal without an id
+    # arrives together with its answer.
+    def test_refusal_without_id_beside_an_answer_proves_nothing(self) -> None:
+        for dialect in (DIALECT, DEFAULT_DIALECT):
+            refusal = encode_refusal(dialect, None)
+            answer = encode_answer(dialect, b"own")
+            self.assertEqual(self.send_one(dialect, refusal + answer), "unknown")
+
+    def test_refusal_without_id_is_reported_at_once(self) -> None:
+        for dialect in (DIALECT, DEFAULT_DIALECT):
+            refusal = encode_refusal(dialect, None)
+            for data in (refusal, refusal * 2):
+                self.assertEqual(self.send_one(dialect, data), "not run")
+
+
 class Upload(CollectingExchange):
     """Exchange whose body arrives in pieces while the response may begin."""
 
