--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -80,7 +80,7 @@
         self._sent_at = 0.0
         self._request_id = head.request_id.encode("latin-1")
         self._response = BackendResponse(
-            head.method == b"HEAD", dialect, self._request_id
+            head.method == b"HEAD", dialect, self._request_id, not conn.was_used
         )
 
     @property
@@ -149,7 +149,7 @@
 
     async def _send_first(self, data: bytes) -> None:
         try:
-            self.written = True
+            self.written = self.conn.was_used = True
             await self.conn.send_first(data)
         except NotRunError:
             self.written = False
@@ -173,10 +173,19 @@
         while not response.has_head:
             await self._read_more()
         head_received_at = time.perf_counter()
+        if response.refused and response.is_contradicted and not response.has_own_id:
+            raise RequestError("backend server sent a refusal and another response")
         if response.refused:
             self.refused = True
             self.server_finished = response.complete
-            self.reusable = response.complete and response.keep_alive
+            # A second copy of a refusal without an id could be taken for the response
+            # to a later request.
+            self.reusable = (
+                response.complete
+                and response.keep_alive
+                and response.has_own_id
+                and self.conn.record_refused_id(self._head.request_id)
+            )
             raise NotRunError(
                 "backend server refused the request",
                 ResultCode.REQUEST_NOT_RUN_REFUSED,
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import httptools
 
 from marigoldchute.errors import RequestError
@@ -26,7 +28,9 @@
     if the connection was closed without an error.
 
     If backend servers echo the id of the request, a complete response with another id
-    is a late response to an earlier request, and is skipped.
+    is a late response to an earlier request, and is skipped. So is one without an id,
+    unless it is a refusal and the first response on its connection: a backend server
+    may refuse a request before it has read the id.
 
     Parameters
     ----------
@@ -36,12 +40,15 @@
         Header names of the backend servers.
     request_id : bytes
         Id of the request.
+    is_first : bool
+        Whether no other request was sent on the connection before.
     """
 
     __slots__ = (
-        "_chunked",
+        "_codings",
         "_dialect",
         "_echoed_id",
+        "_is_first",
         "_is_head_response",
         "_lines",
         "_overhead_bytes",
@@ -53,6 +60,7 @@
         "chunks",
         "complete",
         "has_head",
+        "is_contradicted",
         "keep_alive",
         "keep_alive_s",
         "length",
@@ -67,6 +75,7 @@
         is_head_response: bool,
         dialect: Dialect = DEFAULT_DIALECT,
         request_id: bytes = b"",
+        is_first: bool = True,
     ) -> None:
         self.status = 0
         self.has_head = False
@@ -76,16 +85,18 @@
         self.keep_alive_s: float | None = None
         self.not_run = False
         self.started = False
+        self.is_contradicted = False  # Whether one with another status followed.
         self.skipped_count = 0
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self._lines: list[bytes] = []
-        self._chunked = False
+        self._codings: tuple[bytes, ...] = ()
         self._overhead_bytes = 0
         self._skipped_bytes = 0
         self.body_bytes = 0  # Received so far, without the framing of chunks.
         self._is_head_response = is_head_response
         self._dialect = dialect
         self._request_id = request_id
+        self._is_first = is_first
         self._echoed_id: bytes | None = None
         self._skipping = False
         self._parser = httptools.HttpResponseParser(self)
@@ -103,7 +114,7 @@
     @property
     def is_unframed(self) -> bool:
         """Whether the body ends when the connection is closed."""
-        return self.has_head and not (self.complete or self.has_length or self._chunked)
+        return self.has_head and not (self.complete or self.has_length or self._codings)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailers are discarded."""
@@ -111,8 +122,9 @@
             return
         name = name.lower()
         if name == b"transfer-encoding":
-            self._chunked = value.lower() == b"chunked"
-        elif name == b"content-length":
+            self._codings = _add_codings(self._codings, value)
+        value = value.rstrip()  # The parser leaves trailing white space.
+        if name == b"content-length":
             self.length = int(value) if value.isdigit() else _NO_LENGTH
         elif name == b"keep-alive":
             self.keep_alive_s = _parse_keep_alive_timeout(value)
@@ -120,7 +132,9 @@
             self.not_run = True
             return
         elif name == self._dialect.request_id:
-            self._echoed_id = value
+            # Of several different ids none identifies the request.
+            is_only = self._echoed_id in (None, value)
+            self._echoed_id = value if is_only else b""
         if name not in HOP_HEADERS:
             self._lines.append(b"%s: %s\r\n" % (name, value))
 
@@ -128,6 +142,8 @@
         """Process the complete head; interim responses are discarded."""
         if self.complete:
             self.keep_alive = False  # Bytes after the response belong to no request.
+            if self._parser.get_status_code() != self.status:
+                self.is_contradicted = True
             return
         status = self._parser.get_status_code()
         if status < 200:
@@ -194,6 +210,8 @@
             )
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
             raise RequestError("late response of the backend server does not end")
+        if self.has_head and self._codings not in ((), (b"chunked",)):
+            raise RequestError("transfer coding of the response is not supported")
         if self.is_unframed and not self._dialect.accepts_unframed:
             raise RequestError("backend server's response has no framing")
 
@@ -231,27 +249,44 @@
             return True
         return self.not_run and self.status >= MIN_ERROR_STATUS
 
+    @property
+    def has_own_id(self) -> bool:
+        """Whether the response has the id of the request."""
+        return bool(self._request_id) and self._echoed_id == self._request_id
+
     def _is_for_other_request(self) -> bool:
         if not self._request_id:
             return False
-        if self._echoed_id is None and not self._dialect.echoes_request_id:
+        if self._echoed_id is not None:
+            return not self.has_own_id
+        if not self._dialect.echoes_request_id:
             return False
-        if self._echoed_id is None:
-            # A backend server may refuse a request before it has read the id.
-            misdirected = self._dialect.misdirected_status
-            return not (
-                self.not_run or self._parser.get_status_code() in (400, misdirected)
-            )
-        return self._echoed_id != self._request_id
+        misdirected = self._dialect.misdirected_status
+        is_refusal = self.not_run or self._parser.get_status_code() in (
+            400,
+            misdirected,
+        )
+        return not (self._is_first and is_refusal)
 
     def _clear_head(self) -> None:
         self._lines.clear()
         self._echoed_id = None
-        self._chunked = False
+        self._codings = ()
         self.length = _NO_LENGTH
         self.not_run = False
 
 
+def _add_codings(codings: tuple[bytes, ...], value: bytes) -> tuple[bytes, ...]:
+    """Return the transfer codings with those of a further header.
+
+    The parser does not take a coding that is followed by a tab for a chunked one.
+    """
+    added = (part.strip(b" ") for part in value.lower().split(b","))
+    return tuple(
+        itertools.dropwhile(lambda coding: coding == b"identity", (*codings, *added))
+    )
+
+
 def _parse_keep_alive_timeout(value: bytes) -> float | None:
     """Return the seconds of a Keep-Alive header's timeout, or None."""
     for part in value.split(b","):
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -245,29 +245,12 @@
         if server.service != head.service or server.release != head.release:
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
-        remaining_ms = head.remaining_ms
-        try:
-            if not gate.try_acquire_slot():
-                queued_at = trio.current_time()
-                await gate.acquire_slot(
-                    head.priority,
-                    remaining_ms / 1000,
-                    head.objective_ms / 1000,
-                    head.route,
-                    head.is_nested,
-                )
-                waited_ms = int((trio.current_time() - queued_at) * 1000)
-                remaining_ms = max(1, remaining_ms - waited_ms)
-        except NotRunError as exc:
-            if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
-                self.refused_while_draining += 1
-            raise
-        except trio.Cancelled:
-            self._log_abandoned(head, exchange, "slot")
-            raise
+        remaining_ms = await self._acquire_slot(head, exchange, gate)
         running = gate.running
         try:
-            conn = await owned.pool.acquire(head.idempotent, server.connections)
+            conn = await owned.pool.acquire(
+                head.idempotent, server.connections, head.request_id
+            )
         except BaseException as exc:
             gate.release_slot()
             if is_cancelled(exc):
@@ -305,6 +288,31 @@
             owned.pool.discard(conn)
         gate.release_slot()
 
+    async def _acquire_slot(
+        self, head: RequestHead, exchange: Exchange, gate: AdmissionGate
+    ) -> int:
+        """Wait for a slot; return the milliseconds until the caller's deadline."""
+        queued_at = trio.current_time()
+        try:
+            if gate.try_acquire_slot():
+                return head.remaining_ms
+            await gate.acquire_slot(
+                head.priority,
+                head.remaining_ms / 1000,
+                head.objective_ms / 1000,
+                head.route,
+                head.is_nested,
+            )
+        except NotRunError as exc:
+            if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+                self.refused_while_draining += 1
+            raise
+        except trio.Cancelled:
+            self._log_abandoned(head, exchange, "slot")
+            raise
+        waited_ms = int((trio.current_time() - queued_at) * 1000)
+        return max(1, head.remaining_ms - waited_ms)
+
     def _check_stop_window(self, remaining_s: float, now: float) -> None:
         if self.stop_window is None:
             return
