Test planned stops with each framing, in series and beside the owner

Each test checks that no request that was passed on is lost, refused after it ran, or run twice: bodies of each framing, further signals and settings during a drain, a stop soon after the start, a stop beside the backend server that runs requests of other nodes, and stops of three nodes 1.0 to 1.3 s apart.

--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -31,6 +31,7 @@
 PEER_PORT = 7600
 REPORT_INTERVAL_MS = 400
 EXIT_TIMEOUT_S = 12.0
+GRACE_S = 6.0
 HOST = "h.example"
 
 
@@ -203,7 +204,9 @@
     def address(self, name: str) -> str:
         return f"127.{self.block.number}.1.{int(name[3:]) + 1}"
 
-    def write_settings(self, name: str, service: str) -> pathlib.Path:
+    def write_settings(
+        self, name: str, service: str, grace_s: float = GRACE_S
+    ) -> pathlib.Path:
         address = self.address(name)
         value = {
             "node": name,
@@ -217,7 +220,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 15],
             "heartbeat_ms": REPORT_INTERVAL_MS,
-            "bounds": ["grace_s=6"],
+            "bounds": [f"grace_s={grace_s:g}"],
             "app_addr": f"{address}:{BACKEND_PORT}",
             "service": service,
             "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
--- a/tests/support/stops.py
+++ b/tests/support/stops.py
@@ -283,6 +283,8 @@
         Framings of bodies, one of which is drawn for each request.
     long_run_ratio : float
         Share of long requests.
+    long_run_s : float
+        Run time of a long request in seconds.
 
     Attributes
     ----------
@@ -298,6 +300,7 @@
         connections: int = 16,
         framings: Sequence[BodyFraming] = (BodyFraming.LENGTH,),
         long_run_ratio: float = LONG_RUN_RATIO,
+        long_run_s: float = LONG_RUN_S,
     ) -> None:
         self._address = mesh.address(vm)
         self._vm = vm
@@ -305,6 +308,7 @@
         self._num_connections = connections
         self._framings = tuple(framings)
         self._long_run_ratio = long_run_ratio
+        self._long_run_s = long_run_s
         self._numbers: Iterator[int] = itertools.count()
         self._stopping = False
         self.results: list[KeptRequest] = []
@@ -351,7 +355,7 @@
         request_id = f"{rng.getrandbits(64):016x}"
         framing = rng.choice(self._framings)
         is_long = rng.random() < self._long_run_ratio
-        run_ms = int((LONG_RUN_S if is_long else SHORT_RUN_S) * 1000)
+        run_ms = int((self._long_run_s if is_long else SHORT_RUN_S) * 1000)
         pieces = _encode_request(request_id, run_ms, framing)
         parser = _ResponseParser()
         started_at = sent_at = trio.current_time()
--- a/tests/test_platform/test_stops.py
+++ b/tests/test_platform/test_stops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import random
 import signal
@@ -10,10 +11,15 @@
 
 import trio
 
-from tests.support.hosted import hosted_mesh
+from tests.support.hosted import GRACE_S, BackendRun, hosted_mesh
 from tests.support.stops import (
+    LONG_RUN_S,
+    OWN_FAILURE_STATUSES,
+    TIMEOUT_S,
     BodyFraming,
+    Ending,
     KeptCallers,
+    KeptRequest,
     Stop,
     find_cut_remotely,
     find_lost,
@@ -27,10 +33,9 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from tests.support.hosted import HostedMesh
-    from tests.support.stops import KeptRequest
 
 SEED = int(os.environ.get("MARIGOLDCHUTE_SEED", "1"))
-GRACE_S = 6.0
+RESTART_DELAY_S = 0.5
 WARM_UP_S = 1.5
 SERVICES = ("turnos", "turnos", "turnos")
 
@@ -49,11 +54,14 @@
         vm: str,
         framings: Sequence[BodyFraming] = (BodyFraming.LENGTH,),
         connections: int = 16,
-    ) -> KeptCallers:
+        long_run_ratio: float = 0.2,
+        long_run_s: float = LONG_RUN_S,
+    ) -> None:
+        """Add callers that send a long request now and then."""
         rng = random.Random(f"{SEED} {vm}")
-        callers = KeptCallers(self.mesh, vm, rng, connections, framings)
-        self.callers[vm] = callers
-        return callers
+        self.callers[vm] = KeptCallers(
+            self.mesh, vm, rng, connections, framings, long_run_ratio, long_run_s
+        )
 
     async def run(self, script: Callable[[], Awaitable[None]]) -> None:
         """Run a script beside the callers, which end after it."""
@@ -75,6 +83,14 @@
             await self.mesh.wait_for_exit(stop.vm)
         await trio.sleep(1.0)
 
+    async def stop_and_restart(self, vm: str, delay_s: float) -> None:
+        """Stop a node after a delay, and start it again after it has exited."""
+        await trio.sleep(delay_s)
+        self.stop_node(vm)
+        await self.mesh.wait_for_exit(vm)
+        await trio.sleep(RESTART_DELAY_S)
+        self.mesh.start_node(vm)
+
     def results(self, vm: str | None = None) -> list[KeptRequest]:
         """Return the requests of the callers of one VM, or of all."""
         results = [
@@ -89,12 +105,16 @@
         """Return a line for each request that a stop has lost or run twice."""
         results = self.results()
         origin = self.stops[0].stopped_at
+        lost = [
+            result
+            for stop in self.stops
+            for result in find_lost(self.results(stop.vm), stop.stopped_at, GRACE_S)
+        ]
+        others = [result for result in results if result not in lost]
         faults = []
-        for stop in self.stops:
-            lost = find_lost(self.results(stop.vm), stop.stopped_at, GRACE_S)
-            faults += [f"lost: {result.describe(origin)}" for result in lost]
         for kind, found in (
-            ("cut remotely", find_cut_remotely(results, self.stops)),
+            ("lost", lost),
+            ("cut remotely", find_cut_remotely(others, self.stops)),
             ("refused after run", find_refused_after_run(results)),
             ("run twice", find_run_twice(results)),
         ):
@@ -103,8 +123,6 @@
 
 
 class StopTestCase(unittest.TestCase):
-    maxDiff = None
-
     def run_scenario(
         self,
         scenario: Callable[[StopScenario], Awaitable[None]],
@@ -124,7 +142,7 @@
                     self.assertGreater(len(served), 100)
 
         trio.run(main)
-        self.assertEqual(faults, [])
+        self.assertFalse(faults, "\n" + "\n".join(faults))
 
 
 class SingleStopTest(StopTestCase):
@@ -142,6 +160,179 @@
 
         self.run_scenario(scenario)
 
+    # Guards against a body that arrives in parts, so that its request is taken before
+    # it is complete and is reset when the node ends.
+    def test_bodies_of_each_framing_are_answered_by_a_stopped_node(self) -> None:
+        async def scenario(stops: StopScenario) -> None:
+            stops.add_callers("vm-0", tuple(BodyFraming))
+
+            async def script() -> None:
+                stops.stop_node("vm-0")
+                await stops.wait_for_exits()
+
+            await stops.run(script)
+
+        self.run_scenario(scenario)
+
+    # Guards against a loss by signals and settings that arrive during a drain.
+    def test_further_signals_and_settings_do_not_shorten_a_drain(self) -> None:
+        async def scenario(stops: StopScenario) -> None:
+            mesh = stops.mesh
+            stops.add_callers("vm-0")
+
+            async def script() -> None:
+                stops.stop_node("vm-0")
+                await trio.sleep(0.7)
+                mesh.signal_node("vm-0", signal.SIGHUP)
+                await trio.sleep(0.6)
+                mesh.signal_node("vm-0", signal.SIGTERM)
+                await trio.sleep(0.6)
+                mesh.write_settings("vm-0", "turnos", GRACE_S / 2)
+                mesh.signal_node("vm-0", signal.SIGHUP)
+                await stops.wait_for_exits()
+
+            await stops.run(script)
+
+        self.run_scenario(scenario)
+
+    # Guards against a loss by a stop before the node has joined the mesh.
+    def test_node_that_is_stopped_soon_after_its_start_answers_its_requests(
+        self,
+    ) -> None:
+        async def scenario(stops: StopScenario) -> None:
+            mesh = stops.mesh
+            mesh.signal_node("vm-0", signal.SIGKILL)
+            await mesh.wait_for_exit("vm-0")
+            stops.add_callers("vm-0")
+
+            async def script() -> None:
+                mesh.start_node("vm-0")
+                while not await mesh.is_ready("vm-0"):
+                    await trio.sleep(0.02)
+                stops.stop_node("vm-0")
+                await stops.wait_for_exits()
+
+            await stops.run(script)
+
+        self.run_scenario(scenario)
+
+
+class OwnerStopTest(StopTestCase):
+    # Guards against requests of other nodes that end with the node beside the backend
+    # server that runs them.
+    def test_requests_of_other_nodes_outlive_the_node_beside_their_backend_server(
+        self,
+    ) -> None:
+        async def scenario(stops: StopScenario) -> None:
+            for vm in ("vm-1", "vm-2"):
+                stops.add_callers(vm, connections=8)
+
+            async def script() -> None:
+                stops.stop_node("vm-0")
+                await stops.wait_for_exits()
+
+            await stops.run(script)
+            results = stops.results()
+            self.assertTrue(any(r.server == "i-vm-0" for x in results for r in x.runs))
+            failed = [
+                result.describe(stops.stops[0].stopped_at)
+                for result in results
+                if result.status in OWN_FAILURE_STATUSES - {503}
+                and result.ended_at - result.started_at < TIMEOUT_S
+            ]
+            self.assertEqual(failed, [])
+
+        self.run_scenario(scenario)
+
+
+class StopSeriesTest(StopTestCase):
+    # Guards against requests between two nodes that drain at the same time.
+    def test_overlapping_stops_lose_no_request(self) -> None:
+        async def scenario(stops: StopScenario) -> None:
+            names = stops.mesh.names
+            for vm in names:
+                stops.add_callers(vm, tuple(BodyFraming), connections=5)
+            rng = random.Random(SEED)
+
+            async def script() -> None:
+                delay_s = 0.0
+                async with trio.open_nursery() as nursery:
+                    for vm in rng.sample(names, 3):
+                        nursery.start_soon(stops.stop_and_restart, vm, delay_s)
+                        delay_s += rng.uniform(1.0, 1.3)
+                await trio.sleep(1.0)
+
+            await stops.run(script)
+
+        self.run_scenario(scenario, ("turnos",) * 5)
+
+
+class CheckTest(unittest.TestCase):
+    """Checks of ``tests.support.stops``; a stop at 0 s with the grace period."""
+
+    def test_request_that_is_cut_while_it_runs_is_lost(self) -> None:
+        for result in (
+            make_result(3.5, 5.3, Ending.RESET),
+            make_result(3.5, 5.3, Ending.CLOSED),
+            make_result(-0.1, 1.0, Ending.PARTIAL),
+            make_result(1.0, 1.5, Ending.COMPLETE, 502, True),
+            make_result(3.1, 5.05, Ending.RESET),
+        ):
+            with self.subTest(result=result):
+                self.assertEqual(find_lost([result], 0.0, GRACE_S), [result])
+
+    def test_request_that_may_end_is_not_lost(self) -> None:
+        for result in (
+            make_result(3.5, 5.3, Ending.COMPLETE, 200),
+            make_result(3.5, 5.3, Ending.COMPLETE, 500),
+            make_result(3.5, 3.6, Ending.CLOSED, runs=False),
+            make_result(2.9, 4.9, Ending.COMPLETE, 504, True),
+            make_result(3.0, 4.99, Ending.RESET, run_end=5.1),
+            make_result(-1.0, -0.5, Ending.RESET),
+            make_result(7.5, 7.8, Ending.RESET),
+        ):
+            with self.subTest(result=result):
+                self.assertEqual(find_lost([result], 0.0, GRACE_S), [])
+
+    def test_own_failure_of_another_node_belongs_to_the_stop_of_the_owner(self) -> None:
+        result = make_result(1.0, 1.5, Ending.COMPLETE, 502, True)
+        for vm, found in (("vm-1", [result]), ("vm-2", [])):
+            stops = [Stop(vm, 0.0)]
+            self.assertEqual(find_cut_remotely([result], stops), found)
+
+    def test_broken_promises_are_found(self) -> None:
+        refused = make_result(1.0, 1.5, Ending.COMPLETE, 503, True)
+        self.assertEqual(find_refused_after_run([refused]), [refused])
+        twice = dataclasses.replace(refused, runs=refused.runs * 2)
+        self.assertEqual(find_run_twice([refused, twice]), [twice])
+
+
+def make_result(
+    sent_at: float,
+    ended_at: float,
+    ending: Ending,
+    status: int = 0,
+    is_own_response: bool = False,
+    runs: bool = True,
+    run_end: float | None = None,
+) -> KeptRequest:
+    """Return a request at vm-0 that the backend server of vm-1 ran until its end."""
+    run = BackendRun("a", "i-vm-1", sent_at, ended_at if run_end is None else run_end)
+    return KeptRequest(
+        "a",
+        "vm-0",
+        0,
+        0,
+        BodyFraming.LENGTH,
+        sent_at,
+        sent_at,
+        ended_at,
+        ending,
+        status,
+        is_own_response,
+        runs=(run,) if runs else (),
+    )
+
 
 if __name__ == "__main__":
     unittest.main()
