Test that no connection stays open after the listener has closed

A drain closes the idle connections once, at the moment when it closes the listener. Two kinds of connection become idle only afterwards and keep their idle timeout: one that was waiting to be accepted, and one whose response head was sent, without Connection: close, before the drain. Each keeps the server busy until the drain's time limit, and serves a request that arrives until then, which the limit may cut.

--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -21,6 +21,7 @@
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
 
 PORT = 9100
+CLOSE_TIMEOUT_S = 2.0
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 MALFORMED = {
@@ -318,3 +319,45 @@
                 await trio.open_tcp_stream(address, PORT)
 
         self.run_server(body)
+
+    # Guards against a drain that waits for an unused connection until its time limit,
+    # and takes requests on it until then.
+    def test_unused_connection_made_before_the_close_does_not_stay_open(self) -> None:
+        async def body(address: str) -> None:
+            with socket.create_connection((address, PORT)):
+                self.server.stop_accepting()
+                with trio.move_on_after(CLOSE_TIMEOUT_S):
+                    while self.server.is_busy:
+                        await trio.sleep(0.01)
+                self.assertFalse(self.server.is_busy)
+
+        self.run_server(body)
+
+    # Guards against the same for a connection whose response began before the drain and
+    # ends after it.
+    def test_connection_whose_response_began_before_the_close_does_not_stay_open(
+        self,
+    ) -> None:
+        started, may_end = trio.Event(), trio.Event()
+
+        async def respond_slowly(req: HttpRequest, responder: HttpResponder) -> None:
+            await responder.start(200, [(b"content-length", b"2")], b"a")
+            started.set()
+            await may_end.wait()
+            await responder.send(b"b")
+            await responder.finish()
+
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+            await started.wait()
+            self.server.stop_accepting()
+            may_end.set()
+            with trio.move_on_after(CLOSE_TIMEOUT_S):
+                while self.server.is_busy:
+                    await trio.sleep(0.01)
+            self.assertFalse(self.server.is_busy)
+            await stream.aclose()
+
+        self.handler = respond_slowly
+        self.run_server(body)
