Test that a response before the end of the body announces the close

A response that is sent before its request is complete, such as a refusal of a request whose last chunk is late, has no Connection: close, although the server ends the connection behind it. A caller may send its next request on it; the server reads that while it waits for the end of the connection and drops it, and a caller may not repeat a request that was read if it is not idempotent. Seen with a request sent directly behind the rest of the body: end of the connection after 0.1 ms, no response.

--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -248,6 +248,22 @@
 
         self.run_server(body)
 
+    # Guards against a caller that sends its next request on a connection which the
+    # server is closing: that request would be read and dropped.
+    def test_response_before_the_end_of_the_body_announces_the_close(self) -> None:
+        async def refuse(req: HttpRequest, responder: HttpResponder) -> None:
+            await responder.start(503, [(b"content-length", b"0")])
+            await responder.finish()
+
+        async def body(address: str) -> None:
+            for data in (CHUNKED + b"1\r\na\r\n", POST + b"Content-Length: 5\r\n\r\na"):
+                with self.subTest(data):
+                    response = await self.exchange(address, data)
+                    self.assertIn(b"connection: close", response)
+
+        self.handler = refuse
+        self.run_server(body)
+
 
 class TruncatedResponseTest(ServerTestCase):
     def test_truncated_response_is_an_error_for_the_client(self) -> None:
