Show a stopping node that takes a pause for the absence of its callers

Callers were refused connections a second earlier than without the pause: the time since the last request also counts when the process did not run, while requests wait to be accepted.

--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 from typing import TYPE_CHECKING
 
 import trio
 from trio.testing import MockClock
 
-from marigoldchute.hosted.drain import ANNOUNCE_RESERVE_S, OWNER_RESERVE_S, NodeDrain
+from marigoldchute.hosted.drain import (
+    ANNOUNCE_RESERVE_S,
+    CALLERS_IDLE_S,
+    MIN_ACCEPT_S,
+    OWNER_RESERVE_S,
+    NodeDrain,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
 GRACE_S = 6.0
 RUN_S = 0.3  # Service time of a request at the backend server.
@@ -22,14 +29,24 @@
 
     def __init__(self, sent_at: Iterable[float]) -> None:
         self._sent_at = sorted(sent_at)
+        self._read_until: float | None = None
         self.accepts = True
         self.draining = False
 
     @property
     def last_request_at(self) -> float:
         now = trio.current_time()
+        if self._read_until is not None:
+            now = self._read_until
         return max((at for at in self._sent_at if at <= now), default=0.0)
 
+    @contextlib.contextmanager
+    def unread_requests(self) -> Iterator[None]:
+        """Leave the requests that are sent from now on unread."""
+        self._read_until = trio.current_time()
+        yield
+        self._read_until = None
+
     @property
     def is_busy(self) -> bool:
         return self.accepts
@@ -102,6 +119,28 @@
         assert self.directory.drained_at is not None
         self.assertGreater(self.directory.drained_at, 2.8)
 
+    # Guards against callers that are refused because a node which was paused takes
+    # the pause for the time since its last request.
+    def test_pause_of_the_process_does_not_count_as_absence_of_callers(self) -> None:
+        callers = FakeCallers([index / 10 for index in range(100)])
+
+        async def main() -> None:
+            clock = trio.lowlevel.current_clock()
+            assert isinstance(clock, MockClock)
+            drain = NodeDrain(callers, self.owner, self.directory, GRACE_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(drain.run, trio.lowlevel.checkpoint)
+                await trio.sleep(MIN_ACCEPT_S - CALLERS_IDLE_S)
+                with callers.unread_requests():
+                    clock.jump(1.5 * CALLERS_IDLE_S)
+                    for _ in range(3):
+                        await trio.lowlevel.checkpoint()
+                await trio.sleep(0.1)
+                self.assertIsNone(self.directory.drained_at)
+                self.assertTrue(callers.accepts)
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
     def test_drain_ends_in_time_when_callers_never_leave(self) -> None:
         callers = FakeCallers([index / 10 for index in range(100)])
         elapsed_s = self.leave(callers)
