Read what a peer sent before a write on its link fails

When a node stops, its links may be reset while its last responses wait to be read by the other nodes. If such a node sent a heartbeat first, the failed write closed the link, and a response that had already arrived was lost; the caller would get 502. A failed write no longer closes a link that is being read: the reader gets what is left, then the end of the connection, and closes the link.

The new test failed before, in 5 of 5 runs: a heartbeat sent between the arrival of a response with a reset and its reading. The loss was not seen in real processes. A frame that waits in the write buffer was ruled out by a test of its own, which passed before.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -308,7 +308,9 @@
         try:
             sent = self._tcp.send_now(frames)
         except (OSError, trio.BrokenResourceError) as exc:
-            self.close()
+            # What the peer sent before may still be read; then the reader closes.
+            if self._nursery is None:
+                self.close()
             raise PeerError(f"connection to the peer broke: {exc}") from exc
         self.bytes_sent += sent
         self._last_sent_at = trio.current_time()
