Do not take a pause of a stopping node for the absence of its callers

What callers saw: connections refused 3.1 s after the SIGTERM although they were still sending. Cause: a node whose process did not run for 0.4 s had read no request in that time, and its drain took that for callers that had left. A poll of the drain that comes late starts the time without requests anew.

--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -30,6 +30,9 @@
 # Part of the grace period kept for the last messages.
 ANNOUNCE_RESERVE_S = 0.7
 POLL_INTERVAL_S = 0.05
+# A poll that is later than this follows a pause of the process, in which requests may
+# have arrived that are not read yet.
+MAX_POLL_DELAY_S = 0.1
 
 
 class DrainStage(enum.Enum):
@@ -92,6 +95,7 @@
         self._directory = directory
         self._grace_s = grace_s
         self._report = report
+        self._resumed_at = 0.0
 
     async def run(self, announce: Callable[[], Awaitable[None]]) -> None:
         """Drain the node and return when the process may end.
@@ -110,7 +114,8 @@
         self._callers.limit_requests(ends_at)
         self._report(DrainStage.STARTED, 0.0)
         with trio.move_on_at(ends_at) as scope:
-            await trio.sleep_until(started + MIN_ACCEPT_S)
+            while trio.current_time() < started + MIN_ACCEPT_S:
+                await self._wait_for_next_poll()
             await self._wait_for_callers_to_leave(started, OWNER_RESERVE_S)
             self._directory.drain()
             self._owner.drain()
@@ -139,8 +144,15 @@
     ) -> None:
         """Keep serving while callers still send, as other nodes may be down as well."""
         limit_s = self._grace_s - reserve_s
-        while trio.current_time() < started + limit_s:
-            idle_s = trio.current_time() - self._callers.last_request_at
-            if idle_s > CALLERS_IDLE_S:
+        while (now := trio.current_time()) < started + limit_s:
+            last_sign_at = max(self._callers.last_request_at, self._resumed_at)
+            if now - last_sign_at > CALLERS_IDLE_S:
                 return
-            await trio.sleep(POLL_INTERVAL_S)
+            await self._wait_for_next_poll()
+
+    async def _wait_for_next_poll(self) -> None:
+        due_at = trio.current_time() + POLL_INTERVAL_S
+        await trio.sleep_until(due_at)
+        now = trio.current_time()
+        if now - due_at > MAX_POLL_DELAY_S:
+            self._resumed_at = now
