Shorten the nested calls of a stopping node instead of refusing them

Cause: a call with a deadline of its own behind the end of the node was refused like a late request of a caller. The request that makes it ends before the node and already holds a slot; the call now gets the time until the end.

--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -239,10 +239,13 @@
                 "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
             )
         deadline = received_at + timeout_ms / 1000
-        if self.stop_window is not None:
-            deadline = self._limit_deadline(self.stop_window, deadline, received_at)
         objective_ms = entry.route.objective_ms
         request_id = self._request_id(req, internal)
+        is_nested = self._owner.is_nested(request_id)
+        if self.stop_window is not None:
+            deadline = self._limit_deadline(
+                self.stop_window, deadline, received_at, is_nested
+            )
         return Call(
             req,
             responder,
@@ -257,15 +260,17 @@
             self._caller_service(),
             received_at,
             self._routes.version if self._routes is not None else 0,
-            self._owner.is_nested(request_id),
+            is_nested,
         )
 
     def _has_stopped(self, now: float) -> bool:
         return self.stop_window is not None and now >= self.stop_window.ends_at
 
-    def _limit_deadline(self, window: StopWindow, deadline: float, now: float) -> float:
+    def _limit_deadline(
+        self, window: StopWindow, deadline: float, now: float, is_nested: bool
+    ) -> float:
         try:
-            return window.limit_deadline(deadline, now)
+            return window.limit_deadline(deadline, now, is_nested)
         except NotRunError:
             self.refused_while_draining += 1
             raise
--- a/marigoldchute/routing/stop_window.py
+++ b/marigoldchute/routing/stop_window.py
@@ -30,7 +30,9 @@
     notice_until: float
     ends_at: float
 
-    def limit_deadline(self, deadline: float, now: float) -> float:
+    def limit_deadline(
+        self, deadline: float, now: float, is_nested: bool = False
+    ) -> float:
         """Return the deadline for a request of a caller.
 
         Parameters
@@ -39,6 +41,9 @@
             Monotonic time in seconds at which the request ends at the latest.
         now : float
             Monotonic time in seconds.
+        is_nested : bool
+            Whether a request that runs on the VM waits for this one. It ends before
+            the node, and its work is lost if the call is refused.
 
         Raises
         ------
@@ -47,7 +52,7 @@
         """
         if deadline <= self.ends_at:
             return deadline
-        if now < min(self.notice_until, self.ends_at):
+        if now < self.ends_at and (is_nested or now < self.notice_until):
             return self.ends_at
         raise self._refusal(now)
 
--- a/tests/test_platform/test_stops.py
+++ b/tests/test_platform/test_stops.py
@@ -296,7 +296,10 @@
                 if b"nested" in target:
                     return True
                 try:
-                    response = await mesh.send_request("vm-0", "/a/nested?ms=20")
+                    parent_id = target.decode().partition("id=")[2]
+                    response = await mesh.send_request(
+                        "vm-0", "/a/nested?ms=20", request_id=f"{parent_id}.1"
+                    )
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     return False
                 return response.status == 200
@@ -305,7 +308,7 @@
 
             async def send_request(request_id: str) -> None:
                 response = await mesh.send_request(
-                    "vm-1", "/a/1?ms=1500", b"", request_id, 4000
+                    "vm-1", f"/a/1?ms=1500&id={request_id}", b"", request_id, 4000
                 )
                 responses[request_id] = response.status
 
--- a/tests/test_routing/test_stop_window.py
+++ b/tests/test_routing/test_stop_window.py
@@ -25,6 +25,11 @@
         self.assertEqual(caught.exception.code, ResultCode.REQUEST_NOT_RUN_DRAINING)
         self.assertAlmostEqual(caught.exception.retry_after_s, 1.9)
 
+    # Guards against requests that fail on the backend server because their own calls
+    # are refused by its stopping node.
+    def test_deadline_of_a_nested_call_is_shortened_until_the_end(self) -> None:
+        self.assertEqual(WINDOW.limit_deadline(16.5, 15.2, is_nested=True), 15.3)
+
     def test_request_after_the_end_is_refused(self) -> None:
         with self.assertRaises(NotRunError) as caught:
             WINDOW.limit_deadline(15.5, 15.4)
