Log a run that ended with its link as one that did

The line of a run whose link closed could name the end of the process as its cause, stopped: the link cancels its tasks before it fails its streams. Seen in a run of the test of both ends on a kept connection, which expects entry_cancelled or link. The stream now also has the link's code while the link is ending, and a node that ends its drain has priority, since its links end with it.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -118,6 +118,14 @@
         """Whether the link can still be used."""
         return not self.closed.is_set()
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the link is closed or its tasks are being cancelled."""
+        nursery = self._nursery
+        return self.closed.is_set() or (
+            nursery is not None and nursery.cancel_scope.cancel_called
+        )
+
     @property
     def is_suspected(self) -> bool:
         """Whether a heartbeat of the peer is overdue, so that a new link is needed."""
--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -61,8 +61,10 @@
 
     @property
     def error_code(self) -> ResultCode | None:
-        """Code with which the stream ended early; None if it did not."""
-        return self._error.code if self._error is not None else None
+        """Code with which the stream ends early; None if it does not."""
+        if self._error is not None:
+            return self._error.code
+        return ResultCode.PEER_UNREACHABLE if self.link.is_ending else None
 
     async def receive_head(self) -> bytes:
         """Wait for the head of the response and return it."""
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -481,8 +481,7 @@
             return False
         except BaseException as exc:
             conn.stop_reading()
-            cause = self.stop_cause if is_cancelled(exc) else _cause_of_error(exc)
-            self._report_cut(conn, exchange, cause)
+            self._report_cut(conn, exchange, self._cause_of_failure(conn, exc))
             conn.tcp.abort()
             raise
         if responder.finished and responder.keep_alive and req.complete:
@@ -506,6 +505,12 @@
                 self._report_unread(conn, exchange, bytes(unread))
         return False
 
+    def _cause_of_failure(self, conn: _CallerConn, exc: BaseException) -> CutCause:
+        if not is_cancelled(exc):
+            return _cause_of_error(exc)
+        ended = conn.nursery is not None and conn.nursery.cancel_scope.cancel_called
+        return conn.cut_cause if ended else self.stop_cause
+
     def _report_unread(
         self, conn: _CallerConn, exchange: _Exchange, unread: bytes
     ) -> None:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -88,8 +88,8 @@
         Number of requests of other nodes that wait or run here.
     refused_while_draining : int
         Number of requests that were refused because of a drain.
-    stop_cause : CutCause
-        Cause of the requests that are abandoned when the process ends.
+    stop_cause : CutCause or None
+        Set just before the process ends; cause of the requests that it abandons.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
-        self.stop_cause = CutCause.STOPPED
+        self.stop_cause: CutCause | None = None
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -212,11 +212,13 @@
     ) -> None:
         if self._log is not None:
             now = trio.current_time()
-            cause = None
-            if isinstance(exchange, AbandonSource):
+            # Links end together with the process.
+            cause = self.stop_cause
+            if cause is None and isinstance(exchange, AbandonSource):
                 cause = exchange.abandon_cause(now)
-            cause = cause or self.stop_cause
-            self._log.emit_abandoned(head, cause, waits_for, written, now)
+            self._log.emit_abandoned(
+                head, cause or CutCause.STOPPED, waits_for, written, now
+            )
 
     async def execute(self, head: RequestHead, exchange: Exchange) -> None:
         """Run one request on the backend server named in its head.
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -377,7 +377,7 @@
         self,
         *codes: ResultCode | None,
         remaining_ms: int = 5000,
-        cause_of_stop: CutCause = CutCause.STOPPED,
+        cause_of_stop: CutCause | None = None,
     ) -> list[dict[str, Any]]:
         """Serve a request for each code, which ends its stream; return the lines.
 
