Let the fault soak see requests that a planned stop cuts

Why: - a request without a response was no violation: status 0 passed every check, with or without a run on a backend server; - every caller opened a new connection for each request and sent its body with a length, so a node in its drain saw the callers leave; - each run took 20 ms (600 ms beside a slow server), so nothing still ran when a drain gave up; - stops were single and drawn among faults 1 s apart: few requests near a stop were without a kill, pause or store fault in the 4 s before; - the exit of a stopped process was waited for (12 s of 6), its status and time were not checked.

Now callers keep connections on plain sockets until they are closed or announced to be, with four framings of bodies; backend servers draw run times with a long tail, framings, refusals and nested calls from the request's id; series of overlapping stops with SIGHUP and a second SIGTERM follow the faults and begin among them. New checks: LOST, for a request that ran, or that a stopped node held, without a whole response and without an excuse; EXIT, for a process that ends by itself, with another status than 0 or after its grace period. A SIGTERM before the process listens may end it with the signal's status.

--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -31,6 +31,7 @@
 PEER_PORT = 7600
 REPORT_INTERVAL_MS = 400
 EXIT_TIMEOUT_S = 12.0
+BASE_SERVICE_TIME_S = 0.02
 HOST = "h.example"
 
 
@@ -101,7 +102,7 @@
         self.sequence = 0
         self.acknowledged_sequence = 0
         self.requests: list[dict[str, str]] = []
-        self.service_time_s = 0.02
+        self.service_time_s = BASE_SERVICE_TIME_S
         self.run_time: Callable[[bytes], float] | None = None
         self.nested_call: Callable[[bytes], Awaitable[bool]] | None = None
         self.response_framing: Callable[[bytes], ResponseFraming] | None = None
@@ -204,6 +205,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
+        self.more_paths: list[dict[str, Any]] = []
 
     def address(self, name: str) -> str:
         return f"127.{self.block.number}.1.{int(name[3:]) + 1}"
@@ -257,6 +259,7 @@
             "service": "turnos",
             "max_attempts": 2,
         }
+        services = sorted({"turnos"} | {item["service"] for item in self.more_paths})
         limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -268,9 +271,9 @@
             "main",
             {
                 "version": f"{self.version:08x}",
-                "services": [{"name": n, "max_connections": 100} for n in ("turnos",)],
+                "services": [{"name": n, "max_connections": 100} for n in services],
                 "limits": limits,
-                "virtual_hosts": [{"host": HOST, "paths": [path]}],
+                "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
             },
         )
 
@@ -304,6 +307,15 @@
             except (httpcore.ConnectError, httpcore.NetworkError):
                 return False
 
+    async def is_listening(self, name: str) -> bool:
+        """Return whether the process accepts connections at its readiness address."""
+        try:
+            stream = await trio.open_tcp_stream(self.address(name), READINESS_PORT)
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+
     async def wait_until_serving(self, *names: str) -> None:
         """Wait until the named nodes are ready and respond to a request with 200."""
         with trio.fail_after(30):
@@ -340,15 +352,20 @@
 
 
 @contextlib.asynccontextmanager
-async def hosted_mesh(*services: str) -> AsyncIterator[HostedMesh]:
+async def hosted_mesh(
+    *services: str,
+    backend_type: type[Backend] = Backend,
+    more_paths: tuple[dict[str, Any], ...] = (),
+) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
     mesh = HostedMesh(list(services))
+    mesh.more_paths.extend(more_paths)
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
             mesh.put_configuration()
             for name, service in zip(mesh.names, services, strict=True):
-                backend = Backend(f"i-{name}", service, mesh.address(name), "v1")
+                backend = backend_type(f"i-{name}", service, mesh.address(name), "v1")
                 mesh.backends[name] = backend
                 await nursery.start(backend.run)
                 mesh.start_node(name)
