Dial a peer that is also a seed only once

Cause: a node that starts has no neighbours, so it dials its seeds, which are the peers that it wants under another name ("address:port"). The two links to a peer have the same opener and age; each end keeps the one that it sees last, which is not always the same one, and retires the other. A retired link closes when it is idle for 1 s, or after 10 s, while the peer still uses it.

Attempts are now told apart by address. The test failed before: vm-2 was dialled twice.

Ruled out: heartbeats that were late (no other link of the two nodes closed), a pause of a process, and the drain (its first stage was not over).

--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -84,7 +84,7 @@
         self._repair = Repair(table, handlers)
         self._schedule = DialSchedule(rng)
         self._neighbours: dict[str, _Neighbour] = {}
-        self._dialling: set[str] = set()
+        self._dialling: set[tuple[str, int]] = set()
         self._nursery: trio.Nursery | None = None
         self._directory: PeerDirectory | None = None
         self.neighbour_listeners: list[Callable[[Link], None]] = []
@@ -147,11 +147,11 @@
         targets |= {f"{a}:{p}": (a, p) for a, p in directory.pop_one_time_addresses()}
         assert self._nursery is not None
         for name, (address, port) in targets.items():
-            if self.is_linked(name) or name in self._dialling:
+            if self.is_linked(name) or (address, port) in self._dialling:
                 continue
             if not self._schedule.admit(name, trio.current_time()):
                 continue
-            self._dialling.add(name)
+            self._dialling.add((address, port))
             self._nursery.start_soon(self._dial, name, address, port)
 
     def _close_unwanted(self, wanted: dict[str, tuple[str, int]]) -> None:
@@ -176,7 +176,7 @@
             self._handle_dial_failure(name, refused)
             return
         finally:
-            self._dialling.discard(name)
+            self._dialling.discard((address, port))
         self._schedule.record_success(name)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._endpoint.run_link, link)
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -59,8 +59,10 @@
 
     def __init__(self) -> None:
         self.links: dict[str, FakeLink] = {}
+        self.dialled: list[str] = []
 
     async def connect(self, address: str, port: int, purpose: str) -> FakeLink:
+        self.dialled.append(address)
         link = self.links[address] = FakeLink(address)
         return link
 
@@ -73,12 +75,13 @@
 
     def __init__(self, *names: str) -> None:
         self.names = set(names)
+        self.seed_addresses: list[tuple[str, int]] = []
 
     def wanted_peers(self) -> dict[str, tuple[str, int]]:
         return {name: (name, 1) for name in self.names}
 
     def seeds(self) -> list[tuple[str, int]]:
-        return []
+        return self.seed_addresses
 
     def pop_one_time_addresses(self) -> list[tuple[str, int]]:
         return []
@@ -90,6 +93,25 @@
         pass
 
 
+class SeedTest(unittest.TestCase):
+    # Guards against two links that a starting node opens to a peer at the same time:
+    # each end keeps another one, and both are closed 10 s later under open requests.
+    def test_peer_that_is_also_a_seed_is_dialled_once(self) -> None:
+        endpoint: Any = FakeEndpoint()
+        directory = FakeDirectory("vm-2", "vm-3")
+        directory.seed_addresses = [("vm-2", 1), ("vm-4", 1)]
+
+        async def main() -> None:
+            overlay = Overlay(endpoint, Handlers(), RecordTable(), random.Random(1))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overlay.run, directory)
+                await trio.sleep(2)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(sorted(endpoint.dialled), ["vm-2", "vm-3", "vm-4"])
+
+
 class UnwantedLinkTest(unittest.TestCase):
     def test_unwanted_link_is_closed_only_when_idle(self) -> None:
         endpoint: Any = FakeEndpoint()
