--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from marigoldchute.routing.stop_window import StopWindow
+
 GRACE_S = 6.0
 RUN_S = 0.3  # Service time of a request at the backend server.
 
@@ -29,6 +32,8 @@
         self._sent_at = sorted(sent_at)
         self.accepts = True
         self.draining = False
+        self.closed_at: float | None = None
+        self.requests_end_at = math.inf
 
     @property
     def last_request_at(self) -> float:
@@ -42,8 +47,16 @@
     def drain(self) -> None:
         self.draining = True
 
+    def limit_requests(self, ends_at: float) -> None:
+        self.requests_end_at = ends_at
+
     def stop_accepting(self) -> None:
         self.accepts = False
+        self.closed_at = trio.current_time()
+
+
+class FakeEntry:
+    stop_window: StopWindow | None = None
 
 
 class FakeOwner:
@@ -51,6 +64,7 @@
 
     def __init__(self, run_s: float = RUN_S) -> None:
         self._run_s = run_s
+        self.stop_window: StopWindow | None = None
         self.drained_at: float | None = None
 
     @property
@@ -77,6 +91,7 @@
     """Drain of one node while the nodes are restarted one after another, 1 s apart."""
 
     def setUp(self) -> None:
+        self.entry = FakeEntry()
         self.owner = FakeOwner()
         self.directory = FakeDirectory()
         self.announced_at = 0.0
@@ -88,9 +103,8 @@
             self.announced_at = trio.current_time()
 
         async def main() -> float:
-            await NodeDrain(callers, self.owner, self.directory, GRACE_S).run(
-                announce_leave
-            )
+            drain = NodeDrain(callers, self.entry, self.owner, self.directory, GRACE_S)
+            await drain.run(announce_leave)
             return trio.current_time()
 
         return trio.run(main, clock=MockClock(autojump_threshold=0))
@@ -115,6 +129,29 @@
         self.assertFalse(callers.accepts)
         self.assertLess(elapsed_s, GRACE_S - ANNOUNCE_RESERVE_S)
 
+    def test_requests_are_taken_only_if_they_end_before_the_announcement(self) -> None:
+        self.leave(FakeCallers([]))
+        window = self.entry.stop_window
+        assert window is not None
+        self.assertIs(self.owner.stop_window, window)
+        self.assertAlmostEqual(window.ends_at, GRACE_S - ANNOUNCE_RESERVE_S)
+
+    # Guards against failures of requests whose nested calls find the listener closed.
+    def test_callers_are_accepted_while_requests_run_on_the_backend_server(
+        self,
+    ) -> None:
+        self.owner = FakeOwner(run_s=1.2)
+        callers = FakeCallers([])
+        self.leave(callers)
+        assert self.owner.drained_at is not None
+        assert callers.closed_at is not None
+        self.assertGreaterEqual(callers.closed_at, self.owner.drained_at + 1.2)
+
+    def test_requests_in_progress_end_before_the_announcement(self) -> None:
+        callers = FakeCallers([])
+        self.leave(callers)
+        self.assertAlmostEqual(callers.requests_end_at, GRACE_S - ANNOUNCE_RESERVE_S)
+
     def test_endless_request_leaves_time_for_the_announcement(self) -> None:
         self.owner = FakeOwner(run_s=100.0)
         self.leave(FakeCallers([]))
@@ -134,6 +171,7 @@
         async def main() -> None:
             drain = NodeDrain(
                 FakeCallers([]),  # type: ignore[arg-type]
+                FakeEntry(),  # type: ignore[arg-type]
                 FakeOwner(run_s),  # type: ignore[arg-type]
                 FakeDirectory(),  # type: ignore[arg-type]
                 GRACE_S,
