Send the long request of a stop test early enough on a busy machine

On a machine with load 30 the test sent its requests up to 0.25 s late, after the node had withdrawn its backend server, and found none of them run.

--- a/tests/test_platform/test_stops.py
+++ b/tests/test_platform/test_stops.py
@@ -260,24 +260,23 @@
 
             async def send_request(request_id: str, deadline_ms: int) -> None:
                 response = await mesh.send_request(
-                    "vm-1", "/a/1?ms=2200", b"", request_id, deadline_ms
+                    "vm-1", "/a/1?ms=2700", b"", request_id, deadline_ms
                 )
                 statuses[request_id] = response.status
 
             async def script() -> None:
                 stops.stop_node("vm-0")
                 async with trio.open_nursery() as nursery:
+                    await trio.sleep(0.75)
+                    nursery.start_soon(send_request, "early", 3000)
+                    await trio.sleep(1.25)
                     for number in range(4):
-                        await trio.sleep_until(
-                            stops.stops[0].stopped_at + 2.75 + 0.05 * number
-                        )
-                        deadline_ms = 4000 if number else 2400
-                        nursery.start_soon(send_request, f"late-{number}", deadline_ms)
+                        nursery.start_soon(send_request, f"late-{number}", 4000)
                 await stops.wait_for_exits()
 
             await stops.run(script)
             ran = {run.request_id for run in mesh.backends["vm-0"].runs}
-            self.assertIn("late-0", ran)
+            self.assertIn("early", ran)
             for request_id, status in statuses.items():
                 self.assertEqual(status, 200 if request_id in ran else 503, request_id)
 
