--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -444,15 +444,17 @@
     async def _send_request(
         self, mesh: HostedMesh, name: str, request_id: str, size: int
     ) -> None:
-        started_s = trio.current_time()
+        started_s = sent_s = trio.current_time()
         status, echoed_id, content = 0, "", b""
         with trio.move_on_after(REQUEST_TIMEOUT_S):
             try:
                 response = await mesh.send_request(
                     name, PATH, b"z" * size, request_id, DEADLINE_MS
                 )
+            except httpcore.ConnectError:
+                sent_s = trio.current_time()  # Nothing was sent.
             except (httpcore.NetworkError, httpcore.ProtocolError):
-                pass  # The node is down or was killed: the caller gets no response.
+                pass  # The node was killed: the caller gets no response.
             else:
                 echoed_id = dict(response.headers).get(b"attempt-id", b"").decode()
                 status, content = response.status, response.content
@@ -465,7 +467,7 @@
                 content,
                 name,
                 started_s,
-                started_s,
+                sent_s,
                 trio.current_time(),
                 min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S),
             )
