Ignore SIGTERM until a drained process has ended

What operators saw: a node that had drained ended with the status of a signal, when a further SIGTERM came between the end of its drain and the end of its process. Cause: the signal receiver restores the default action when it closes, and the interpreter takes up to a few tenths of a second to end after that. Nothing was in progress any more; the lines behind it were lost. SIGTERM now has a handler of its own below the receiver, which does nothing in a drain, and is ignored at the end.

--- a/marigoldchute/platform/process.py
+++ b/marigoldchute/platform/process.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -15,27 +16,47 @@
 from marigoldchute.platform.adapter import PlatformAdapter
 from marigoldchute.platform.settings import read_settings, settings_path
 
+if TYPE_CHECKING:
+    from types import FrameType
+
 RELOAD_INTERVAL_S = 2.0  # The settings file may change without a SIGHUP.
 GC_THRESHOLD_0 = 20_000  # Net allocations that start a garbage collection.
 
 
-async def _run(node: HostedNode, path: str, log: EventLog) -> None:
+class _TermHandler:
+    """Handles SIGTERM before and after the signal receiver of the process is open.
+
+    The receiver restores this handler when it closes. The default action would end a
+    process that is about to end after its drain.
+    """
+
+    def __init__(self) -> None:
+        self.draining = False
+
+    def __call__(self, signal_number: int, frame: FrameType | None) -> None:
+        if not self.draining:
+            signal.signal(signal_number, signal.SIG_DFL)
+            signal.raise_signal(signal_number)
+
+
+async def _run(
+    node: HostedNode, path: str, log: EventLog, term_handler: _TermHandler
+) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
         nursery.start_soon(_reload_periodically, node, path, log)
-        draining = False
         signal_numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # The receiver stays open during a drain: the default action of a further signal
         # would end the process.
         with trio.open_signal_receiver(*signal_numbers) as signals:
             async for signal_number in signals:
-                _log_signal(log, signal_number, draining)
+                _log_signal(log, signal_number, term_handler.draining)
                 if signal_number == signal.SIGHUP:
                     _reload(node, path, log)
                 elif signal_number == signal.SIGINT:
                     nursery.cancel_scope.cancel()
-                elif not draining:
-                    draining = True
+                elif not term_handler.draining:
+                    term_handler.draining = True
                     nursery.start_soon(_drain, node, nursery.cancel_scope)
 
 
@@ -78,6 +99,10 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_0)
-    trio.run(_run, node, path, log)
+    term_handler = _TermHandler()
+    signal.signal(signal.SIGTERM, term_handler)
+    trio.run(_run, node, path, log, term_handler)
+    # The interpreter restores the default action at its end unless a signal is ignored.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     log.emit("node", "ended", f"{cfg.name} has ended.")
     return 0
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -207,6 +207,21 @@
 
         self.run_mesh(scenario)
 
+    # Guards against a process that a further signal ends after its drain, before it has
+    # ended itself.
+    def test_signals_until_the_end_of_the_process_do_not_change_its_status(
+        self,
+    ) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.signal_node("vm-1", signal.SIGTERM)
+            process = mesh.processes["vm-1"]
+            while process.poll() is None:
+                mesh.signal_node("vm-1", signal.SIGTERM)
+                await trio.sleep(0.001)
+            self.assertEqual(process.returncode, 0)
+
+        self.run_mesh(scenario)
+
     def test_stopped_node_ends_within_its_grace_period_despite_running_requests(
         self,
     ) -> None:
