Read requests that are on their way before a stop closes their connections

What callers saw: a connection that was open without a request when a stopping node closed its listener ended at once, also under a request on its way; one accepted a moment later was served.

--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -274,7 +274,7 @@
                 exchange.limit(ends_at)
 
     def stop_accepting(self) -> None:
-        """Close the listener and the connections that wait for a request."""
+        """Close the listener, and soon the connections that wait for a request."""
         self._draining = True
         if self._drain_started_at is None:
             self._drain_started_at = trio.current_time()
@@ -282,14 +282,10 @@
         self._request_taken.set()
         if self._listener is not None:
             self._listener.close()
-        for conn in tuple(self._conns):
+        last_wait_ends_at = trio.current_time() + LAST_REQUEST_WAIT_S
+        for conn in self._conns:
             if not conn.in_progress and conn.parser.is_between_requests:
-                self._close_idle(conn)
-
-    def _close_idle(self, conn: _CallerConn) -> None:
-        if conn.tcp.is_idle():
-            self.idle_closed += 1
-            conn.tcp.close()
+                conn.expires_at = min(conn.expires_at, last_wait_ends_at)
 
     async def serve_connection(self, tcp: TcpConn) -> None:
         """Serve the requests of one connection, with responses in their order."""
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -359,6 +359,21 @@
 
         self.run_server(body)
 
+    # Guards against requests that are on their way when their connection is closed.
+    def test_request_on_its_way_on_an_open_connection_is_served(self) -> None:
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            while not self.server.connections:
+                await trio.sleep(0.002)
+            self.server.drain()
+            self.server.stop_accepting()
+            await trio.sleep(0.05)
+            await stream.send_all(b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertIn(b"/late 0", await stream.receive_some(1000))
+            await stream.aclose()
+
+        self.run_server(body)
+
     # Guards against a stop that lasts until its end, and then cuts off a late request,
     # because a connection without a request was accepted while the listener closed.
     def test_idle_connection_made_before_the_close_does_not_stay_open(self) -> None:
