Send the responses to requests that end with a drain before the process ends

Cause: their deadline and the end of the drain are one moment, and the process ended after its announcement, which may take as little as 50 ms. A drain that times out now waits up to 0.15 s for these responses first.

--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -29,6 +29,8 @@
 OWNER_RESERVE_S = 3.0
 # Part of the grace period kept for the last messages.
 ANNOUNCE_RESERVE_S = 0.7
+# Part of that for the responses to requests that end with the drain.
+LAST_RESPONSES_S = 0.15
 POLL_INTERVAL_S = 0.05
 # A poll that is later than this follows a pause of the process, in which requests may
 # have arrived that are not read yet.
@@ -131,11 +133,17 @@
         if scope.cancelled_caught:
             self._callers.stop_accepting()
             self._report_stage(DrainStage.TIMED_OUT, started)
+            await self._wait_for_last_responses()
         with trio.move_on_after(ANNOUNCE_RESERVE_S / 2):
             await announce()
         if not scope.cancelled_caught:
             self._report_stage(DrainStage.DRAINED, started)
 
+    async def _wait_for_last_responses(self) -> None:
+        with trio.move_on_after(LAST_RESPONSES_S):
+            while self._callers.running:
+                await trio.sleep(POLL_INTERVAL_S / 5)
+
     def _report_stage(self, stage: DrainStage, started: float) -> None:
         self._report(stage, trio.current_time() - started)
 
--- a/tests/test_hosted/test_drain.py
+++ b/tests/test_hosted/test_drain.py
@@ -37,6 +37,7 @@
         self.accepts = True
         self.draining = False
         self.closed_at: float | None = None
+        self.answered_at = 0.0
         self.requests_end_at = math.inf
 
     @property
@@ -57,6 +58,10 @@
     def is_busy(self) -> bool:
         return self.accepts
 
+    @property
+    def running(self) -> int:
+        return int(trio.current_time() < self.answered_at)
+
     def drain(self) -> None:
         self.draining = True
 
@@ -187,6 +192,16 @@
         self.leave(callers)
         self.assertAlmostEqual(callers.requests_end_at, GRACE_S - ANNOUNCE_RESERVE_S)
 
+    # Guards against requests that end with the drain and are cut before their responses
+    # are sent.
+    def test_last_responses_are_sent_before_the_announcement(self) -> None:
+        self.owner = FakeOwner(run_s=100.0)
+        callers = FakeCallers([])
+        callers.answered_at = GRACE_S - ANNOUNCE_RESERVE_S + 0.1
+        self.leave(callers)
+        self.assertGreaterEqual(self.announced_at, callers.answered_at)
+        self.assertLess(self.announced_at, callers.answered_at + 0.1)
+
     def test_endless_request_leaves_time_for_the_announcement(self) -> None:
         self.owner = FakeOwner(run_s=100.0)
         self.leave(FakeCallers([]))
