Shorten the calls of backend servers also where ids do not name their parents

In a mesh without a hosting platform, calls of backend servers were refused in a stop like late requests of callers, one second after the signal, if their route's timeout passed the end of the drain: ids tell nothing there, but they come by an address of their own. Found in review by a test of the drain, which is not kept; a test of this is missing.

--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -244,7 +244,7 @@
         is_nested = self._owner.is_nested(request_id)
         if self.stop_window is not None:
             deadline = self._limit_deadline(
-                self.stop_window, deadline, received_at, is_nested
+                self.stop_window, deadline, received_at, internal or is_nested
             )
         return Call(
             req,
