--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -301,10 +301,12 @@
                 await self._guard(conn, self._serve_requests(conn))
                 nursery.cancel_scope.cancel()
         finally:
-            self._report_unanswered(conn)
-            self._conns.discard(conn)
-            tcp.close()
-            conn.parser.close()
+            try:
+                self._report_unanswered(conn)
+            finally:
+                self._conns.discard(conn)
+                tcp.close()
+                conn.parser.close()
 
     async def _guard(self, conn: _CallerConn, serve: Awaitable[None]) -> None:
         """Limit the effect of an error to its connection."""
