Store the leave of a backend server before it is acknowledged

Cause: the leave was held in the memory of nodes and flooded after the answer. The next process trusted any report of an unknown incarnation, and any record of the server that peers still had. Both ways to leave were affected, deregistration and report.

Now the entry of the node in the store, which is created or read at each start anyway, keeps the last leaves. A leave is answered with 200 once it is there and with 503 until then; it takes effect at once either way. A starting node uses no server before it has read them, or, while it cannot, before the server has gone on reporting.

Ruled out: a confirmation by peers instead of the store, which the loss of all nodes undoes; a separate document, which costs one more call at each start.

--- a/marigoldchute/hosted/discovery.py
+++ b/marigoldchute/hosted/discovery.py
@@ -2,39 +2,30 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
-from marigoldchute.errors import ConflictError, PlatformError, ResultCode
-from marigoldchute.objectstore.settings import Port
+from marigoldchute.errors import PlatformError, ResultCode
+from marigoldchute.hosted.node_entry import MEMBER_KIND, NodeEntry, decode_entry
 
 if TYPE_CHECKING:
     import random
 
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.directory import Directory
+    from marigoldchute.hosted.node_entry import MemberEntry
     from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.objectstore.documents import Document, DocumentStore
 
-MEMBER_KIND = "mesh-members"
 RETRY_INTERVAL_S = 0.5
 # Listing again only finds members that links have not revealed. A stale list costs a
 # tenth of a fresh one.
 RELIST_INTERVAL_S = 8.0
 
 
-class MemberEntry(msgspec.Struct, frozen=True):
-    """Entry of a node in the store: the address and port at which peers reach it."""
-
-    address: str
-    peer_port: Port
-
-
 class Discovery:
-    """Writes the entry of this node once and reads the entries of the others.
+    """Writes the entry of this node and reads the entries of the others.
 
     The entry stays until the VM is removed permanently, so a restart writes nothing.
 
@@ -50,6 +41,11 @@
         Event log of the process.
     rng : random.Random
         Source of jitter.
+
+    Attributes
+    ----------
+    entry : NodeEntry
+        Entry of this node.
     """
 
     def __init__(
@@ -65,11 +61,17 @@
         self._directory = directory
         self._log = log
         self._rng = rng
+        self.entry = NodeEntry(store, directory, log, rng)
         self.first_list_done = trio.Event()
 
     async def run(self) -> None:
         """Write the entry, then list the members periodically until cancelled."""
-        await self._retry_until_done(self._write_entry)
+        await self._retry_until_done(self.entry.load)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.entry.run)
+            await self._follow_members()
+
+    async def _follow_members(self) -> None:
         await self._retry_until_done(self._list_members)
         self.first_list_done.set()
         if self._store.min_latency_s < float("inf"):
@@ -86,7 +88,7 @@
     async def remove_entry(self) -> None:
         """Delete the entry of this node when its VM is removed permanently."""
         try:
-            await self._store.delete(MEMBER_KIND, self._directory.local.name)
+            await self.entry.remove()
         except PlatformError as exc:
             self._log_failure("entry_left", exc)
 
@@ -99,19 +101,6 @@
                 self._log_failure("store_unreachable", exc)
             await trio.sleep(RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0))
 
-    async def _write_entry(self) -> None:
-        local = self._directory.local
-        entry = MemberEntry(local.address, local.peer_port)
-        content = msgspec.to_builtins(entry)
-        try:
-            await self._store.create(MEMBER_KIND, local.name, content)
-        except ConflictError:
-            stored = await self._store.get(MEMBER_KIND, local.name)
-            if stored.content != content:
-                await self._store.replace(
-                    MEMBER_KIND, local.name, content, stored.revision
-                )
-
     async def _list_members(self, stale_allowed: bool = False) -> None:
         page = await self._store.list(MEMBER_KIND, stale_allowed)
         entries = {d.name: self._read_entry(d) for d in page.documents}
@@ -121,7 +110,7 @@
 
     def _read_entry(self, document: Document) -> MemberEntry | None:
         try:
-            return _decode_entry(document)
+            return decode_entry(document)
         except (ValueError, RecursionError) as exc:
             if self._rejections.is_new(document):
                 self._log.emit(
@@ -140,12 +129,3 @@
             f"A request to the store failed: {exc.message}.",
             code=exc.code.value,
         )
-
-
-def _decode_entry(document: Document) -> MemberEntry:
-    """Return the entry of a document; raise ``ValueError`` if it is malformed."""
-    if document.content is None and document.error:
-        raise ValueError(document.error)
-    entry = msgspec.convert(document.content, MemberEntry)
-    ipaddress.IPv4Address(entry.address)
-    return entry
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -43,12 +43,13 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from marigoldchute.admin.metrics import NodeSnapshot
     from marigoldchute.bundle.model import Bundle
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.bundle_topic import BundleApi
+    from marigoldchute.hosted.node_entry import Leave
     from marigoldchute.hosted.reader import Topic
     from marigoldchute.hosted.settings import HostedSettings
     from marigoldchute.link.link import Link
@@ -112,6 +113,7 @@
         backend: Callable[[], Endpoint],
         is_ready: Callable[[], bool],
         clock: Clock,
+        store_leave: Callable[[Leave], Awaitable[bool]],
     ) -> tuple[RequestHandler, RequestHandler]:
         """Return the request handlers of the control and readiness addresses."""
 
@@ -179,6 +181,7 @@
             self.directory.publish_servers,
             log,
             MAX_MISSED_REPORTS * cfg.report_interval_ms / 1000,
+            awaits_leaves=True,
         )
         self._registry.max_connections = self._max_connections
         self._rejections = Rejections()
@@ -208,6 +211,8 @@
         self._discovery = Discovery(
             adapter.store, self.directory, self._rejections, log, rng
         )
+        entry = self._discovery.entry
+        entry.on_loaded = self._registry.restore_leaves
         self._owner = Owner(
             self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
         )
@@ -235,7 +240,11 @@
         )
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
-            self._registry, lambda: self._cfg.backend, self.is_ready, self._clock
+            self._registry,
+            lambda: self._cfg.backend,
+            self.is_ready,
+            self._clock,
+            entry.store_leave,
         )
         metrics_page = MetricsPage(self._metrics_snapshot)
         self._metrics_http_server = HttpServer(metrics_page.handle, self._log_failure)
--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marigoldchute.hosted.node_entry import Leave
 from marigoldchute.membership.model import BackendServer
 from marigoldchute.overlay.records import Record, RecordKind
 
@@ -20,6 +21,9 @@
 MAX_MISSED_REPORTS = 4
 DEFAULT_MAX_CONNECTIONS = 1_000  # Used when the bundle sets no limit for the service.
 ADOPTED_SEQUENCE = -1  # Lower than the sequence of every report.
+# Two reports that are this part of the expiry time apart, half of their interval, show
+# that a server goes on reporting; reports that are late arrive together.
+CONFIRMING_SPAN = 0.125
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +87,10 @@
     leave never accepts requests again. The leave is replicated, so that a node that
     restarts meanwhile does not treat a late report as one of a running server.
 
+    Records of peers are lost when all nodes are killed. Until the leaves that earlier
+    processes of this VM acknowledged are known, a server is only used once it goes on
+    reporting, which one that has left does not.
+
     Parameters
     ----------
     node : str
@@ -95,6 +103,8 @@
         Event log of the process.
     expiry_s : float
         Time without a report after which a backend server is considered gone.
+    awaits_leaves : bool
+        Whether ``restore_leaves`` will be called.
     """
 
     def __init__(
@@ -104,6 +114,7 @@
         publish: Callable[[tuple[BackendServer, ...]], None],
         log: EventLog,
         expiry_s: float,
+        awaits_leaves: bool = False,
     ) -> None:
         self._node = node
         self._table = table
@@ -113,6 +124,9 @@
         self._current: StateReport | None = None
         self._warm_at_ms = 0
         self._last_report_at: float | None = None
+        self._first_report_at: float | None = None  # Of the current incarnation.
+        self._awaits_leaves = awaits_leaves
+        self._goes_on_reporting = False
         self._published: tuple[BackendServer, ...] = ()
         self.max_connections: Callable[[str], int] = lambda service: 0
         table.subscribe(RecordKind.LEAVING, self._handle_leave_record)
@@ -120,10 +134,19 @@
 
     @property
     def has_server(self) -> bool:
-        """Whether a backend server is published for this VM."""
-        return bool(self._published)
+        """Whether this VM has a backend server."""
+        return self._current is not None
+
+    def restore_leaves(self, leaves: tuple[Leave, ...]) -> None:
+        """Apply the leaves that earlier processes of this VM acknowledged."""
+        self._awaits_leaves = False
+        for leave in leaves:
+            self._record_leave(leave, "left before the node started")
+        self._publish_changes()
 
-    def handle_report(self, report: StateReport, now: float, now_ms: int) -> None:
+    def handle_report(
+        self, report: StateReport, now: float, now_ms: int
+    ) -> Leave | None:
         """Apply a report unless it is stale.
 
         Parameters
@@ -134,13 +157,22 @@
             Monotonic time in seconds.
         now_ms : int
             Wall-clock time in milliseconds since the epoch.
+
+        Returns
+        -------
+        Leave or None
+            Leave that has to be stored before the report is acknowledged.
         """
         current = self._current
         if current is not None and not _is_newer(report, current):
-            return
+            return self._reported_leave(report)
         same_incarnation = current is not None and _incarnation(
             current
         ) == _incarnation(report)
+        if not same_incarnation or self._first_report_at is None:
+            self._first_report_at = now
+        span_s = now - self._first_report_at
+        self._goes_on_reporting = span_s >= CONFIRMING_SPAN * self._expiry_s
         if not same_incarnation:
             warmup_left_ms = report.warmup_left_ms
             self._warm_at_ms = now_ms + warmup_left_ms if warmup_left_ms else 0
@@ -161,16 +193,24 @@
         self._current = dataclasses.replace(report, draining=is_leaving)
         self._last_report_at = now
         if is_leaving:
-            self._record_leave(report.instance, report.born_ms, "draining")
+            self._record_leave(Leave(report.instance, report.born_ms), "draining")
         self._publish_changes()
         if not same_incarnation:
             self._replicate_server()
+        return self._reported_leave(report)
+
+    def _reported_leave(self, report: StateReport) -> Leave | None:
+        if report.draining or self._has_left(report.instance, report.born_ms):
+            return Leave(report.instance, report.born_ms)
+        return None
 
-    def handle_deregistration(self, instance: str, now_ms: int) -> None:
+    def handle_deregistration(
+        self, instance: str, now_ms: int, born_ms: int | None = None
+    ) -> Leave:
         """Handle the leave of a backend server that has not drained before.
 
-        After a restart of the node it may arrive before the record of the server. The
-        leave then applies to every incarnation that started before ``now_ms``.
+        After a restart of the node it may arrive before the record of the server, and
+        seconds after the next incarnation has started.
 
         Parameters
         ----------
@@ -178,14 +218,25 @@
             Id of the server.
         now_ms : int
             Wall-clock time in milliseconds since the epoch.
+        born_ms : int, optional
+            Wall-clock time in milliseconds at which the server started. If it is not
+            known, the current incarnation leaves, and without one each that started
+            before ``now_ms``.
+
+        Returns
+        -------
+        Leave
+            Leave that has to be stored before the call is acknowledged.
         """
         current = self._current
         if current is None or current.instance != instance:
-            self._record_leave(instance, now_ms, "left before it was registered")
-            return
-        self._current = dataclasses.replace(current, draining=True)
-        self._record_leave(instance, current.born_ms, "left")
-        self._publish_changes()
+            leave = Leave(instance, now_ms if born_ms is None else born_ms)
+            self._record_leave(leave, "left before it was registered")
+            return leave
+        # The record of the leave withdraws the incarnations that it covers.
+        leave = Leave(instance, current.born_ms if born_ms is None else born_ms)
+        self._record_leave(leave, "left")
+        return leave
 
     def expire(self, now: float) -> None:
         """Remove a backend server without a report within the expiry time."""
@@ -203,6 +254,7 @@
             instance=current.instance,
         )
         self._current = None
+        self._first_report_at = None
         self._publish_changes()
 
     def refresh_limits(self) -> None:
@@ -213,16 +265,17 @@
         record = self._table.get(RecordKind.LEAVING, instance)
         return record is not None and decode_leave(record) >= born_ms
 
-    def _record_leave(self, instance: str, born_ms: int, reason: str) -> None:
-        body = msgspec.msgpack.encode(_LeaveBody(born_ms))
-        record = Record(RecordKind.LEAVING, instance, (born_ms, 0), body)
+    def _record_leave(self, leave: Leave, reason: str) -> None:
+        body = msgspec.msgpack.encode(_LeaveBody(leave.born_ms))
+        rank = (leave.born_ms, 0)
+        record = Record(RecordKind.LEAVING, leave.instance, rank, body)
         if self._table.apply(record):
             self._log.emit(
                 "registry",
                 "server_leaving",
-                f"{instance} receives no new requests: {reason}.",
-                instance=instance,
-                born_ms=born_ms,
+                f"{leave.instance} receives no new requests: {reason}.",
+                instance=leave.instance,
+                born_ms=leave.born_ms,
             )
 
     def _handle_leave_record(self, record: Record) -> None:
@@ -236,7 +289,7 @@
     def _replicate_server(self) -> None:
         """Replicate the backend server for the next node process of this VM."""
         assert self._current is not None
-        body = msgspec.msgpack.encode(self._published[0])
+        body = msgspec.msgpack.encode(self._describe(self._current))
         rank = (self._current.born_ms, 0)
         self._table.apply(Record(RecordKind.VM_SERVER, self._node, rank, body))
 
@@ -276,27 +329,26 @@
     def _publish_changes(self) -> None:
         current = self._current
         servers: tuple[BackendServer, ...] = ()
-        if current is not None:
-            connections = (
-                self.max_connections(current.service) or DEFAULT_MAX_CONNECTIONS
-            )
-            servers = (
-                BackendServer(
-                    f"{current.instance}@{current.born_ms}",
-                    current.service,
-                    current.release,
-                    current.port,
-                    current.slots,
-                    connections,
-                    current.draining,
-                    self._warm_at_ms,
-                    current.instance,
-                ),
-            )
+        if current is not None and (self._goes_on_reporting or not self._awaits_leaves):
+            servers = (self._describe(current),)
         if servers != self._published:
             self._published = servers
             self._publish(servers)
 
+    def _describe(self, report: StateReport) -> BackendServer:
+        connections = self.max_connections(report.service) or DEFAULT_MAX_CONNECTIONS
+        return BackendServer(
+            f"{report.instance}@{report.born_ms}",
+            report.service,
+            report.release,
+            report.port,
+            report.slots,
+            connections,
+            report.draining,
+            self._warm_at_ms,
+            report.instance,
+        )
+
 
 def _incarnation(report: StateReport) -> tuple[str, int]:
     return report.instance, report.born_ms
--- a/marigoldchute/platform/adapter.py
+++ b/marigoldchute/platform/adapter.py
@@ -12,8 +12,9 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
+    from marigoldchute.hosted.node_entry import Leave
     from marigoldchute.hosted.registry import LocalRegistry
     from marigoldchute.hosted.settings import Endpoint, HostedSettings
     from marigoldchute.routing.http_server import RequestHandler
@@ -44,7 +45,8 @@
         backend: Callable[[], Endpoint],
         is_ready: Callable[[], bool],
         clock: Clock,
+        store_leave: Callable[[Leave], Awaitable[bool]],
     ) -> tuple[RequestHandler, RequestHandler]:
         """Return the handlers of the control address and of the readiness address."""
-        api = ControlApi(registry, backend, is_ready, clock)
+        api = ControlApi(registry, backend, is_ready, clock, store_leave)
         return api.handle_control, api.handle_readiness
--- a/marigoldchute/platform/control.py
+++ b/marigoldchute/platform/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING, Annotated
 
 import msgspec
@@ -9,10 +10,11 @@
 
 from marigoldchute.bundle.limits import MAX_WALL_CLOCK_MS
 from marigoldchute.errors import ResultCode
+from marigoldchute.hosted.node_entry import Leave
 from marigoldchute.hosted.registry import StateReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from marigoldchute.hosted.registry import LocalRegistry
     from marigoldchute.hosted.settings import Endpoint
@@ -25,6 +27,7 @@
 MAX_SLOTS = 100_000
 MAX_WARMUP_MS = 3_600_000
 MAX_SEQUENCE = 2**62
+MAX_INSTANCE_LENGTH = 256
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -48,6 +51,22 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Result:
+    """Outcome of a call.
+
+    Parameters
+    ----------
+    error : str
+        What is wrong with the call; empty when it is valid.
+    leave : Leave or None
+        Leave that has to be stored before the call is acknowledged.
+    """
+
+    error: str = ""
+    leave: Leave | None = None
+
+
 class ControlApi:
     """Handle reports of this VM's backend server and the platform's readiness checks.
 
@@ -61,6 +80,8 @@
         Returns whether this node accepts callers.
     clock : Clock
         Wall clock of the process.
+    store_leave : callable
+        Stores the leave of a backend server; returns whether this was confirmed.
     """
 
     def __init__(
@@ -69,7 +90,9 @@
         backend: Callable[[], Endpoint],
         is_ready: Callable[[], bool],
         clock: Clock,
+        store_leave: Callable[[Leave], Awaitable[bool]],
     ) -> None:
+        self._store_leave = store_leave
         self._registry = registry
         self._backend = backend
         self._is_ready = is_ready
@@ -100,31 +123,51 @@
             return
         instance, _, operation = path[len(INSTANCES_PREFIX) :].partition("/")
         if operation == "heartbeat":
-            error = self._apply_report(instance, body)
+            result = self._apply_report(instance, body)
         elif operation == "deregister":
-            self._registry.handle_deregistration(instance, self._clock.now_ms())
-            error = ""
+            result = self._apply_deregistration(instance)
         else:
             await _send_response(responder, 404, "no such call")
             return
-        await _send_response(responder, 400 if error else 200, error)
-
-    def _apply_report(self, instance: str, body: bytes) -> str:
-        """Apply a report; return an error text, empty when the report is valid."""
+        if result.error:
+            await _send_response(responder, 400, result.error)
+        elif result.leave is None or await self._store_leave(result.leave):
+            await _send_response(responder, 200, "")
+        else:
+            await _send_response(
+                responder,
+                503,
+                "leave is not stored yet",
+                ResultCode.STORE_UNAVAILABLE,
+            )
+
+    def _apply_deregistration(self, instance: str) -> _Result:
+        if not 0 < len(instance) <= MAX_INSTANCE_LENGTH:
+            return _Result("id is not allowed")
+        now_ms = self._clock.now_ms()
+        leave = self._registry.handle_deregistration(instance, now_ms)
+        return _Result(leave=leave)
+
+    def _apply_report(self, instance: str, body: bytes) -> _Result:
+        """Apply a report unless it is not valid."""
         try:
             decoded = msgspec.json.decode(body, type=_Report)
         except (msgspec.DecodeError, RecursionError) as exc:
-            return f"report is malformed: {exc}"
+            return _Result(f"report is malformed: {exc}")
         address, _, port = decoded.address.rpartition(":")
         backend = self._backend()
         if (address, port) != (backend.address, str(backend.port)):
-            return f"{decoded.address} is not on this VM"
+            return _Result(f"{decoded.address} is not on this VM")
         info, status = decoded.info, decoded.status
         draining = _DRAINING_BY_STATE.get(status.state)
         if draining is None:
-            return f"state {status.state!r} is not known"
-        if not instance or not info.service or not 1 <= info.slots <= MAX_SLOTS:
-            return "id, service or slots is not allowed"
+            return _Result(f"state {status.state!r} is not known")
+        if (
+            not 0 < len(instance) <= MAX_INSTANCE_LENGTH
+            or not info.service
+            or not 1 <= info.slots <= MAX_SLOTS
+        ):
+            return _Result("id, service or slots is not allowed")
         report = StateReport(
             instance,
             decoded.born,
@@ -137,12 +180,17 @@
             int(max(0.0, min(MAX_WARMUP_MS, status.warmup_left_ms))),
         )
         now = trio.current_time()
-        self._registry.handle_report(report, now, self._clock.now_ms())
-        return ""
+        now_ms = self._clock.now_ms()
+        return _Result(leave=self._registry.handle_report(report, now, now_ms))
 
 
-async def _send_response(responder: HttpResponder, status: int, error: str) -> None:
-    value = {"error": error, "code": ResultCode.ANNOUNCEMENT_INVALID} if error else {}
+async def _send_response(
+    responder: HttpResponder,
+    status: int,
+    error: str,
+    code: ResultCode = ResultCode.ANNOUNCEMENT_INVALID,
+) -> None:
+    value = {"error": error, "code": code} if error else {}
     body = msgspec.json.encode(value)
     headers = [
         (b"content-type", b"application/json"),
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -91,6 +91,8 @@
         Whether a run ends when the connection of its request is closed.
     runs : list of BackendRun
         Executions in the order of their arrival.
+    reports : bool
+        Whether it reports its state periodically.
     """
 
     def __init__(self, name: str, service: str, address: str, release: str) -> None:
@@ -102,6 +104,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.acknowledged_sequence = 0
+        self.reports = True
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
         self.run_time: Callable[[bytes], float] | None = None
@@ -119,35 +122,53 @@
             nursery.start_soon(self._send_reports)
             task_status.started()
 
+    def make_report(self) -> dict[str, Any]:
+        """Return the next report."""
+        self.sequence += 1
+        return {
+            "address": f"{self.address}:{BACKEND_PORT}",
+            "info": {
+                "service": self.service,
+                "version": self.release,
+                "zone": "z",
+                "slots": 8,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "warmup_left_ms": 0,
+            },
+            "born": self.born,
+        }
+
+    async def call_node(self, operation: str, value: dict[str, Any]) -> int:
+        """Call the control address of the node; return the status."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await self._call_node(pool, operation, value)
+
+    async def _call_node(
+        self, pool: httpcore.AsyncConnectionPool, operation: str, value: dict[str, Any]
+    ) -> int:
+        url = f"http://{self.address}:{CONTROL_PORT}/api/instances/{self.name}"
+        content = json.dumps(value).encode()
+        response = await pool.request("POST", f"{url}/{operation}", content=content)
+        return response.status
+
     async def _send_reports(self) -> None:
         async with httpcore.AsyncConnectionPool() as pool:
             while True:
-                self.sequence += 1
-                state, sequence = self.state, self.sequence
-                value = {
-                    "address": f"{self.address}:{BACKEND_PORT}",
-                    "info": {
-                        "service": self.service,
-                        "version": self.release,
-                        "zone": "z",
-                        "slots": 8,
-                    },
-                    "status": {
-                        "state": state,
-                        "sequence": sequence,
-                        "warmup_left_ms": 0,
-                    },
-                    "born": self.born,
-                }
-                url = f"http://{self.address}:{CONTROL_PORT}/api/instances/{self.name}"
-                with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
-                    response = await pool.request(
-                        "POST", f"{url}/heartbeat", content=json.dumps(value).encode()
-                    )
-                    if response.status == 200 and state == self.state:
-                        self.acknowledged_sequence = sequence
+                if self.reports:
+                    await self._send_report(pool)
                 await trio.sleep(REPORT_INTERVAL_MS / 1000)
 
+    async def _send_report(self, pool: httpcore.AsyncConnectionPool) -> None:
+        report = self.make_report()
+        status = report["status"]
+        with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+            answer = await self._call_node(pool, "heartbeat", report)
+            if answer == 200 and status["state"] == self.state:
+                self.acknowledged_sequence = status["sequence"]
+
     async def _handle(self, req: HttpRequest, responder: HttpResponder) -> None:
         body = b""
         while (data := await req.receive()) is not None:
--- a/tests/test_hosted/test_discovery.py
+++ b/tests/test_hosted/test_discovery.py
@@ -29,8 +29,8 @@
         self.documents = documents
         self.lists = 0
 
-    async def create(self, kind: str, name: str, content: Any) -> None:
-        """Accept the entry of this node."""
+    async def create(self, kind: str, name: str, content: Any) -> Document:
+        return Document(kind, name, 1, content)
 
     async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
         self.lists += 1
--- a/tests/test_hosted/test_registry.py
+++ b/tests/test_hosted/test_registry.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.node_entry import Leave
 from marigoldchute.hosted.registry import LocalRegistry, StateReport
 from marigoldchute.overlay.records import RecordKind, RecordTable
 
@@ -31,10 +32,17 @@
         self.table = RecordTable()
         self.registry = self.make_registry(self.table)
 
-    def make_registry(self, table: RecordTable) -> LocalRegistry:
+    def make_registry(
+        self, table: RecordTable, awaits_leaves: bool = False
+    ) -> LocalRegistry:
         self.servers: tuple[BackendServer, ...] = ()
         return LocalRegistry(
-            "vm", table, self.store_servers, MemoryEventLog(), EXPIRY_S
+            "vm",
+            table,
+            self.store_servers,
+            MemoryEventLog(),
+            EXPIRY_S,
+            awaits_leaves,
         )
 
     def store_servers(self, servers: tuple[BackendServer, ...]) -> None:
@@ -188,3 +196,68 @@
         self.restart()
         self.apply_reports(make_report(1, born_ms=9_000))
         self.assertEqual(self.accepting(), ["i-1"])
+
+
+class StoredLeaveTest(RegistryTestCase):
+    """A restarted process does not know yet which servers have left."""
+
+    def setUp(self) -> None:
+        self.table = RecordTable()
+        self.registry = self.make_registry(self.table, awaits_leaves=True)
+
+    # Guards against requests for a server that left before all nodes were killed.
+    def test_late_report_of_a_server_that_left_publishes_nothing(self) -> None:
+        for reports_first in (True, False):
+            with self.subTest(reports_first=reports_first):
+                self.setUp()
+                leaves = (Leave("i-1", 1_000),)
+                if not reports_first:
+                    self.registry.restore_leaves(leaves)
+                self.apply_reports(make_report(1), make_report(2))
+                self.assertEqual(self.accepting(), [])
+                self.registry.restore_leaves(leaves)
+                self.assertEqual(self.accepting(), [])
+                self.apply_reports(make_report(3), now=2.0)
+                self.assertEqual(self.accepting(), [])
+                self.apply_reports(make_report(1, born_ms=2_000), now=3.0)
+                self.assertEqual(self.accepting(), ["i-1"])
+
+    # Guards against requests for a server whose leave had not reached the peers.
+    def test_adopted_server_is_used_only_once_the_leaves_are_known(self) -> None:
+        old_table = RecordTable()
+        self.make_registry(old_table).handle_report(make_report(5), 0.0, 0)
+        for leaves, expected in (((), ["i-1"]), ((Leave("i-1", 1_000),), [])):
+            with self.subTest(expected=expected):
+                self.setUp()
+                for record in old_table.of_kind(RecordKind.VM_SERVER):
+                    self.table.apply(record, "peer")
+                self.assertEqual(self.accepting(), [])
+                self.registry.restore_leaves(leaves)
+                self.assertEqual(self.accepting(), expected)
+
+    def test_known_leaves_publish_a_server_at_once(self) -> None:
+        self.apply_reports(make_report(1))
+        self.registry.restore_leaves((Leave("i-0", 9_000),))
+        self.assertEqual(self.accepting(), ["i-1"])
+
+    def test_server_that_goes_on_reporting_is_used_without_the_store(self) -> None:
+        interval_s = EXPIRY_S / 4
+        self.apply_reports(make_report(1), make_report(2), now=0.0)
+        self.assertEqual(self.accepting(), [])
+        self.apply_reports(make_report(3), now=interval_s)
+        self.assertEqual(self.accepting(), ["i-1"])
+        self.apply_reports(make_report(1, born_ms=9_000), now=2 * interval_s)
+        self.assertEqual(self.accepting(), [])
+        self.apply_reports(make_report(2, born_ms=9_000), now=3 * interval_s)
+        self.assertEqual(self.accepting(), ["i-1"])
+
+    def test_leave_has_to_be_stored_before_each_acknowledgement(self) -> None:
+        leave = Leave("i-1", 1_000)
+        apply = self.registry.handle_report
+        self.assertIsNone(apply(make_report(1), 0.0, 0))
+        self.assertEqual(apply(make_report(2, draining=True), 0.0, 0), leave)
+        self.assertEqual(apply(make_report(2, draining=True), 0.0, 0), leave)
+        self.assertEqual(apply(make_report(3), 0.0, 0), leave)
+        self.assertEqual(self.registry.handle_deregistration("i-1", 5_000), leave)
+        unknown = self.registry.handle_deregistration("i-2", 5_000, 4_000)
+        self.assertEqual(unknown, Leave("i-2", 4_000))
--- a/tests/test_platform/test_control.py
+++ b/tests/test_platform/test_control.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.node_entry import Leave
 from marigoldchute.hosted.registry import LocalRegistry
 from marigoldchute.hosted.settings import Endpoint
 from marigoldchute.overlay.records import RecordTable
@@ -56,16 +57,28 @@
 class ReportTest(unittest.TestCase):
     def setUp(self) -> None:
         self.published: list[tuple[BackendServer, ...]] = []
+        self.leaves: list[Leave] = []
+        self.is_stored = True
         registry = LocalRegistry(
             "vm-1", RecordTable(), self.published.append, MemoryEventLog(), 6.0
         )
         self.api = ControlApi(
-            registry, lambda: Endpoint("10.0.0.1", 80), lambda: True, Clock()
+            registry,
+            lambda: Endpoint("10.0.0.1", 80),
+            lambda: True,
+            Clock(),
+            self.store_leave,
         )
 
-    def send(self, body: bytes) -> int:
+    async def store_leave(self, leave: Leave) -> bool:
+        self.leaves.append(leave)
+        return self.is_stored
+
+    def send(
+        self, body: bytes, operation: str = "heartbeat", instance: str = INSTANCE
+    ) -> int:
         async def main() -> int:
-            req = _Request(f"/api/instances/{INSTANCE}/heartbeat".encode(), body)
+            req = _Request(f"/api/instances/{instance}/{operation}".encode(), body)
             responder = _Responder()
             await self.api.handle_control(req, responder)  # type: ignore[arg-type]
             return responder.status
@@ -104,3 +117,28 @@
             with self.subTest(report[:80]):
                 self.assertEqual(self.send(report), 400)
         self.assertEqual(len(self.published), count)
+
+
+class LeaveTest(ReportTest):
+    """Leaves, which are acknowledged once they are stored."""
+
+    def send_draining(self) -> int:
+        status = {"state": "draining", "sequence": 5, "warmup_left_ms": 0}
+        return self.send(json.dumps(make_report(status=status)).encode())
+
+    # Guards against an acknowledged leave that is forgotten with the node.
+    def test_leave_that_is_not_stored_is_not_acknowledged(self) -> None:
+        self.is_stored = False
+        self.assertEqual(self.send(json.dumps(make_report()).encode()), 200)
+        self.assertEqual(self.send_draining(), 503)
+        self.assertEqual(self.send(b'{"born": 1000}', "deregister"), 503)
+        self.assertTrue(self.published[-1][0].draining)
+        self.is_stored = True
+        self.assertEqual(self.send_draining(), 200)
+        self.assertEqual(self.send(b'{"born": 1000}', "deregister"), 200)
+        self.assertEqual(set(self.leaves), {Leave(INSTANCE, 1_000)})
+
+    def test_deregistration_without_start_withdraws_the_current_server(self) -> None:
+        self.send(json.dumps(make_report()).encode())
+        self.assertEqual(self.send(b"", "deregister"), 200)
+        self.assertTrue(self.published[-1][0].draining)
