Apply a deregistration to the incarnation that it names

What callers saw: a server that had started again under its id got no requests, when the deregistration of the incarnation before it arrived late.

Cause: `born` in the body of the call was not read, and the leave was applied to the current incarnation.

Evidence: the two tests failed before, as the running server was withdrawn and unreadable bodies got 200; they pass.

--- a/marigoldchute/platform/control.py
+++ b/marigoldchute/platform/control.py
@@ -51,6 +51,10 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] = 0
 
 
+class _Deregistration(msgspec.Struct, frozen=True):
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class _Result:
     """Outcome of a call.
@@ -125,7 +129,7 @@
         if operation == "heartbeat":
             result = self._apply_report(instance, body)
         elif operation == "deregister":
-            result = self._apply_deregistration(instance)
+            result = self._apply_deregistration(instance, body)
         else:
             await _send_response(responder, 404, "no such call")
             return
@@ -141,11 +145,15 @@
                 ResultCode.STORE_UNAVAILABLE,
             )
 
-    def _apply_deregistration(self, instance: str) -> _Result:
+    def _apply_deregistration(self, instance: str, body: bytes) -> _Result:
+        try:
+            decoded = msgspec.json.decode(body or b"{}", type=_Deregistration)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            return _Result(f"deregistration is malformed: {exc}")
         if not 0 < len(instance) <= MAX_INSTANCE_LENGTH:
             return _Result("id is not allowed")
         now_ms = self._clock.now_ms()
-        leave = self._registry.handle_deregistration(instance, now_ms)
+        leave = self._registry.handle_deregistration(instance, now_ms, decoded.born)
         return _Result(leave=leave)
 
     def _apply_report(self, instance: str, body: bytes) -> _Result:
--- a/tests/test_platform/test_control.py
+++ b/tests/test_platform/test_control.py
@@ -138,6 +138,30 @@
         self.assertEqual(self.send(b'{"born": 1000}', "deregister"), 200)
         self.assertEqual(set(self.leaves), {Leave(INSTANCE, 1_000)})
 
+    # Guards against a running server that a late call of its predecessor withdraws.
+    def test_late_deregistration_of_an_earlier_incarnation_changes_nothing(
+        self,
+    ) -> None:
+        self.send(json.dumps(make_report(born=5_000)).encode())
+        self.assertEqual(self.send(b'{"born": 1000}', "deregister"), 200)
+        self.assertFalse(self.published[-1][0].draining)
+        self.assertEqual(self.send(b'{"born": 5000}', "deregister"), 200)
+        self.assertTrue(self.published[-1][0].draining)
+
+    def test_deregistration_that_cannot_be_read_is_refused(self) -> None:
+        self.send(json.dumps(make_report()).encode())
+        for body in (
+            b"\xff",
+            b"[]",
+            b'{"born": "now"}',
+            b'{"born": 1e99}',
+            b"[" * 9000,
+        ):
+            with self.subTest(body[:20]):
+                self.assertEqual(self.send(body, "deregister"), 400)
+        self.assertEqual(self.send(b"{}", "deregister", "i" * 300), 400)
+        self.assertFalse(self.published[-1][0].draining)
+
     def test_deregistration_without_start_withdraws_the_current_server(self) -> None:
         self.send(json.dumps(make_report()).encode())
         self.assertEqual(self.send(b"", "deregister"), 200)
