Check the size of request heads that arrive in one piece

What callers saw: with a limit of 4,096 bytes for heads, one of 9,100 was served if it was sent in one write, and refused with 431 in pieces.

Cause: the bytes were compared with the limit only while the head was incomplete. The parsed parts are now counted as well, without optional spaces, so that the result does not depend on how the bytes arrive and no head within the limit is refused.

--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -23,6 +23,10 @@
 # Chunks of a few bytes have several bytes of framing each.
 MAX_FRAMING_RATIO = 8
 BODY_PROGRESS_TIMEOUT_S = 10.0
+# Bytes of a head beside method, target, names and values, without optional spaces.
+_REQUEST_LINE_BYTES = len(b"  HTTP/1.1\r\n")
+_HEADER_LINE_BYTES = len(b":\r\n")
+_HEAD_END_BYTES = len(b"\r\n")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -289,6 +293,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._current_request = HttpRequest(self)
         self._head_bytes = 0
+        # Size of the parsed part, which does not depend on how the bytes arrive.
+        self._parsed_head_bytes = 0
         # Of the current request, behind its head: its body and the framing of chunks.
         self._body_bytes = 0
         self._framing_bytes = 0
@@ -311,14 +317,17 @@
         """Start a new request."""
         self._current_request = HttpRequest(self)
         self._in_head = True
+        self._parsed_head_bytes = _REQUEST_LINE_BYTES + _HEAD_END_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
         self._current_request.target += url
+        self._parsed_head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; trailers are discarded."""
         if self._in_head:
+            self._parsed_head_bytes += len(name) + len(value) + _HEADER_LINE_BYTES
             self._current_request.headers.append((name.lower(), value.rstrip()))
 
     def on_headers_complete(self) -> None:
@@ -327,6 +336,7 @@
         self._body_bytes = self._framing_bytes = 0
         self._in_head = False
         try:
+            self._check_head_size()
             self._current_request.complete_head(self._parser)
         except RequestError as exc:
             self._head_error = self._head_error or exc
@@ -334,6 +344,11 @@
         if self._head_error is None:
             self.requests.append(self._current_request)
 
+    def _check_head_size(self) -> None:
+        size = self._parsed_head_bytes + len(self._parser.get_method())
+        if size > self.max_head_bytes:
+            raise _head_size_error()
+
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
         self._body_bytes += len(data)
@@ -401,9 +416,11 @@
                 ResultCode.REQUEST_TOO_LARGE,
             )
         elif self._in_head and self._head_bytes > self.max_head_bytes:
-            self._error = RequestError(
-                "request head is too large", ResultCode.REQUEST_TOO_LARGE
-            )
+            self._error = _head_size_error()
         made_progress = len(self.requests) > queued_count or previous_request.complete
         if self._error is not None and not made_progress:
             raise self._error
+
+
+def _head_size_error() -> RequestError:
+    return RequestError("request head is too large", ResultCode.REQUEST_TOO_LARGE)
