Apply changed limits of callers to connections that are open

The limits of heads and the timeouts were as old, in both directions.

Cause: the server copied the limits to a connection when it began to wait for the next request, and computed the end of that wait from them. They are now taken at the first byte of a request, and a change moves the timeouts of open connections.

Ruled out: closing idle connections at a change, which costs each caller a connection and cuts requests on their way.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -417,7 +417,9 @@
             self._overlay.accept(link)
 
     def _apply_bundle(self, bundle: Bundle) -> None:
-        self._caller_http_server.limits = bundle.content.limits
+        self._caller_http_server.apply_limits(
+            bundle.content.limits, trio.current_time()
+        )
         self._registry.refresh_limits()
 
     def _max_connections(self, service: str) -> int:
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marigoldchute.bundle.model import CallerLimits
     from marigoldchute.routing.cut import CutCause
     from marigoldchute.routing.messages import HeaderList
     from marigoldchute.util.tcp import TcpConn
@@ -284,11 +285,28 @@
     return _STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
 
 
+def _no_limits() -> None:
+    return None
+
+
 class CallerConnParser:
-    """Parser of the requests on one caller's connection."""
+    """Parser of the requests on one caller's connection.
+
+    Parameters
+    ----------
+    tcp : TcpConn
+        Connection of the caller.
+    current_limits : callable, optional
+        Returns the limits in force; called at the first byte of each request.
+    """
 
-    def __init__(self, tcp: TcpConn) -> None:
+    def __init__(
+        self,
+        tcp: TcpConn,
+        current_limits: Callable[[], CallerLimits | None] = _no_limits,
+    ) -> None:
         self.tcp = tcp
+        self._current_limits = current_limits
         self.requests: list[HttpRequest] = []
         self._parser = httptools.HttpRequestParser(self)
         self._current_request = HttpRequest(self)
@@ -314,10 +332,14 @@
         return self._in_head and self._head_bytes == 0
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request, which the limits in force hold for."""
         self._current_request = HttpRequest(self)
         self._in_head = True
         self._parsed_head_bytes = _REQUEST_LINE_BYTES + _HEAD_END_BYTES
+        limits = self._current_limits()
+        if limits is not None:
+            self.max_head_bytes = limits.head_bytes
+            self.max_body_bytes = limits.body_bytes
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -126,7 +126,6 @@
         "closing",
         "cut_cause",
         "expires_at",
-        "idle_timeout_s",
         "in_progress",
         "nursery",
         "parser",
@@ -136,9 +135,11 @@
         "tcp",
     )
 
-    def __init__(self, tcp: TcpConn) -> None:
+    def __init__(
+        self, tcp: TcpConn, current_limits: Callable[[], CallerLimits | None]
+    ) -> None:
         self.tcp = tcp
-        self.parser = CallerConnParser(tcp)
+        self.parser = CallerConnParser(tcp, current_limits)
         self.in_progress: list[_Exchange] = []
         self.nursery: trio.Nursery | None = None
         self.read_ahead_done: trio.Event | None = None
@@ -147,7 +148,6 @@
         self.taken_count = 0
         self.cut_cause = CutCause.EARLIER_RESPONSE
         self.expires_at = 0.0
-        self.idle_timeout_s = 0.0
 
     def stop_reading(self) -> None:
         """Read no further requests because a response ends the connection."""
@@ -219,7 +219,7 @@
         self._listener: TcpListener | None = None
         self._draining = False
         self._stopped_accepting = False
-        self.limits: CallerLimits | None = None
+        self._limits: CallerLimits | None = None
         self._request_taken = trio.Event()
         self.last_request_at = 0.0
         self.max_connections = 0
@@ -267,6 +267,48 @@
         self._draining = True
         self._drain_started_at = trio.current_time()
 
+    @property
+    def _head_timeout_s(self) -> float:
+        if self._limits is None:
+            return HEAD_TIMEOUT_S
+        return self._limits.head_timeout_ms / 1000
+
+    @property
+    def _idle_timeout_s(self) -> float:
+        idle_timeout_s = IDLE_TIMEOUT_S
+        if self._limits is not None:
+            idle_timeout_s = self._limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        if self._stopped_accepting:
+            return min(idle_timeout_s, LAST_REQUEST_WAIT_S)
+        return idle_timeout_s
+
+    def apply_limits(self, limits: CallerLimits, now: float) -> None:
+        """Apply the limits of a bundle, also to connections that are open.
+
+        Sizes hold for requests of which no byte has arrived. A longer timeout holds at
+        once. A shorter one holds from now on for idle connections, and for the next
+        head on others.
+
+        Parameters
+        ----------
+        limits : CallerLimits
+            Limits that are in force from now on.
+        now : float
+            Monotonic time in seconds.
+        """
+        old_head_s, old_idle_s = self._head_timeout_s, self._idle_timeout_s
+        self._limits = limits
+        added_head_s = self._head_timeout_s - old_head_s
+        added_idle_s = self._idle_timeout_s - old_idle_s
+        for conn in self._conns:
+            if not conn.parser.is_between_requests:
+                conn.expires_at += max(0.0, added_head_s)
+            elif added_idle_s >= 0.0:
+                conn.expires_at += added_idle_s
+            else:
+                ends_at = now + self._idle_timeout_s
+                conn.expires_at = min(conn.expires_at, ends_at)
+
     def limit_requests(self, ends_at: float) -> None:
         """End the requests in progress at a monotonic time in seconds at the latest."""
         for conn in self._conns:
@@ -292,7 +334,7 @@
         if len(self._conns) >= MAX_CALLER_CONNECTIONS:
             tcp.close()
             return
-        conn = _CallerConn(tcp)
+        conn = _CallerConn(tcp, lambda: self._limits)
         self._conns.add(conn)
         self.max_connections = max(self.max_connections, len(self._conns))
         try:
@@ -481,7 +523,7 @@
                 for later in conn.in_progress[position + 1 :]:
                     later.abandon(conn.cut_cause, "")
             conn.in_progress.remove(exchange)
-            conn.expires_at = trio.current_time() + conn.idle_timeout_s
+            conn.expires_at = trio.current_time() + self._idle_timeout_s
             exchange.done.set()
 
     async def _run_handler(self, conn: _CallerConn, exchange: _Exchange) -> bool:
@@ -549,23 +591,13 @@
         )
 
     async def _read_head(self, conn: _CallerConn) -> None:
-        now = trio.current_time()
-        head_timeout_s, idle_timeout_s = HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
-        if self.limits is not None:
-            conn.parser.max_head_bytes = self.limits.head_bytes
-            conn.parser.max_body_bytes = self.limits.body_bytes
-            head_timeout_s = self.limits.head_timeout_ms / 1000
-            idle_timeout_s = self.limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        if self._stopped_accepting:
-            idle_timeout_s = min(idle_timeout_s, LAST_REQUEST_WAIT_S)
-        conn.idle_timeout_s = idle_timeout_s
-        conn.expires_at = now + idle_timeout_s
+        conn.expires_at = trio.current_time() + self._idle_timeout_s
         has_begun = False
         while not conn.parser.requests:
             await conn.parser.read_more()
             if not has_begun:
                 has_begun = True
-                conn.expires_at = trio.current_time() + head_timeout_s
+                conn.expires_at = trio.current_time() + self._head_timeout_s
 
     async def _monitor_connections(self) -> None:
         next_expiry_check = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -228,6 +228,12 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
+        self.limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 26,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
 
     def address(self, name: str) -> str:
         return f"127.{self.block.number}.1.{int(name[3:]) + 1}"
@@ -284,19 +290,13 @@
             "max_attempts": 2,
         }
         services = sorted({"turnos"} | {item["service"] for item in self.more_paths})
-        limits = {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 26,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        }
         self.store.put(
             "config",
             "main",
             {
                 "version": f"{self.version:08x}",
                 "services": [{"name": n, "max_connections": 100} for n in services],
-                "limits": limits,
+                "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
             },
         )
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -126,6 +126,35 @@
         self.run_mesh(scenario)
 
 
+class LimitsTest(ProcessTestCase):
+    # Guards against uploads that kept connections refuse by a limit not in force.
+    def test_raised_limit_holds_on_connections_that_were_open(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            large = bytes(90_000)
+            mesh.limits["max_body_bytes"] = 50_000
+            mesh.put_configuration(prefix="/low/")
+            async with httpcore.AsyncConnectionPool(keepalive_expiry=60) as pool:
+
+                async def send(path: str, content: bytes) -> int:
+                    url = f"http://{mesh.address('vm-1')}:{CALLER_PORT}{path}"
+                    headers = {"host": HOST, "attempt-id": "1"}
+                    response = await pool.request(
+                        "POST", url, headers=headers, content=content
+                    )
+                    return response.status
+
+                while await send("/low/1", b"small") != 200:
+                    await trio.sleep(0.05)
+                mesh.limits["max_body_bytes"] = 200_000
+                mesh.put_configuration(prefix="/high/")
+                while (await mesh.send_request("vm-1", "/high/1")).status != 200:
+                    await trio.sleep(0.05)
+                self.assertEqual(len(pool.connections), 1)
+                self.assertEqual(await send("/high/1", large), 200)
+
+        self.run_mesh(scenario)
+
+
 class ReloadTest(ProcessTestCase):
     # Guards against a node process that ends when its settings change just after its
     # start.
