Free what failed requests have read without the garbage collector

What callers could see: the end of a node, with all its requests, beside a backend server that sends header lines without end.

Cause: the entry raised the error to report from itself, a reference cycle through the traceback to all that was parsed. The collector counts objects that can refer to others, so that thousands of header lines count as one. The same pattern stood in the function that sends and receives at once, in the parser of callers' requests and in calls to peers.

Ruled out: the limits of parsers, which hold; a cycle in the owner alone (none with the collector off); a lower threshold of the collector, which costs processor time always.

Evidence: with the collector listing what it finds, 154 responses and 1,746 calls hung on such errors.

--- a/marigoldchute/link/pending_call.py
+++ b/marigoldchute/link/pending_call.py
@@ -43,7 +43,8 @@
             The call failed, or no response has arrived.
         """
         if self._error is not None:
-            raise self._error
+            # Raising the stored error would be a reference cycle through this frame.
+            raise PeerError(self._error.message, self._error.code)
         if self._response is None:
             raise PeerError("peer did not respond in time", ResultCode.PEER_TIMEOUT)
         return self._response
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -230,8 +230,13 @@
         return True
 
     def close(self) -> None:
-        """Drop the parser, so that both are freed without the garbage collector."""
+        """Drop the parser and what was received, whoever still refers to this object.
+
+        Parser and object are then freed without the garbage collector.
+        """
         del self._parser
+        self._lines.clear()
+        self.chunks.clear()
 
     def pop_body(self) -> bytes:
         """Remove and return the part of the body that has arrived."""
--- a/marigoldchute/routing/duplex.py
+++ b/marigoldchute/routing/duplex.py
@@ -46,6 +46,10 @@
         except MarigoldchuteError as exc:
             failure = exc
         nursery.cancel_scope.cancel()
-    if failure is not None:
-        raise failure
+    try:
+        if failure is not None:
+            raise failure
+    finally:
+        # A local variable that refers to the raised error would be a reference cycle.
+        failure = None
     return sent
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -343,6 +343,8 @@
                     call.may_have_run = True
                 if not self._may_retry(call, exc, trio.current_time()):
                     if call.retained_error is None:
+                        if error_to_report(call, exc) is exc:
+                            raise  # As its own cause it would be a reference cycle.
                         raise error_to_report(call, exc) from exc
                     await self._forward_retained_error(call)
                     return
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -323,8 +323,13 @@
         self._error: RequestError | None = None
 
     def close(self) -> None:
-        """Drop the parser, so that both are freed without the garbage collector."""
+        """Drop what refers to this object or holds what the caller sent.
+
+        Both are then freed without the garbage collector.
+        """
         del self._parser, self._current_request
+        self.requests.clear()
+        self._error = self._head_error = None
 
     @property
     def is_between_requests(self) -> bool:
