Free answered requests without the garbage collector

Each request and the state of its connection referred to each other through the function that decides whether the connection stays open. Requests, with their heads, stayed until the collector ran.

--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -241,6 +241,10 @@
             await self._tcp.send(b"0\r\n\r\n")
         self.finished = True
 
+    def release(self) -> None:
+        """Drop the reference to the connection's state after the request has ended."""
+        self._may_keep_alive = _always
+
     def abort(self) -> None:
         """Reset the connection, so that the caller detects a truncated response."""
         self._tcp.abort()
--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -524,6 +524,7 @@
                     later.abandon(conn.cut_cause, "")
             conn.in_progress.remove(exchange)
             conn.expires_at = trio.current_time() + self._idle_timeout_s
+            exchange.responder.release()
             exchange.done.set()
 
     async def _run_handler(self, conn: _CallerConn, exchange: _Exchange) -> bool:
--- a/tests/test_routing/test_garbage.py
+++ b/tests/test_routing/test_garbage.py
@@ -14,7 +14,7 @@
 from marigoldchute.link.pending_call import PendingCall
 from marigoldchute.routing.backend_response import BackendResponse
 from marigoldchute.routing.duplex import send_and_receive
-from marigoldchute.routing.http_request import CallerConnParser
+from marigoldchute.routing.http_request import CallerConnParser, HttpRequest
 from tests.support.path_in_process import local_path
 from tests.support.servers import read_request
 from tests.test_routing.test_endless import ENDLESS
@@ -124,6 +124,34 @@
             self.assertEqual(trio.run(run, send, receive), 0)
 
 
+class AnsweredRequestTest(unittest.TestCase):
+    # Guards against requests that stay in memory after their connection has ended.
+    def test_answered_requests_leave_no_requests_in_memory(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nAttempt-Id: id\r\nContent-Length: 2\r\n\r\nok"
+                )
+
+        async def main() -> int:
+            request = b"GET /a/1 HTTP/1.1\r\nHost: a\r\nAttempt-Id: id\r\n"
+            data = request + b"\r\n" + request + b"Connection: close\r\n\r\n"
+            async with local_path(serve) as path:
+                gc.collect()
+                gc.disable()
+                try:
+                    for _ in range(ROUNDS):
+                        answer = await path.send(data)
+                        self.assertEqual(answer.count(b" 200 "), 2)
+                    while path.callers.connections:
+                        await trio.sleep(0.01)
+                    return count_objects(HttpRequest)
+                finally:
+                    gc.enable()
+
+        self.assertEqual(trio.run(main), 0)
+
+
 class FailedRequestTest(unittest.TestCase):
     # Guards against a node that runs out of memory beside a server that sends garbage.
     def test_failed_requests_leave_no_responses_in_memory(self) -> None:
