Check the settings before a call names its service

Cause: settings that change without a signal were read every 2 s. The node now checks the file, one system call, before it uses the service or the address of its backend server.

Ruled out: shorter intervals, which leave a gap; the service that the accepted report names, which may come after the first call.

Two tests on real processes failed before ('reservas' for 'service-0', 400 for 200) and pass.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -118,6 +118,10 @@
         """Return the request handlers of the control and readiness addresses."""
 
 
+def _keep_settings() -> None:
+    pass
+
+
 class HostedNode:
     """One node process: proxy, member, relay and possibly reader and driver.
 
@@ -131,6 +135,12 @@
         Event log of the process.
     rng : random.Random
         Source of random choices and jitter.
+
+    Attributes
+    ----------
+    refresh_settings : callable
+        Calls ``reload`` if the settings have changed; called before each use of what
+        they say of the backend server beside this node.
     """
 
     def __init__(
@@ -141,6 +151,7 @@
         rng: random.Random,
     ) -> None:
         self._cfg = cfg
+        self.refresh_settings: Callable[[], None] = _keep_settings
         self._log = log
         self._clock = Clock()
         self._draining = False
@@ -236,12 +247,12 @@
                 bounds.retry_window_s,
                 lambda: len(self.directory.reachable()),
             ),
-            lambda: self._cfg.service,
+            lambda: self._current_settings().service,
         )
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
             self._registry,
-            lambda: self._cfg.backend,
+            lambda: self._current_settings().backend,
             self.is_ready,
             self._clock,
             entry.store_leave,
@@ -264,6 +275,10 @@
         """Return whether this node is ready for requests of callers."""
         return self._in_force.bundle is not None and not self._draining
 
+    def _current_settings(self) -> HostedSettings:
+        self.refresh_settings()
+        return self._cfg
+
     def reload(self, cfg: HostedSettings) -> None:
         """Apply settings that changed while the node runs.
 
--- a/marigoldchute/platform/process.py
+++ b/marigoldchute/platform/process.py
@@ -10,16 +10,17 @@
 
 import trio
 
-from marigoldchute.errors import MarigoldchuteError, SettingsError
+from marigoldchute.errors import MarigoldchuteError
 from marigoldchute.events import EventLog
 from marigoldchute.hosted.node import HostedNode
 from marigoldchute.platform.adapter import PlatformAdapter
 from marigoldchute.platform.settings import read_settings, settings_path
+from marigoldchute.platform.settings_file import SettingsFile
 
 if TYPE_CHECKING:
     from types import FrameType
 
-RELOAD_INTERVAL_S = 2.0  # The settings file may change without a SIGHUP.
+RELOAD_INTERVAL_S = 2.0  # For settings that are not read when they are used.
 GC_THRESHOLD_0 = 20_000  # Net allocations that start a garbage collection.
 
 
@@ -40,11 +41,11 @@
 
 
 async def _run(
-    node: HostedNode, path: str, log: EventLog, term_handler: _TermHandler
+    node: HostedNode, settings: SettingsFile, log: EventLog, term_handler: _TermHandler
 ) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
-        nursery.start_soon(_reload_periodically, node, path, log)
+        nursery.start_soon(_reload_periodically, settings)
         signal_numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # The receiver stays open during a drain: the default action of a further signal
         # would end the process.
@@ -52,7 +53,7 @@
             async for signal_number in signals:
                 _log_signal(log, signal_number, term_handler.draining)
                 if signal_number == signal.SIGHUP:
-                    _reload(node, path, log)
+                    settings.read()
                 elif signal_number == signal.SIGINT:
                     nursery.cancel_scope.cancel()
                 elif not term_handler.draining:
@@ -72,17 +73,10 @@
     scope.cancel()
 
 
-async def _reload_periodically(node: HostedNode, path: str, log: EventLog) -> None:
+async def _reload_periodically(settings: SettingsFile) -> None:
     while True:
         await trio.sleep(RELOAD_INTERVAL_S)
-        _reload(node, path, log)
-
-
-def _reload(node: HostedNode, path: str, log: EventLog) -> None:
-    try:
-        node.reload(read_settings(path))
-    except SettingsError as exc:
-        log.emit("node", "reload_failed", f"{exc.message}.", code=exc.code.value)
+        settings.read()
 
 
 def main() -> int:
@@ -96,12 +90,14 @@
     rng = random.Random()
     log = EventLog(cfg.name)
     node = HostedNode(cfg, PlatformAdapter(cfg, rng), log, rng)
+    settings = SettingsFile(path, node.reload, log)
+    node.refresh_settings = settings.refresh
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_0)
     term_handler = _TermHandler()
     signal.signal(signal.SIGTERM, term_handler)
-    trio.run(_run, node, path, log, term_handler)
+    trio.run(_run, node, settings, log, term_handler)
     # The interpreter restores the default action at its end unless a signal is ignored.
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
     log.emit("node", "ended", f"{cfg.name} has ended.")
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -260,7 +260,9 @@
             "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
         }
         path = self.directory / f"{name}.json"
-        path.write_text(json.dumps(value))
+        new_path = path.with_suffix(".new")
+        new_path.write_text(json.dumps(value))
+        new_path.replace(path)
         return path
 
     def start_node(self, name: str) -> None:
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -171,6 +171,39 @@
 
         self.run_mesh(scenario)
 
+    # Guards against calls that name the service that was on the VM before.
+    def test_call_after_a_change_of_the_settings_names_the_new_service(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            for number in range(6):
+                service = f"service-{number}"
+                mesh.write_settings("vm-1", service)
+                request_id = f"after-{number}"
+                response = await mesh.send_request("vm-1", request_id=request_id)
+                self.assertEqual(response.status, 200)
+                callers = [
+                    request["caller-service"]
+                    for backend in mesh.backends.values()
+                    for request in backend.requests
+                    if request.get("attempt-id") == request_id
+                ]
+                self.assertEqual(callers, [service])
+
+        self.run_mesh(scenario)
+
+    # Guards against reports that are refused after the server got another address.
+    def test_report_from_a_changed_address_is_accepted_at_once(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            backend = mesh.backends["vm-0"]
+            backend.reports = False
+            path = mesh.write_settings("vm-0", "turnos")
+            value = json.loads(path.read_text())
+            value["app_addr"] = f"{mesh.address('vm-0')}:8699"
+            path.write_text(json.dumps(value))
+            report = backend.make_report() | {"address": value["app_addr"]}
+            self.assertEqual(await backend.call_node("heartbeat", report), 200)
+
+        self.run_mesh(scenario)
+
 
 class LeavingTest(ProcessTestCase):
     def test_backend_server_gets_no_requests_after_its_drain_is_acknowledged(
