Keep requests that may not be repeated while their peer is silent

Cause: an end of a link that received no heartbeats for 1.5 s closed it with all its requests, at the entry and at the owner, although the peer may only be paused. The link is now lost for everything new at that moment, as before, and the member counts as unreachable; requests that can be repeated fail and are sent elsewhere. Those that cannot keep the connection until they are answered or their deadline ends.

Ruled out: more missed heartbeats before a link counts as lost, which delays the loss of a VM for all requests; waiting for requests that can be repeated.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -1,8 +1,10 @@
 """One authenticated connection between two nodes.
 
-A link multiplexes calls, notifications and streams. Both ends send heartbeats. An end
-that receives nothing for ``TIMEOUT_HEARTBEATS`` heartbeat intervals closes the link, so
-that a connection whose state a middlebox has dropped does not stay open.
+A link multiplexes calls, notifications and streams. Both ends send heartbeats. For an
+end that receives nothing for ``TIMEOUT_HEARTBEATS`` heartbeat intervals the link is
+lost: it is used for nothing new and closed, so that a connection whose state a
+middlebox has dropped does not stay open. Streams that outlast the silence keep it
+connected, because the peer may only be paused and still respond.
 """
 
 from __future__ import annotations
@@ -30,6 +32,8 @@
 TIMEOUT_HEARTBEATS = 3
 SUSPECT_HEARTBEATS = 2.25
 HEARTBEAT_IDLE_FRACTION = 0.5
+# A peer that was paused may have sent more on a lost link before it uses another one.
+LOST_IDLE_S = 1.0
 MAX_PENDING_WRITE_BYTES = 16_000_000
 _CALL_HEADER = struct.Struct(">H")
 _STAMP = struct.Struct(">Q")
@@ -75,6 +79,13 @@
         Interval between heartbeats.
     early_frames : list of (int, int, bytes)
         Frames that arrived together with the last frame of the handshake.
+
+    Attributes
+    ----------
+    lost : trio.Event
+        Set when the link can no longer be used for anything new.
+    closed : trio.Event
+        Set when its connection is closed.
     """
 
     def __init__(
@@ -92,6 +103,7 @@
         self.peer = peer
         self.purpose = purpose
         self.is_initiator = is_initiator
+        self.lost = trio.Event()
         self.closed = trio.Event()
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -116,6 +128,11 @@
     @property
     def is_open(self) -> bool:
         """Whether the link can still be used."""
+        return not self.lost.is_set()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether streams that are open can still send and receive."""
         return not self.closed.is_set()
 
     @property
@@ -133,7 +150,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the link is open and not suspected."""
-        return not self.closed.is_set() and not self._is_suspected_at(now)
+        return self.is_open and not self._is_suspected_at(now)
 
     def _is_suspected_at(self, now: float) -> bool:
         return now - self._last_received_at > SUSPECT_HEARTBEATS * self._heartbeat_s
@@ -177,7 +194,7 @@
             self.close()
 
     def check_heartbeat(self, now: float, delay_s: float = 0.0) -> None:
-        """Close the link if the peer timed out, else send a heartbeat if one is due.
+        """Give up the link if the peer timed out; send a heartbeat if one is due.
 
         A heartbeat is due when nothing was sent for ``HEARTBEAT_IDLE_FRACTION`` of the
         heartbeat interval.
@@ -192,21 +209,40 @@
         """
         self._last_received_at = min(now, self._last_received_at + delay_s)
         if now - self._last_received_at > TIMEOUT_HEARTBEATS * self._heartbeat_s:
+            self._give_up()
+        if self.lost.is_set() and self.idle_s > LOST_IDLE_S:
             self.close()
         elif now - self._last_sent_at > HEARTBEAT_IDLE_FRACTION * self._heartbeat_s:
             stamp = _STAMP.pack(self._clock.tick(0))
             with contextlib.suppress(PeerError):
                 self.send_now(encode_frame(FrameKind.HEARTBEAT, 0, stamp))
 
+    def _give_up(self) -> None:
+        """Use the silent link for nothing new; close it if nothing outlasts this."""
+        if self.lost.is_set():
+            return
+        self.lost.set()
+        self._fail_pending_calls("peer sends no heartbeats")
+        for stream in tuple(self._streams.values()):
+            if not stream.outlasts_silence:
+                with contextlib.suppress(PeerError):
+                    stream.reset(ResultCode.PEER_UNREACHABLE)
+        if not any(stream.outlasts_silence for stream in self._streams.values()):
+            self.close()
+
+    def _fail_pending_calls(self, text: str) -> None:
+        for pending in tuple(self._pending_calls.values()):
+            pending.fail(ResultCode.PEER_UNREACHABLE, text)
+
     def close(self) -> None:
         """Close the connection and fail its streams and pending calls."""
         if self.closed.is_set():
             return
+        self.lost.set()
         self.closed.set()
         for stream in tuple(self._streams.values()):
             stream.fail(ResultCode.PEER_UNREACHABLE, "connection to the peer closed")
-        for pending in tuple(self._pending_calls.values()):
-            pending.fail(ResultCode.PEER_UNREACHABLE, "connection to the peer closed")
+        self._fail_pending_calls("connection to the peer closed")
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
         self._tcp.close()
@@ -233,6 +269,7 @@
         PeerError
             The call timed out, the link closed, or the peer returned a failure.
         """
+        self._check_open()
         number = next(self._stream_numbers)
         pending = PendingCall()
         self._pending_calls[number] = pending
@@ -244,6 +281,10 @@
             del self._pending_calls[number]
         return pending.result()
 
+    def _check_open(self) -> None:
+        if self.lost.is_set():
+            raise PeerError("connection to the peer closed")
+
     def notify(self, method: int, body: bytes) -> None:
         """Send a message without waiting for a response.
 
@@ -252,6 +293,7 @@
         PeerError
             The link is closed, or the peer does not read and the write buffer is full.
         """
+        self._check_open()
         self.send_frame(FrameKind.NOTIFY, 0, _CALL_HEADER.pack(method) + body)
 
     def open_stream(self, head: bytes, data: bytes | None = None) -> Stream:
@@ -270,6 +312,7 @@
         PeerError
             The link is closed, or the peer does not read and the write buffer is full.
         """
+        self._check_open()
         stream = Stream(self, next(self._stream_numbers), head)
         number = stream.number
         if data is None:
@@ -403,7 +446,7 @@
         except PeerError:
             pass
         except DECODE_ERRORS:
-            if self.is_open:
+            if self.is_connected:
                 stream.reset(ResultCode.PEER_PROTOCOL)
         except Exception as exc:
             self._close_after_failure(exc)
@@ -422,14 +465,14 @@
         try:
             response = await self._handle_call(body)
         except MarigoldchuteError as exc:
-            if kind == FrameKind.CALL and self.is_open:
+            if kind == FrameKind.CALL and self.is_connected:
                 failure = FAILURE_CODE.pack(exc.code) + exc.message.encode()
                 self.send_frame(FrameKind.FAILURE, number, failure)
             return
         except Exception as exc:
             self._close_after_failure(exc)
             return
-        if kind == FrameKind.CALL and self.is_open:
+        if kind == FrameKind.CALL and self.is_connected:
             self.send_frame(FrameKind.RESPONSE, number, response)
 
     async def _handle_call(self, body: bytes) -> bytes:
--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -40,6 +40,12 @@
     end responds with ``send_head``. The receiver returns credit for the data that it
     has consumed, so a slow reader buffers at most ``WINDOW_BYTES`` and the rest of one
     frame.
+
+    Attributes
+    ----------
+    outlasts_silence : bool
+        Whether the stream stays open while the peer sends no heartbeats. Its users
+        then limit its duration.
     """
 
     def __init__(self, link: Link, number: int, head: bytes) -> None:
@@ -57,6 +63,7 @@
         self._readable = trio.Event()
         self._writable = trio.Event()
         self.finished_sending = False
+        self.outlasts_silence = False
         self._on_cancel: Callable[[], None] | None = None
 
     @property
@@ -150,7 +157,7 @@
         if self._error is not None:
             return
         self.fail(code, "stream was reset by this node")
-        if self.link.is_open:
+        if self.link.is_connected:
             body = _U32.pack(code)
             self.link.send_now(encode_frame(FrameKind.RESET, self.number, body))
 
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -204,7 +204,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._push_records, neighbour)
             nursery.start_soon(self._run_repair, neighbour)
-            await link.closed.wait()
+            await link.lost.wait()
             nursery.cancel_scope.cancel()
         if self._neighbours.get(peer.name) is neighbour:
             del self._neighbours[peer.name]
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -101,6 +101,12 @@
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
+    @property
+    def may_be_repeated(self) -> bool:
+        """Whether another attempt may follow the present one."""
+        max_attempts = self.route_entry.route.max_attempts
+        return self.idempotent and self.delivered_attempts + 1 < max_attempts
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the bodies of the request and of its response."""
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -135,6 +135,8 @@
             stream = link.open_stream(encoded, body)
         except PeerError as exc:
             raise _unreachable_error(target) from exc
+        # Another attempt would start at once; otherwise the response may still come.
+        stream.outlasts_silence = not call.may_be_repeated
         call.may_have_run, may_have_run_before = True, call.may_have_run
         call.link_bytes = len(encoded) + len(body or b"")
         try:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -360,9 +360,8 @@
     def _may_retain_error(self, call: Call) -> bool:
         return (
             self._policy.retry_errors
-            and call.idempotent
+            and call.may_be_repeated
             and call.retained_error is None
-            and call.delivered_attempts + 1 < call.route_entry.route.max_attempts
         )
 
     async def _forward_retained_error(self, call: Call) -> None:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -172,6 +172,8 @@
         except msgspec.DecodeError:
             stream.reset(ResultCode.PEER_PROTOCOL)
             return
+        # The result of a request that may not be repeated cannot be had elsewhere.
+        stream.outlasts_silence = not head.idempotent
         self.remote_requests += 1
         try:
             with trio.CancelScope() as scope:
--- a/tests/test_link/test_heartbeat.py
+++ b/tests/test_link/test_heartbeat.py
@@ -8,12 +8,14 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair
 
+from marigoldchute.errors import PeerError
 from marigoldchute.events import HybridClock
 from marigoldchute.link.endpoint import LinkEndpoint
 from marigoldchute.link.frames import FrameDecoder
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.handshake import PeerIdentity
-from marigoldchute.link.link import TIMEOUT_HEARTBEATS, Link
+from marigoldchute.link.link import LOST_IDLE_S, TIMEOUT_HEARTBEATS, Link
+from marigoldchute.link.stream import Stream, encode_complete_stream
 from tests.support.memory_transport import MemoryTransport
 
 HEARTBEAT_MS = 500
@@ -39,9 +41,9 @@
                 HEARTBEAT_MS,
                 lambda link: None,
             )
-            ours, theirs = memory_stream_pair()
+            ours, self.peer_end = memory_stream_pair()
             link = Link(
-                MemoryTransport(ours, theirs),
+                MemoryTransport(ours, self.peer_end),
                 FrameDecoder(),
                 PEER,
                 "control",
@@ -84,5 +86,72 @@
         self.run_link(scenario)
 
 
+class RequestDuringSilenceTest(HeartbeatTest):
+    """Requests on a link whose peer is paused or lost."""
+
+    def make_response(self, stream: Stream) -> bytes:
+        return encode_complete_stream(stream.number, b"head", b"body")
+
+    # Guards against requests that fail while they run, because the process that runs
+    # them got no processor for some time.
+    def test_request_that_cannot_be_repeated_gets_its_late_response(self) -> None:
+        async def scenario(link: Link, clock: MockClock) -> None:
+            stream = link.open_stream(b"request", b"")
+            stream.outlasts_silence = True
+            await trio.sleep(TIMEOUT_S + 1.0)
+            self.assertFalse(link.is_open)
+            self.assertTrue(link.is_connected)
+            await self.peer_end.send_all(self.make_response(stream))
+            self.assertEqual(await stream.receive_head(), b"head")
+            self.assertEqual(await stream.receive(), b"body")
+            link.remove_stream(stream)
+            await trio.sleep(LOST_IDLE_S + 1.0)
+            self.assertFalse(link.is_connected)
+
+        self.run_link(scenario)
+
+    def test_request_that_can_be_repeated_fails_at_once(self) -> None:
+        async def scenario(link: Link, clock: MockClock) -> None:
+            lasting = link.open_stream(b"request", b"")
+            lasting.outlasts_silence = True
+            other = link.open_stream(b"request", b"")
+            with trio.fail_after(TIMEOUT_S + 1.0), self.assertRaises(PeerError):
+                await other.receive_head()
+            self.assertIsNone(lasting.error_code)
+            link.remove_stream(other)
+            link.remove_stream(lasting)
+
+        self.run_link(scenario)
+
+    def test_lost_link_is_used_for_nothing_new(self) -> None:
+        async def scenario(link: Link, clock: MockClock) -> None:
+            stream = link.open_stream(b"request", b"")
+            stream.outlasts_silence = True
+            with self.assertRaises(PeerError):
+                await link.call(1, b"", 100.0)
+            self.assertTrue(link.lost.is_set())
+            for use in (
+                lambda: link.open_stream(b"request", b""),
+                lambda: link.notify(1, b""),
+            ):
+                with self.assertRaises(PeerError):
+                    use()
+            link.remove_stream(stream)
+
+        self.run_link(scenario)
+
+    def test_end_of_the_connection_fails_the_request(self) -> None:
+        async def scenario(link: Link, clock: MockClock) -> None:
+            stream = link.open_stream(b"request", b"")
+            stream.outlasts_silence = True
+            await trio.sleep(TIMEOUT_S + 1.0)
+            await self.peer_end.aclose()
+            with self.assertRaises(PeerError):
+                await stream.receive_head()
+            self.assertFalse(link.is_connected)
+
+        self.run_link(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -39,7 +39,7 @@
 
     def __init__(self, name: str) -> None:
         self.peer = PeerIdentity(name, 1, "dc", "r")
-        self.closed = trio.Event()
+        self.lost = self.closed = trio.Event()
 
     @property
     def is_open(self) -> bool:
