Send no heartbeats on a lost link

An end that has lost a link still sent heartbeats on it, so that a peer that was heard only one way took the link for working, and counted as in contact (DESIGN, "By silence"). It gives the link up as well now. The new test failed before: bytes were sent for 5 s.

--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -210,8 +210,10 @@
         self._last_received_at = min(now, self._last_received_at + delay_s)
         if now - self._last_received_at > TIMEOUT_HEARTBEATS * self._heartbeat_s:
             self._give_up()
-        if self.lost.is_set() and self.idle_s > LOST_IDLE_S:
-            self.close()
+        if self.lost.is_set():
+            # The peer gives up the link as well when it receives no heartbeats.
+            if self.idle_s > LOST_IDLE_S:
+                self.close()
         elif now - self._last_sent_at > HEARTBEAT_IDLE_FRACTION * self._heartbeat_s:
             stamp = _STAMP.pack(self._clock.tick(0))
             with contextlib.suppress(PeerError):
--- a/tests/test_link/test_heartbeat.py
+++ b/tests/test_link/test_heartbeat.py
@@ -140,6 +140,20 @@
 
         self.run_link(scenario)
 
+    # Guards against a peer that takes a link for working on which it is not heard.
+    def test_lost_link_sends_no_heartbeats(self) -> None:
+        async def scenario(link: Link, clock: MockClock) -> None:
+            stream = link.open_stream(b"request", b"")
+            stream.outlasts_silence = True
+            await trio.sleep(TIMEOUT_S + 1.0)
+            sent = link.bytes_sent
+            await trio.sleep(5.0)
+            self.assertEqual(link.bytes_sent, sent)
+            self.assertTrue(link.is_connected)
+            link.remove_stream(stream)
+
+        self.run_link(scenario)
+
     def test_end_of_the_connection_fails_the_request(self) -> None:
         async def scenario(link: Link, clock: MockClock) -> None:
             stream = link.open_stream(b"request", b"")
