Use a backend server again that returns while its last requests run

Cause: a server that is no longer announced has its gate drained, and is kept while requests run on it. When the same server was announced again, it was equal to the one that was kept, so that nothing opened its gate. It is now kept as a draining one.

Evidence: the lines of the paused node (server_silent, server_seen) and the trail of the refused requests (506 from the owner). The test failed before with 506.

--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -4,6 +4,7 @@
 
 import collections
 import contextlib
+import dataclasses
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -377,7 +378,8 @@
 
     def _remove(self, server_id: str) -> None:
         owned = self._owned[server_id]
-        owned.gate.drain()
-        owned.pool.close_all_idle()
+        # Differs from the next announcement, so that a server that returns while its
+        # last requests run is used again.
+        owned.update(dataclasses.replace(owned.server, draining=True))
         if not owned.gate.running:
             del self._owned[server_id]
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 from typing import TYPE_CHECKING, Any
 
@@ -478,3 +479,36 @@
             self.assertEqual(owner.running, 0)
 
         self.run_owner(serve, body)
+
+
+class ReturningServerTest(unittest.TestCase):
+    # Guards against a backend server that is refused for good, because it was silent
+    # for some time while a request ran on it.
+    def test_server_that_returns_while_a_request_runs_is_used_again(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            if (await read_request(stream)).split()[1] == b"/long":
+                await trio.sleep(0.5)
+            await stream.send_all(OK_RESPONSE)
+
+        async def main() -> None:
+            async with serve_script(serve) as address, trio.open_nursery() as nursery:
+                servers = FakeServers(address)
+                owner = Owner(servers, address)
+                await nursery.start(owner.run)
+                announced = servers.local
+                exchange = CollectingExchange()
+                nursery.start_soon(owner.execute, make_head(b"/long"), exchange)
+                await trio.sleep(0.1)
+                servers.local = dataclasses.replace(announced, servers=())
+                with self.assertRaises(NotRunError):
+                    await owner.execute(make_head(), CollectingExchange())
+                servers.local = announced
+                for target in (b"/next", b"/next"):
+                    answer = CollectingExchange()
+                    await owner.execute(make_head(target), answer)
+                    self.assertTrue(answer.finished)
+                    await trio.sleep(0.6)
+                self.assertTrue(exchange.finished)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
