Do not take a pause of the node for silence of its backend server

What callers saw: refusals of a running backend server after its node had been paused, and of its waiting requests, until its next report.

Cause: the check of reports measured the time since the last one that had been read, and counted its own delay. The delay no longer counts, as with heartbeats of links.

Evidence: `sent no report in 2.3 s` in the log right at the end of a pause of 2 s, although the server reported each 0.4 s. The test fails without the change.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -385,8 +385,10 @@
 
     async def _expire_servers(self) -> None:
         while True:
-            self._registry.expire(trio.current_time())
-            await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
+            due_at = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
+            await trio.sleep_until(due_at)
+            now = trio.current_time()
+            self._registry.expire(now, now - due_at)
 
     def _metrics_snapshot(self) -> NodeSnapshot:
         from marigoldchute.admin.metrics import MoveShare, NodeCounts, NodeSnapshot
--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -238,13 +238,23 @@
         self._record_leave(leave, "left")
         return leave
 
-    def expire(self, now: float) -> None:
-        """Remove a backend server without a report within the expiry time."""
+    def expire(self, now: float, delay_s: float = 0.0) -> None:
+        """Remove a backend server without a report within the expiry time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        delay_s : float
+            Delay of this check in seconds. It does not count as silence of the server:
+            this process did not run, and reports that have arrived may not be read yet.
+        """
         current = self._current
         if current is None:
             return
         if self._last_report_at is None:
             self._last_report_at = now
+        self._last_report_at = min(now, self._last_report_at + delay_s)
         if now - self._last_report_at <= self._expiry_s:
             return
         self._log.emit(
--- a/tests/test_hosted/test_registry.py
+++ b/tests/test_hosted/test_registry.py
@@ -172,6 +172,15 @@
         self.apply_reports(make_report(2), now=EXPIRY_S + 1.0)
         self.assertEqual(self.accepting(), ["i-1"])
 
+    # Guards against a server that is withdrawn because its node was paused.
+    def test_pause_of_this_process_does_not_count_as_silence(self) -> None:
+        self.apply_reports(make_report(1), now=0.0)
+        self.registry.expire(1.0)
+        self.registry.expire(1.25 + 2 * EXPIRY_S, 2 * EXPIRY_S)
+        self.assertEqual(self.accepting(), ["i-1"])
+        self.registry.expire(1.25 + 3 * EXPIRY_S)
+        self.assertEqual(self.accepting(), [])
+
 
 class LeaveAfterRestartTest(RegistryTestCase):
     """A server leaves before the restarted node process has registered it."""
