Tell the peer that a link is lost

A peer that was paused does not know that the other end has given up their link, and could prefer it to the new one that the other end opens, as both count as opened at the same time during the first 7.5 s.

--- a/marigoldchute/link/frames.py
+++ b/marigoldchute/link/frames.py
@@ -30,6 +30,8 @@
     END = 9
     RESET = 10
     CREDIT = 11
+    # The sender has given up the connection and keeps it for its open streams only.
+    LOST = 12
 
 
 def encode_frame(kind: int, stream: int, body: bytes) -> bytes:
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -225,6 +225,9 @@
             return
         self.lost.set()
         self._fail_pending_calls("peer sends no heartbeats")
+        # A peer that was paused would otherwise prefer this link to a new one.
+        with contextlib.suppress(PeerError):
+            self.send_now(encode_frame(FrameKind.LOST, 0, b""))
         for stream in tuple(self._streams.values()):
             if not stream.outlasts_silence:
                 with contextlib.suppress(PeerError):
@@ -416,6 +419,8 @@
             self._handle_stream_frame(kind, number, body)
         elif kind == FrameKind.HEARTBEAT:
             self._clock.observe(_STAMP.unpack(body)[0])
+        elif kind == FrameKind.LOST:
+            self.lost.set()
         elif kind in (FrameKind.RESPONSE, FrameKind.FAILURE):
             pending = self._pending_calls.get(number)
             if pending is not None:
