--- a/marigoldchute/hosted/drain.py
+++ b/marigoldchute/hosted/drain.py
@@ -29,12 +29,13 @@
 OWNER_RESERVE_S = 3.0
 # Part of the grace period kept for the last messages and the end of the process.
 ANNOUNCE_RESERVE_S = 0.7
-ANNOUNCE_TIMEOUT_S = 0.35
 # Part of that for the responses to requests that end with the drain.
 LAST_RESPONSES_S = 0.15
-# Part of the grace period kept for the end of the process, which takes long where many
-# processes share few processors.
+# Part of that for the end of the process, which takes long where many processes share
+# few processors.
 EXIT_RESERVE_S = 0.35
+# The last messages take a tenth of a second if the peers and the store respond.
+ANNOUNCE_TIMEOUT_S = 0.35
 POLL_INTERVAL_S = 0.05
 # A poll that is later than this follows a pause of the process, in which requests may
 # have arrived that are not read yet.
