--- a/tests/test_routing/test_garbage.py
+++ b/tests/test_routing/test_garbage.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import gc
+import tracemalloc
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -23,6 +24,8 @@
 
 ROUNDS = 100
 NUM_FAILED = 2
+# Less than one response of 64 KB of short header lines takes when it is parsed.
+MAX_GROWTH_BYTES = 200_000
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-a: b\r\n\r\nok"
 REQUEST = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok"
 
@@ -32,6 +35,16 @@
     return sum(isinstance(item, cls) for item in gc.get_objects())
 
 
+def count_left() -> tuple[int, int]:
+    """Return the number of live responses of backend servers and of errors."""
+    return count_objects(BackendResponse), count_objects(RequestError)
+
+
+def traced_bytes() -> int:
+    """Return the size of all objects that were allocated since the start."""
+    return tracemalloc.get_traced_memory()[0]
+
+
 def reject_response() -> None:
     """Parse a response of which the head does not end."""
     response = BackendResponse(False)
@@ -161,10 +174,27 @@
                     left = trio.run(self.send_all, first, repeated, method)
                     self.assertEqual(left, (0, 0))
 
+    # Guards against memory that grows with each request to a server that sends header
+    # lines without end.
+    def test_memory_does_not_grow_with_failed_requests(self) -> None:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        first, repeated = ENDLESS["headers"]
+        few, many = (
+            trio.run(self.send_all, first, repeated, b"POST", count, traced_bytes)
+            for count in (NUM_FAILED, 10 * NUM_FAILED)
+        )
+        self.assertLess(many - few, MAX_GROWTH_BYTES)
+
     async def send_all(
-        self, first: bytes, repeated: bytes, method: bytes
-    ) -> tuple[int, int]:
-        """Return how many responses and errors are left by requests that failed."""
+        self,
+        first: bytes,
+        repeated: bytes,
+        method: bytes,
+        count: int = NUM_FAILED,
+        measure: Callable[[], Any] = count_left,
+    ) -> Any:
+        """Return what is measured after requests failed, before a collection."""
 
         async def serve(stream: trio.SocketStream) -> None:
             await read_request(stream)
@@ -181,13 +211,13 @@
             gc.disable()
             try:
                 for body in (b"\r\n", b"Content-Length: 2\r\n\r\nok"):
-                    for _ in range(NUM_FAILED):
+                    for _ in range(count):
                         answer = await path.send(head + body)
                         self.assertIn(answer.split()[1], (b"200", b"502", b"503"))
                         is_cut = not answer.endswith(b"0\r\n\r\n")
                         self.assertTrue(is_cut or b" 200 " not in answer)
                 await path.owner.wait_idle()
-                return count_objects(BackendResponse), count_objects(RequestError)
+                return measure()
             finally:
                 gc.enable()
 
