Reduce the shares of an order by request rate and response time

Cause: the shares were fixed. Before the full share they use the traffic of a second, whatever its rate; what a fault at the full share then costs grows with the rate and the time of a response, while the 50 requests on top of the tenth do not. The bound was shown at 83 and 160 requests a second and with responses that take no time. Change: nodes report the attempts that began and the time of responses; the driver reduces the shares so that the full share's detection time fits into the limit, and logs what the release has got and may get. Ruled out: detecting it sooner. The test needs bad responses in three windows of 250 ms, as a crash of servers fails all their requests at one moment.

--- a/marigoldchute/moves/recorder.py
+++ b/marigoldchute/moves/recorder.py
@@ -145,6 +145,9 @@
         """Return the recorder of a move."""
         return self._by_move.get(move_id)
 
+    def record_attempt(self, service: str, release: str, move_id: str) -> None:
+        """Do nothing: moves count finished attempts only."""
+
     def record(
         self,
         route: str,
--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -132,7 +132,7 @@
         self._log.emit(
             "orders",
             "state",
-            f"{state.service!r} sends {state.share:.0%} to {state.target!r}, "
+            f"{state.service!r} sends {state.share:.1%} to {state.target!r}, "
             f"{OrderStage(state.stage).name.lower()}.",
             move=state.order_id,
             step=state.step,
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -25,6 +25,7 @@
     advance,
     has_late_fault_evidence,
     is_too_late,
+    level_of,
     next_state,
 )
 
@@ -44,9 +45,8 @@
 TICK_INTERVAL_S = 0.1
 IDLE_TICK_INTERVAL_S = 0.5
 REPORT_INTERVAL_S = 0.25
-# From this share on, a faulty release can exceed the allowed tenth of the requests,
-# see ``SCHEDULE``, within a second.
-FAST_REPORT_SHARE = SCHEDULE[-2].share
+# From this level on, a faulty release can exceed its exposure limit within a second.
+FAST_REPORT_LEVEL = len(SCHEDULE) - 1
 FAST_REPORT_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.5
 WRITE_RETRY_DELAY_S = 0.3
@@ -133,8 +133,8 @@
         self._clock = clock
         self._documents: dict[str, OrderDocument] = {}
         self._started_at: dict[str, float] = {}
-        # Order id, step and start of the present share by service.
-        self._share_since: dict[str, tuple[str, int, float]] = {}
+        # Order id, level and start of the present level by service.
+        self._level_since: dict[str, tuple[str, int, float]] = {}
         self._evidence: dict[str, OrderEvidence] = {}
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
@@ -201,7 +201,10 @@
     def _on_state_change(self, state: OrderState) -> None:
         now = trio.current_time()
         self._started_at.setdefault(state.order_id, now)
-        self._share_since[state.service] = (state.order_id, state.step, now)
+        level = level_of(state)
+        since = self._level_since.get(state.service)
+        if since is None or since[:2] != (state.order_id, level):
+            self._level_since[state.service] = (state.order_id, level, now)
         if not state.is_open:
             self._counter.discard(state.order_id)
             self._evidence.pop(state.order_id, None)
@@ -302,12 +305,14 @@
         self._log.emit(
             "orders",
             "raised",
-            f"{state.order_id} is raised to {state.share:.0%}.",
+            f"{state.order_id} sends {state.share:.1%} to its target.",
             move=state.order_id,
-            share=state.share,
-            answers=progress.responses,
-            doubt=round(progress.fault_evidence, 2),
+            share=round(state.share, 4),
+            level=state.level,
+            responses=progress.responses,
+            evidence=round(progress.fault_evidence, 2),
             elapsed_s=round(progress.elapsed_s, 2),
+            **_describe_traffic(state, progress),
         )
 
     def _log_write_failure(self, state: OrderState, exc: PlatformError) -> None:
@@ -322,8 +327,9 @@
     def _compute_progress(
         self, state: OrderState, evidence: OrderEvidence, now: float
     ) -> Progress:
-        order_id, step, since = self._share_since[state.service]
-        held_s = now - since if (order_id, step) == (state.order_id, state.step) else 0
+        order_id, level, since = self._level_since[state.service]
+        is_same = (order_id, level) == (state.order_id, level_of(state))
+        held_s = now - since if is_same else 0
         has_servers = any(
             server.service == state.service
             and server.release == state.target
@@ -337,7 +343,14 @@
             evidence.new_response_count,
             evidence.fault_evidence(),
         )
-        return Progress(elapsed_s, held_s, has_servers, responses, fault_evidence)
+        return Progress(
+            elapsed_s,
+            held_s,
+            has_servers,
+            responses,
+            fault_evidence,
+            evidence.traffic(),
+        )
 
     def _evidence_for(self, state: OrderState) -> OrderEvidence:
         evidence = self._evidence.get(state.order_id)
@@ -347,8 +360,7 @@
 
     def _local_report(self, order_id: str) -> NodeOutcomes:
         local = self._directory.local
-        counts = self._counter.counts_of(order_id)
-        return NodeOutcomes(local.name, local.incarnation, order_id, counts)
+        return self._counter.report(local.name, local.incarnation, order_id)
 
     async def _report_outcomes(self) -> None:
         """Send this node's response counts to the nodes that may decide on an order."""
@@ -372,7 +384,7 @@
 
     def _report_interval_s(self) -> float:
         fast = any(
-            state.is_open and state.share >= FAST_REPORT_SHARE
+            state.is_open and level_of(state) >= FAST_REPORT_LEVEL
             for state in self._book.states()
         )
         return FAST_REPORT_INTERVAL_S if fast else REPORT_INTERVAL_S
@@ -400,5 +412,15 @@
         return b""
 
 
+def _describe_traffic(state: OrderState, progress: Progress) -> dict[str, float]:
+    traffic = progress.traffic
+    return {
+        "requests": traffic.requests,
+        "exposed": traffic.exposed,
+        "allowed": round(traffic.allowed(progress.elapsed_s, state.duration_s)),
+        "response_s": round(traffic.response_s, 3),
+    }
+
+
 def _with_verdict(state: OrderState, stage: OrderStage) -> OrderState:
     return advance(state, 1.0 if stage == OrderStage.DONE else 0.0, stage)
--- a/marigoldchute/orders/model.py
+++ b/marigoldchute/orders/model.py
@@ -68,6 +68,9 @@
         Seconds from the order to its deadline.
     rejected : tuple of str
         Releases that must not get any request.
+    level : int
+        Level of the schedule that the share belongs to; 0 before the first one, and in
+        states of nodes that do not know levels.
     """
 
     service: str
@@ -78,6 +81,7 @@
     stage: int
     duration_s: float
     rejected: tuple[str, ...]
+    level: int = 0
 
     @property
     def order_id(self) -> str:
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marigoldchute.orders.exposure import OrderTraffic
 from marigoldchute.routing.outcomes import Outcome
 
 if TYPE_CHECKING:
@@ -61,13 +62,36 @@
     slow: int
 
 
+class AttemptCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Attempts of one node since it got the order.
+
+    Parameters
+    ----------
+    requests, exposed : int
+        Attempts that began, at backend servers of any release and of the target.
+    responses : int
+        Attempts that ended with a counted outcome.
+    response_ms : float
+        Sum of the latencies of these in milliseconds.
+    """
+
+    requests: int = 0
+    exposed: int = 0
+    responses: int = 0
+    response_ms: float = 0.0
+
+
+NO_ATTEMPTS = AttemptCounts()
+
+
 class NodeOutcomes(msgspec.Struct, frozen=True, array_like=True):
-    """Response counts of one node for an order."""
+    """Response counts and attempts of one node for an order."""
 
     node: str
     incarnation: int
     order_id: str
     counts: list[RouteCounts]
+    attempts: AttemptCounts = NO_ATTEMPTS
 
 
 @dataclasses.dataclass
@@ -92,6 +116,14 @@
     def __init__(self) -> None:
         self.by_route: dict[tuple[str, bool], _ResponseCounts] = {}
         self.baseline_ms: dict[str, tuple[float, int]] = {}
+        self.requests = 0
+        self.exposed = 0
+        self.response_ms = 0.0
+
+    def attempts(self) -> AttemptCounts:
+        """Return the attempts as they are reported."""
+        responses = sum(counts.responses for counts in self.by_route.values())
+        return AttemptCounts(self.requests, self.exposed, responses, self.response_ms)
 
     def add(
         self, route: str, new: bool, outcome: Outcome, latency_ms: float, cold: bool
@@ -105,6 +137,7 @@
         failed = outcome is not Outcome.OK
         counts = self.by_route.setdefault((route, new), _ResponseCounts())
         counts.responses += 1
+        self.response_ms += latency_ms
         counts.slow += slow
         counts.failed += failed and not slow
         if not (new or failed or cold):
@@ -152,6 +185,16 @@
         self._orders: dict[str, _OrderCounts] = {}
         self.changed_order_ids: set[str] = set()
 
+    def record_attempt(self, service: str, release: str, move_id: str) -> None:
+        """Record that an attempt begins."""
+        state = self._open_order(service, move_id)
+        if state is None:
+            return
+        counts = self._orders.setdefault(move_id, _OrderCounts())
+        counts.requests += 1
+        counts.exposed += release == state.target
+        self.changed_order_ids.add(move_id)
+
     def record(
         self,
         route: str,
@@ -165,10 +208,8 @@
         now_ms: int,
     ) -> None:
         """Record one outcome; refused and cancelled requests are not counted."""
-        if not move_id:
-            return
-        state = self._book.state(service)
-        if state is None or state.order_id != move_id or not state.is_open:
+        state = self._open_order(service, move_id)
+        if state is None:
             return
         if outcome not in COUNTED_OUTCOMES:
             return
@@ -181,6 +222,33 @@
             if reason:
                 self._book.report_fault(state, reason)
 
+    def _open_order(self, service: str, move_id: str) -> OrderState | None:
+        """Return the order that an attempt belongs to, None when it has a verdict."""
+        if not move_id:
+            return None
+        state = self._book.state(service)
+        if state is None or state.order_id != move_id or not state.is_open:
+            return None
+        return state
+
+    def report(self, node: str, incarnation: int, order_id: str) -> NodeOutcomes:
+        """Return this node's counts of an order as a report.
+
+        Parameters
+        ----------
+        node : str
+            Name of this node.
+        incarnation : int
+            Its incarnation.
+        order_id : str
+            Id of the order.
+        """
+        counts = self._orders.get(order_id)
+        attempts = NO_ATTEMPTS if counts is None else counts.attempts()
+        return NodeOutcomes(
+            node, incarnation, order_id, self.counts_of(order_id), attempts
+        )
+
     def counts_of(self, order_id: str) -> list[RouteCounts]:
         """Return this node's counts of an order."""
         counts = self._orders.get(order_id)
@@ -211,9 +279,25 @@
         self.new_response_count = 0
         self._routes: dict[str, RouteEvidence] = {}
         self._latest_counts: dict[tuple[str, int, str, bool], RouteCounts] = {}
+        self._latest_attempts: dict[tuple[str, int], AttemptCounts] = {}
+
+    def traffic(self) -> OrderTraffic:
+        """Return the requests of all nodes since the order."""
+        attempts = self._latest_attempts.values()
+        responses = sum(counts.responses for counts in attempts)
+        response_ms = sum(counts.response_ms for counts in attempts)
+        return OrderTraffic(
+            sum(counts.requests for counts in attempts),
+            sum(counts.exposed for counts in attempts),
+            response_ms / responses / 1000 if responses else 0.0,
+        )
 
     def apply_report(self, report: NodeOutcomes, now_ms: int) -> None:
         """Apply the cumulative counts of a node."""
+        sender = (report.node, report.incarnation)
+        previous_attempts = self._latest_attempts.get(sender, NO_ATTEMPTS)
+        if report.attempts.requests >= previous_attempts.requests:
+            self._latest_attempts[sender] = report.attempts
         for counts in report.counts:
             key = (report.node, report.incarnation, counts.route, counts.new)
             previous = self._latest_counts.get(key)
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldchute.orders.exposure import OrderTraffic, share_scale
 from marigoldchute.orders.model import OrderStage, OrderState
 
 
@@ -39,11 +40,10 @@
         return min(self.max_hold_s, self.hold_fraction * duration_s)
 
 
-# A faulty release may get up to a tenth of the requests during an order. The first
-# shares detect a release that fails from the start or after some time. They leave
-# enough of that tenth for one second at the full share, at which a release that fails
-# under load is detected. The hold time at the full share lets running requests to the
-# old release end.
+# The first shares detect a release that fails from the start or after some time. They
+# are reduced where the full share, at which a release that fails under load is
+# detected, needs more of the exposure limit, see ``share_scale``. The hold time at the
+# full share lets running requests to the old release end.
 SCHEDULE = (
     ScheduleStep(0.07, 0.46, 0.26, 3.5, 25),
     ScheduleStep(0.15, 0.57, 0.08, 1.2, 45),
@@ -58,6 +58,11 @@
 EVIDENCE_DELAY_END_FRACTION = 0.76  # Fraction of the duration.
 # Most releases with more evidence than this at the end of the delay are faulty.
 LATE_FAULT_EVIDENCE = 0.5  # Fraction of the fault threshold.
+# A share is reduced within its level when the planned one is below this part of it. It
+# is not raised there: a driver that has just taken over counts too few requests.
+REDUCED_SHARE_RATIO = 0.8
+# Time to wait for counts before the first share.
+MAX_TRAFFIC_WAIT_S = 1.0
 # Fraction of the duration to reach the full share by.
 FULL_SHARE_DEADLINE_FRACTION = 0.95
 # Added to the step of a verdict, which a concurrent raise must not outrank.
@@ -80,6 +85,8 @@
         Counted responses of the target.
     fault_evidence : float
         Evidence that the target is faulty, as a fraction of the fault threshold.
+    traffic : OrderTraffic
+        Requests since the order.
     """
 
     elapsed_s: float
@@ -87,6 +94,7 @@
     has_servers: bool
     responses: int
     fault_evidence: float = 0.0
+    traffic: OrderTraffic = OrderTraffic()
 
 
 def next_state(state: OrderState, progress: Progress) -> OrderState | None:
@@ -97,11 +105,15 @@
     if not state.is_open:
         return None
     if state.stage == OrderStage.WAITING or state.share <= 0.0:
-        if not progress.has_servers:
+        if not progress.has_servers or not _is_rate_known(progress):
             return None
-        return advance(state, SCHEDULE[0].share, OrderStage.RUNNING)
-    schedule_step = _schedule_step(state.share)
+        return _enter_level(state, 1, progress)
+    level = level_of(state)
+    schedule_step = SCHEDULE[level - 1]
     duration_s = state.duration_s
+    planned = planned_share(level, duration_s, progress)
+    if planned < REDUCED_SHARE_RATIO * state.share:
+        return advance(state, planned, OrderStage.RUNNING, level)
     if progress.held_s < schedule_step.hold_s(duration_s):
         return None
     if not progress.has_servers:
@@ -118,18 +130,58 @@
         < (schedule_step.end_fraction + MAX_RESPONSE_WAIT_FRACTION) * duration_s
     ):
         return None
-    later_steps = [step for step in SCHEDULE if step.share > state.share]
-    if later_steps:
-        return advance(state, later_steps[0].share, OrderStage.RUNNING)
-    return advance(state, 1.0, OrderStage.DONE)
+    if level < len(SCHEDULE):
+        return _enter_level(state, level + 1, progress)
+    return advance(state, 1.0, OrderStage.DONE, level)
 
 
-def advance(state: OrderState, share: float, stage: OrderStage) -> OrderState:
-    """Return a copy of a state with the next step, a share and a stage."""
+def planned_share(level: int, duration_s: float, progress: Progress) -> float:
+    """Return the share of a level for the traffic so far.
+
+    Parameters
+    ----------
+    level : int
+        Number of the step of ``SCHEDULE``, from 1.
+    duration_s : float
+        Seconds from the order to its deadline.
+    progress : Progress
+        Observations; the share falls with the rate of requests and the time of a
+        response.
+    """
+    share = SCHEDULE[level - 1].share
+    if level == len(SCHEDULE):
+        return share
+    planned, start_s = [], progress.elapsed_s
+    for schedule_step in SCHEDULE[level - 1 : -1]:
+        end_s = schedule_step.end_fraction * duration_s
+        seconds = max(schedule_step.hold_s(duration_s), end_s - start_s)
+        planned.append((schedule_step.share, seconds))
+        start_s += seconds
+    return share * share_scale(
+        progress.traffic, progress.elapsed_s, duration_s, planned
+    )
+
+
+def _is_rate_known(progress: Progress) -> bool:
+    rate = progress.traffic.requests_per_s(progress.elapsed_s)
+    return rate > 0.0 or progress.elapsed_s >= MAX_TRAFFIC_WAIT_S
+
+
+def _enter_level(state: OrderState, level: int, progress: Progress) -> OrderState:
+    share = planned_share(level, state.duration_s, progress)
+    return advance(state, share, OrderStage.RUNNING, level)
+
+
+def advance(
+    state: OrderState, share: float, stage: OrderStage, level: int = 0
+) -> OrderState:
+    """Return a copy of a state with the next step, a share, a stage and a level."""
     step = state.step + 1
     if stage > OrderStage.RUNNING:
         step += VERDICT_STEP_OFFSET
-    return msgspec.structs.replace(state, step=step, share=share, stage=stage)
+    return msgspec.structs.replace(
+        state, step=step, share=share, stage=stage, level=level
+    )
 
 
 def is_too_late(state: OrderState, elapsed_s: float) -> bool:
@@ -146,8 +198,11 @@
     return state.is_open and is_late and progress.fault_evidence > LATE_FAULT_EVIDENCE
 
 
-def _schedule_step(share: float) -> ScheduleStep:
-    for schedule_step in SCHEDULE:
-        if share <= schedule_step.share:
-            return schedule_step
-    return SCHEDULE[-1]
+def level_of(state: OrderState) -> int:
+    """Return the level of a running order, from its share if the state has none."""
+    if state.level:
+        return state.level
+    for level, schedule_step in enumerate(SCHEDULE, 1):
+        if state.share <= schedule_step.share:
+            return level
+    return len(SCHEDULE)
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -88,6 +88,7 @@
         expected_load = target.expected_load(trio.current_time())
         cold = target.is_cold(self._clock.now_ms())
         code = ResultCode.OK
+        self._sink.record_attempt(call.service.name, call.release, call.split.move_id)
         target.in_flight += 1
         try:
             head = call.make_request_head(target, trio.current_time())
--- a/marigoldchute/routing/outcomes.py
+++ b/marigoldchute/routing/outcomes.py
@@ -29,7 +29,10 @@
 
 
 class OutcomeSink(Protocol):
-    """Receives the outcome of every finished attempt; must not block."""
+    """Receives the begin and the outcome of every attempt; must not block."""
+
+    def record_attempt(self, service: str, release: str, move_id: str) -> None:
+        """Record that an attempt begins; the parameters are those of ``record``."""
 
     def record(
         self,
--- a/tests/support/order_simulation.py
+++ b/tests/support/order_simulation.py
@@ -17,16 +17,17 @@
 from marigoldchute.orders.book import OrderBook
 from marigoldchute.orders.driver import (
     FAST_REPORT_INTERVAL_S,
-    FAST_REPORT_SHARE,
+    FAST_REPORT_LEVEL,
     REPORT_INTERVAL_S,
     TICK_INTERVAL_S,
 )
 from marigoldchute.orders.model import OrderStage, OrderState
-from marigoldchute.orders.outcomes import NodeOutcomes, OrderEvidence, OutcomeCounter
+from marigoldchute.orders.outcomes import OrderEvidence, OutcomeCounter
 from marigoldchute.orders.schedule import (
     Progress,
     has_late_fault_evidence,
     is_too_late,
+    level_of,
     next_state,
 )
 from marigoldchute.overlay.records import RecordTable
@@ -234,6 +235,7 @@
             self._service,  # type: ignore[arg-type]
             split,
         )
+        node.counter.record_attempt(SERVICE, release, split.move_id)
         mean_s = self.load.response_s
         run_s = self.rng.lognormvariate(
             math.log(mean_s) - LATENCY_SPREAD**2 / 2, LATENCY_SPREAD
@@ -280,7 +282,9 @@
 
     def _report(self, node: _Node) -> None:
         state = node.book.state(SERVICE)
-        fast = state is not None and state.is_open and state.share >= FAST_REPORT_SHARE
+        fast = (
+            state is not None and state.is_open and level_of(state) >= FAST_REPORT_LEVEL
+        )
         interval_s = FAST_REPORT_INTERVAL_S if fast else REPORT_INTERVAL_S
         self._at(self.now + interval_s, lambda: self._report(node))
         order_id = self.state.order_id
@@ -288,7 +292,7 @@
             return
         node.counter.changed_order_ids.clear()
         name = f"vm-{id(node)}"
-        report = NodeOutcomes(name, 1, order_id, node.counter.counts_of(order_id))
+        report = node.counter.report(name, 1, order_id)
         delay_s = self.rng.random() * MAX_REPORT_DELAY_S
         self._at(
             self.now + delay_s,
@@ -313,6 +317,7 @@
             self.now >= SERVERS_READY_S,
             self.evidence.new_response_count,
             self.evidence.fault_evidence(),
+            self.evidence.traffic(),
         )
         new_state = next_state(self.state, progress)
         if new_state is None:
@@ -321,7 +326,8 @@
         elif has_late_fault_evidence(self.state, progress):
             self._report_fault("late evidence")
         else:
-            self.raised_at = self.now
+            if level_of(new_state) != level_of(self.state) or not self.state.share:
+                self.raised_at = self.now
             self._publish(new_state)
 
     def _publish(self, state: OrderState) -> None:
--- a/tests/test_routing/test_attempts.py
+++ b/tests/test_routing/test_attempts.py
@@ -67,6 +67,9 @@
 
 
 class FakeSink:
+    def record_attempt(self, *args: object) -> None:
+        """Ignore an attempt."""
+
     def record(self, *args: object) -> None:
         """Ignore an outcome."""
 
