Number an order by the revision at which it was first read

What callers saw: nothing by itself; a release gets the first shares again, its evidence is lost, and the order's age is that of its last status. Cause: a reader that starts during an order takes the document's present revision for the order's number. Each status raises that revision, so the number is higher than the one in use, and the state 'waiting' under it replaces the running one on all nodes. Change: the status keeps the revision at which the order was first read. The drivers of test_two_drivers moved to tests/support.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -186,7 +186,7 @@
         state = OrderState(
             order.service,
             order.target,
-            order.revision,
+            order.number,
             0,
             0.0,
             OrderStage.WAITING,
--- a/marigoldchute/orders/model.py
+++ b/marigoldchute/orders/model.py
@@ -37,6 +37,9 @@
         Releases of earlier orders that were taken back.
     elapsed_ms : int
         Age of the order in milliseconds when the status was written.
+    first_revision : int
+        Revision at which the order was first read, according to the status; 0 without
+        one. Each status raises ``revision``.
     """
 
     service: str
@@ -46,6 +49,12 @@
     stage: OrderStage = OrderStage.WAITING
     rejected: tuple[str, ...] = ()
     elapsed_ms: int = 0
+    first_revision: int = 0
+
+    @property
+    def number(self) -> int:
+        """Number of the order, the same for every reader at any time."""
+        return self.first_revision or self.revision
 
 
 class OrderState(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/platform/orders.py
+++ b/marigoldchute/platform/orders.py
@@ -9,6 +9,7 @@
 from marigoldchute.bundle.limits import MAX_WALL_CLOCK_MS
 from marigoldchute.errors import MoveError
 from marigoldchute.orders.model import OrderDocument, OrderStage
+from marigoldchute.platform.objects import Revision
 
 if TYPE_CHECKING:
     from marigoldchute.objectstore.documents import Document, DocumentStore
@@ -34,10 +35,11 @@
 class _Status(msgspec.Struct, frozen=True):
     state: str
     target_version: str
-    # Fields of this project: releases of earlier orders that were taken back, and the
-    # order's age.
+    # Fields of this project: releases of earlier orders that were taken back, the
+    # order's age, and the revision at which it was first read.
     rejected: list[str] = []
     elapsed_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_CLOCK_MS)] = 0
+    first_revision: Revision = 0
 
 
 class PlatformOrderApi:
@@ -66,10 +68,11 @@
             raise MoveError(f"order is for another service, {order.service!r}")
         status = _status_of(document)
         rejected = set(status.rejected) if status is not None else set()
-        stage, elapsed_ms = OrderStage.WAITING, 0
+        stage, elapsed_ms, first_revision = OrderStage.WAITING, 0, 0
         if status is not None and status.target_version == order.target_version:
             stage = _STAGE_BY_STATE.get(status.state, OrderStage.WAITING)
             elapsed_ms = status.elapsed_ms
+            first_revision = min(status.first_revision, document.revision)
         elif (
             status is not None
             and status.state == _STATE_BY_STAGE[OrderStage.TAKEN_BACK]
@@ -84,6 +87,7 @@
             stage,
             tuple(sorted(rejected)),
             elapsed_ms,
+            first_revision,
         )
 
     async def read(self, service: str) -> OrderDocument:
@@ -99,6 +103,7 @@
             state.target,
             list(state.rejected),
             elapsed_ms,
+            state.number,
         )
         written = await self._store.write_status(
             self.kind,
--- /dev/null
+++ b/tests/support/order_drivers.py
@@ -0,0 +1,128 @@
+"""Order drivers on one store, each with its own copy of the records."""
+
+from __future__ import annotations
+
+import types
+from typing import TYPE_CHECKING, Any
+
+from marigoldchute.errors import ConflictError, NotFoundError, UnknownOutcomeError
+from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.rejections import Rejections
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.membership.model import BackendServer, Member
+from marigoldchute.objectstore.documents import Document, DocumentPage
+from marigoldchute.orders.book import OrderBook
+from marigoldchute.orders.driver import OrderDriver
+from marigoldchute.orders.outcomes import OutcomeCounter
+from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.platform.orders import PlatformOrderApi
+from marigoldchute.util.clock import Clock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE, DURATION_S = "turnos", 16.0
+
+
+class Store:
+    """Document store with conditional writes that may be late or lose a response."""
+
+    def __init__(self) -> None:
+        self.spec: Any = None
+        self.status: Any = None
+        self.revision = 1
+        self.late_writes: list[Callable[[], None]] = []
+        self.next_write = ""
+        self.history: list[tuple[str, str]] = []
+
+    def order(self, target: str) -> None:
+        """Order a move to a release, as the operator does."""
+        self.revision += 1
+        self.spec = {
+            "service": SERVICE,
+            "target_version": target,
+            "duration_s": DURATION_S,
+        }
+
+    def document(self) -> Document:
+        return Document("rollouts", SERVICE, self.revision, self.spec, self.status)
+
+    async def get(self, kind: str, name: str) -> Document:
+        if self.spec is None:
+            raise NotFoundError(name)
+        return self.document()
+
+    async def write_status(
+        self, kind: str, name: str, status: Any, expected_revision: int
+    ) -> Document:
+        way, self.next_write = self.next_write, ""
+        if way == "late":
+            self.late_writes.append(lambda: self._apply(status, expected_revision))
+            raise UnknownOutcomeError("no response")
+        if not self._apply(status, expected_revision):
+            raise ConflictError(name)
+        if way == "lost":
+            raise UnknownOutcomeError("no response")
+        return self.document()
+
+    def _apply(self, status: Any, expected_revision: int) -> bool:
+        if expected_revision != self.revision:
+            return False
+        if status != self.status:
+            self.revision += 1
+            self.status = status
+            self.history.append((status["target_version"], status["state"]))
+        return True
+
+
+class DriverNode:
+    """One driver with its own copy of the records; it always leads."""
+
+    def __init__(self, name: str, store: Store) -> None:
+        servers = tuple(
+            BackendServer(f"{name}-{release}", SERVICE, release, 80, 6, 100)
+            for release in ("v1", "v2", "v3")
+        )
+        self.member = Member(name, 1, 1, "10.0.0.1", 1, "dc", "r", servers=servers)
+        members: Any = types.SimpleNamespace(
+            local=self.member, all=lambda: (self.member,)
+        )
+        duty: Any = types.SimpleNamespace(is_leader=lambda is_reading, now: True)
+        log: Any = MemoryEventLog()
+        self.table = RecordTable()
+        self.book = OrderBook(members, self.table, log)
+        self.store = store
+        self.driver = OrderDriver(
+            PlatformOrderApi(store),  # type: ignore[arg-type]
+            self.book,
+            OutcomeCounter(self.book),
+            members,
+            duty,
+            None,  # type: ignore[arg-type]
+            Handlers(),
+            Rejections(),
+            log,
+            Clock(),
+        )
+        reader: Any = types.SimpleNamespace(is_reading=lambda now: True)
+        self.driver.reader = reader
+
+    def read(self) -> None:
+        """Read the order from the store, as a reader does."""
+        page = DocumentPage((self.store.document(),), self.store.revision)
+        self.driver.apply_page(page, True)
+
+    async def tick(self) -> None:
+        for state in self.book.states():
+            if state.is_open:
+                await self.driver._advance(state)
+
+    def find_fault(self) -> None:
+        for state in self.book.states():
+            if state.is_open:
+                self.book.report_fault(state, "test")
+
+    def send_records(self, other: DriverNode) -> None:
+        for kind in (RecordKind.ORDER, RecordKind.ORDER_FAULT):
+            for record in self.table.of_kind(kind):
+                other.table.apply(record, self.member.name)
