Take only verdicts from the status of an order

What callers saw: nothing by itself; the first share is set later on some nodes. Cause: a reader that knows an order as waiting and reads the status 'running' published the state running with a share of 0, under the rank of the first share. Of two states of the same rank each node keeps the one that came first. Test: test_status_that_comes_before_the_records_changes_no_state failed before.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -174,7 +174,8 @@
         self._documents[order.service] = order
         known = self._book.state(order.service)
         if known is not None and known.target == order.target:
-            if order.stage > known.stage:
+            # Shares are replicated; only a verdict is taken from the status.
+            if order.stage > max(known.stage, OrderStage.RUNNING):
                 self._book.publish(_with_verdict(known, order.stage))
             return
         rejected = set(order.rejected)
--- a/tests/test_orders/test_restarted_reader.py
+++ b/tests/test_orders/test_restarted_reader.py
@@ -44,3 +44,26 @@
         assert after is not None
         self.assertEqual(after, driver.book.state(SERVICE))
         return before, after
+
+    def test_status_that_comes_before_the_records_changes_no_state(self) -> None:
+        # Guards against a share of 0 that has the rank of the first share.
+        before, after = trio.run(
+            self._read_late, clock=trio.testing.MockClock(autojump_threshold=0)
+        )
+        self.assertEqual(after, before)
+
+    async def _read_late(self) -> tuple[OrderState, OrderState]:
+        store = Store()
+        store.order("v2")
+        driver, reader = DriverNode("vm-1", store), DriverNode("vm-2", store)
+        driver.read()
+        reader.read()
+        before = reader.book.state(SERVICE)
+        assert before is not None
+        for _ in range(40):
+            await driver.tick()
+            await trio.sleep(0.1)
+        reader.read()
+        after = reader.book.state(SERVICE)
+        assert after is not None
+        return before, after
