Use monotonic time for the windows of the fault evidence

Cause: the driver put responses into windows of 250 ms by the wall clock. A clock that steps back merges later windows into earlier ones, and each window counts only once.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -211,7 +211,6 @@
             handlers,
             self._rejections,
             log,
-            self._clock,
         )
         bundles = BundleTopic(adapter.bundles, self._catalog, self._rejections, log)
         topics: list[Topic] = [bundles, self._driver]
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -40,7 +40,6 @@
     from marigoldchute.objectstore.documents import Document, DocumentPage
     from marigoldchute.orders.book import OrderBook
     from marigoldchute.orders.outcomes import OutcomeCounter
-    from marigoldchute.util.clock import Clock
 
 TICK_INTERVAL_S = 0.1
 IDLE_TICK_INTERVAL_S = 0.5
@@ -104,8 +103,6 @@
         Documents that were rejected.
     log : EventLog
         Event log of the process.
-    clock : Clock
-        Wall clock of the process.
     """
 
     def __init__(
@@ -119,7 +116,6 @@
         handlers: Handlers,
         rejections: Rejections,
         log: EventLog,
-        clock: Clock,
     ) -> None:
         self.kind = api.kind
         self._rejections = rejections
@@ -130,7 +126,6 @@
         self._duty = duty
         self._control = control
         self._log = log
-        self._clock = clock
         self._documents: dict[str, OrderDocument] = {}
         self._started_at: dict[str, float] = {}
         # Order id, level and start of the present level by service.
@@ -224,9 +219,8 @@
 
     async def _advance(self, state: OrderState) -> None:
         now = trio.current_time()
-        now_ms = self._clock.now_ms()
         evidence = self._evidence_for(state)
-        evidence.apply_report(self._local_report(state.order_id), now_ms)
+        evidence.apply_report(self._local_report(state.order_id), int(now * 1000))
         assert self.reader is not None
         if not self._duty.is_leader(self.reader.is_reading(now), now):
             return
@@ -409,7 +403,8 @@
         report = msgspec.msgpack.decode(body, type=NodeOutcomes)
         for state in self._book.states():
             if state.order_id == report.order_id and state.is_open:
-                self._evidence_for(state).apply_report(report, self._clock.now_ms())
+                now_ms = int(trio.current_time() * 1000)
+                self._evidence_for(state).apply_report(report, now_ms)
         return b""
 
 
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -293,7 +293,15 @@
         )
 
     def apply_report(self, report: NodeOutcomes, now_ms: int) -> None:
-        """Apply the cumulative counts of a node."""
+        """Apply the cumulative counts of a node.
+
+        Parameters
+        ----------
+        report : NodeOutcomes
+            Counts of the node since it got the order.
+        now_ms : int
+            Monotonic time in milliseconds.
+        """
         sender = (report.node, report.incarnation)
         previous_attempts = self._latest_attempts.get(sender, NO_ATTEMPTS)
         if report.attempts.requests >= previous_attempts.requests:
