Send reports of an order to each reader by itself

What callers saw: a faulty release keeps its share for longer while a reader is cut off. A silent reader delayed each report to the one that leads. A report that is lost is also sent again without another response.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -133,7 +133,10 @@
         self._evidence: dict[str, OrderEvidence] = {}
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
-        handlers.register(Method.REPORT_OUTCOMES, self._handle_report)
+        # Orders whose counts a candidate has yet to get, by its name.
+        self._unsent: dict[str, set[str]] = {}
+        self._sending: set[str] = set()
+        handlers.register(Method.REPORT_OUTCOMES, self.handle_report)
 
     def applied_revision(self) -> int:
         """Return 0, as a reader that starts needs the revision of each document."""
@@ -358,24 +361,44 @@
         return self._counter.report(local.name, local.incarnation, order_id)
 
     async def _report_outcomes(self) -> None:
-        """Send this node's response counts to the nodes that may decide on an order."""
-        previous_candidates: set[str] = set()
-        while True:
-            await trio.sleep(self._report_interval_s())
-            changed = set(self._counter.changed_order_ids)
-            self._counter.changed_order_ids.clear()
-            candidates = self._duty.leader_candidates(trio.current_time())
-            # A node that has just become a candidate needs the earlier counts as well.
-            open_ids = {
-                state.order_id for state in self._book.states() if state.is_open
-            }
-            for name in candidates:
-                for order_id in (
-                    changed if name in previous_candidates else changed | open_ids
-                ):
-                    body = msgspec.msgpack.encode(self._local_report(order_id))
-                    await self._send_report(name, body)
-            previous_candidates = set(candidates)
+        """Send this node's response counts to the nodes that may decide on an order.
+
+        A candidate that does not respond does not delay the reports to the others.
+        """
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self._report_interval_s())
+                self._update_unsent(trio.current_time())
+                for name in self._unsent:
+                    if self._unsent[name] and name not in self._sending:
+                        self._sending.add(name)
+                        nursery.start_soon(self._send_reports, name)
+
+    def _update_unsent(self, now: float) -> None:
+        changed = set(self._counter.changed_order_ids)
+        self._counter.changed_order_ids.clear()
+        # A node that has just become a candidate needs the earlier counts as well.
+        open_ids = {state.order_id for state in self._book.states() if state.is_open}
+        self._unsent = {
+            name: self._unsent.get(name, open_ids) | changed
+            for name in self._duty.leader_candidates(now)
+        }
+
+    async def _send_reports(self, name: str) -> None:
+        try:
+            order_ids, self._unsent[name] = self._unsent[name], set()
+            for order_id in order_ids:
+                body = msgspec.msgpack.encode(self._local_report(order_id))
+                if not await self._send_report(name, body) and name in self._unsent:
+                    self._unsent[name].add(order_id)
+        finally:
+            self._sending.discard(name)
+
+    def _record_age(self, order_id: str, elapsed_s: float) -> None:
+        """Use the age that another node knows if it knows the order for longer."""
+        if order_id in self._started_at:
+            started_at = trio.current_time() - elapsed_s
+            self._started_at[order_id] = min(self._started_at[order_id], started_at)
 
     def _report_interval_s(self) -> float:
         fast = any(
@@ -384,13 +407,13 @@
         )
         return FAST_REPORT_INTERVAL_S if fast else REPORT_INTERVAL_S
 
-    async def _send_report(self, name: str, body: bytes) -> None:
+    async def _send_report(self, name: str, body: bytes) -> bool:
+        """Send a report; return whether it was received."""
         try:
             await self._control.call(
                 name, Method.REPORT_OUTCOMES, body, REPORT_TIMEOUT_S
             )
         except (PeerError, AuthError) as exc:
-            # Counts are cumulative, so the next report contains these as well.
             self._log.emit(
                 "orders",
                 "report_lost",
@@ -398,8 +421,11 @@
                 member=name,
                 code=exc.code.value,
             )
+            return False
+        return True
 
-    async def _handle_report(self, link: Link, body: bytes) -> bytes:
+    async def handle_report(self, link: Link | None, body: bytes) -> bytes:
+        """Apply the response counts of another node."""
         report = msgspec.msgpack.decode(body, type=NodeOutcomes)
         for state in self._book.states():
             if state.order_id == report.order_id and state.is_open:
--- a/tests/support/order_drivers.py
+++ b/tests/support/order_drivers.py
@@ -5,7 +5,14 @@
 import types
 from typing import TYPE_CHECKING, Any
 
-from marigoldchute.errors import ConflictError, NotFoundError, UnknownOutcomeError
+import trio
+
+from marigoldchute.errors import (
+    ConflictError,
+    NotFoundError,
+    PeerError,
+    UnknownOutcomeError,
+)
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.rejections import Rejections
 from marigoldchute.link.handlers import Handlers
@@ -16,11 +23,12 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.records import RecordKind, RecordTable
 from marigoldchute.platform.orders import PlatformOrderApi
-from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marigoldchute.link.methods import Method
+
 SERVICE, DURATION_S = "turnos", 16.0
 
 
@@ -75,8 +83,26 @@
         return True
 
 
+class Control:
+    """Links to other nodes; those in ``silent`` do not respond."""
+
+    def __init__(self) -> None:
+        self.silent: set[str] = set()
+        self.received: list[tuple[str, bytes]] = []
+
+    async def call(
+        self, name: str, method: Method, body: bytes, timeout_s: float
+    ) -> bytes:
+        """Deliver a message, or wait until the timeout."""
+        if name in self.silent:
+            await trio.sleep(timeout_s)
+            raise PeerError("no response")
+        self.received.append((name, body))
+        return b""
+
+
 class DriverNode:
-    """One driver with its own copy of the records; it always leads."""
+    """One driver with its own copy of the records; it leads by default."""
 
     def __init__(self, name: str, store: Store) -> None:
         servers = tuple(
@@ -87,22 +113,28 @@
         members: Any = types.SimpleNamespace(
             local=self.member, all=lambda: (self.member,)
         )
-        duty: Any = types.SimpleNamespace(is_leader=lambda is_reading, now: True)
+        self.is_leader = True
+        self.candidates: list[str] = []
+        duty: Any = types.SimpleNamespace(
+            is_leader=lambda is_reading, now: self.is_leader,
+            leader_candidates=lambda now: self.candidates,
+        )
         log: Any = MemoryEventLog()
         self.table = RecordTable()
         self.book = OrderBook(members, self.table, log)
         self.store = store
+        self.control = Control()
+        self.counter = OutcomeCounter(self.book)
         self.driver = OrderDriver(
             PlatformOrderApi(store),  # type: ignore[arg-type]
             self.book,
-            OutcomeCounter(self.book),
+            self.counter,
             members,
             duty,
-            None,  # type: ignore[arg-type]
+            self.control,  # type: ignore[arg-type]
             Handlers(),
             Rejections(),
             log,
-            Clock(),
         )
         reader: Any = types.SimpleNamespace(is_reading=lambda now: True)
         self.driver.reader = reader
--- /dev/null
+++ b/tests/test_orders/test_reports.py
@@ -0,0 +1,56 @@
+"""Reports of response counts to the nodes that may decide on an order."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+import trio.testing
+
+from marigoldchute.orders.outcomes import NodeOutcomes
+from marigoldchute.routing.outcomes import Outcome
+from tests.support.order_drivers import SERVICE, DriverNode, Store
+
+
+def run(test) -> None:  # type: ignore[no-untyped-def]
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def start_order(node: DriverNode, ticks: int = 30) -> str:
+    """Read an order and drive it to its first share; return its id."""
+    node.store.order("v2")
+    node.read()
+    for _ in range(ticks):
+        await node.tick()
+        await trio.sleep(0.1)
+    state = node.book.state(SERVICE)
+    assert state is not None
+    return state.order_id
+
+
+class SilentCandidateTest(unittest.TestCase):
+    """One of the nodes that get reports does not respond."""
+
+    def test_other_candidate_gets_each_report_in_time(self) -> None:
+        # Guards against a fault that is found late because one reader is cut off.
+        run(self._report_beside_a_silent_candidate)
+
+    async def _report_beside_a_silent_candidate(self) -> None:
+        node = DriverNode("vm-1", Store())
+        order_id = await start_order(node)
+        node.is_leader = False
+        node.candidates = ["vm-2", "vm-3"]
+        node.control.silent.add("vm-2")
+        with trio.move_on_after(3.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.driver.run)
+                while True:
+                    node.counter.record(
+                        "r", SERVICE, "v2", order_id, Outcome.OK, 5.0, 0, False, 0
+                    )
+                    await trio.sleep(0.05)
+        reports = [body for name, body in node.control.received if name == "vm-3"]
+        self.assertGreaterEqual(len(reports), 10)
+        last = msgspec.msgpack.decode(reports[-1], type=NodeOutcomes)
+        self.assertGreaterEqual(last.counts[0].responses, 50)
