Let each reader report the fault of a release

What callers saw: a faulty release keeps its share until a cut leader is replaced, which takes 1.3 s and more. Cause: only the leader tested the counts, although both readers get all of them. Evidence: test_reports.SecondReaderTest failed before. The verdict is still the leader's.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -225,11 +225,15 @@
         evidence = self._evidence_for(state)
         evidence.apply_report(self._local_report(state.order_id), int(now * 1000))
         assert self.reader is not None
-        if not self._duty.is_leader(self.reader.is_reading(now), now):
+        is_reading = self.reader.is_reading(now)
+        is_leader = self._duty.is_leader(is_reading, now)
+        if is_reading or is_leader:
+            # Each reader has the counts of all nodes, and the leader may be cut off.
+            fault = evidence.fault_reason()
+            if fault and not self._book.is_faulty(state):
+                self._book.report_fault(state, fault)
+        if not is_leader:
             return
-        fault = evidence.fault_reason()
-        if fault and not self._book.is_faulty(state):
-            self._book.report_fault(state, fault)
         if self._book.is_faulty(state):
             await self._take_back(state)
             return
--- a/tests/test_orders/test_reports.py
+++ b/tests/test_orders/test_reports.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from marigoldchute.orders.outcomes import NodeOutcomes
+from marigoldchute.orders.outcomes import NodeOutcomes, RouteCounts
 from marigoldchute.routing.outcomes import Outcome
 from tests.support.order_drivers import SERVICE, DriverNode, Store
 
@@ -54,3 +54,26 @@
         self.assertGreaterEqual(len(reports), 10)
         last = msgspec.msgpack.decode(reports[-1], type=NodeOutcomes)
         self.assertGreaterEqual(last.counts[0].responses, 50)
+
+
+class SecondReaderTest(unittest.TestCase):
+    """A reader that does not lead gets the same reports as the leader."""
+
+    def test_fault_is_found_while_the_leader_is_cut_off(self) -> None:
+        # Guards against a faulty release that keeps its share until a leader is found.
+        run(self._report_to_a_follower)
+
+    async def _report_to_a_follower(self) -> None:
+        node = DriverNode("vm-1", Store())
+        order_id = await start_order(node)
+        node.is_leader = False
+        for number in range(1, 13):
+            counts = [RouteCounts("r", True, 10 * number, 5 * number, 0)]
+            report = NodeOutcomes(f"vm-{2 + number % 2}", 1, order_id, counts)
+            await node.driver.handle_report(None, msgspec.msgpack.encode(report))
+            await node.tick()
+            await trio.sleep(0.25)
+        state = node.book.state(SERVICE)
+        assert state is not None
+        self.assertTrue(node.book.is_faulty(state))
+        self.assertTrue(state.is_open, "only the leader writes the verdict")
