Tell the age of an order with the counts

What callers saw: a verdict too late, as a new leader counted an order's time from the moment at which it had learned of it. Cause: the age of an order is neither in its replicated state nor known to a node that has just started. Evidence: test_reports.OrderAgeTest failed before (0.6 s instead of 9).

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -266,7 +266,7 @@
         document = self._documents.get(state.service)
         if document is None or document.target != state.target:
             return
-        elapsed_s = trio.current_time() - self._started_at[state.order_id]
+        elapsed_s = self.age_s(state.order_id, trio.current_time())
         try:
             written = await self._api.write(document, new_state, int(elapsed_s * 1000))
         except (ConflictError, UnknownOutcomeError) as exc:
@@ -326,6 +326,18 @@
             code=exc.code.value,
         )
 
+    def age_s(self, order_id: str, now: float) -> float:
+        """Return the seconds since an order, as far as this node knows.
+
+        Parameters
+        ----------
+        order_id : str
+            Id of the order.
+        now : float
+            Monotonic time in seconds.
+        """
+        return now - self._started_at.get(order_id, now)
+
     def _compute_progress(
         self, state: OrderState, evidence: OrderEvidence, now: float
     ) -> Progress:
@@ -340,7 +352,7 @@
             if member.accepts_requests
             for server in member.servers
         )
-        elapsed_s = now - self._started_at[state.order_id]
+        elapsed_s = self.age_s(state.order_id, now)
         responses, fault_evidence = (
             evidence.new_response_count,
             evidence.fault_evidence(),
@@ -362,7 +374,10 @@
 
     def _local_report(self, order_id: str) -> NodeOutcomes:
         local = self._directory.local
-        return self._counter.report(local.name, local.incarnation, order_id)
+        elapsed_s = self.age_s(order_id, trio.current_time())
+        return self._counter.report(
+            local.name, local.incarnation, order_id, int(elapsed_s * 1000)
+        )
 
     async def _report_outcomes(self) -> None:
         """Send this node's response counts to the nodes that may decide on an order.
@@ -431,6 +446,7 @@
     async def handle_report(self, link: Link | None, body: bytes) -> bytes:
         """Apply the response counts of another node."""
         report = msgspec.msgpack.decode(body, type=NodeOutcomes)
+        self._record_age(report.order_id, report.elapsed_ms / 1000)
         for state in self._book.states():
             if state.order_id == report.order_id and state.is_open:
                 now_ms = int(trio.current_time() * 1000)
--- a/marigoldchute/orders/outcomes.py
+++ b/marigoldchute/orders/outcomes.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -85,13 +85,30 @@
 
 
 class NodeOutcomes(msgspec.Struct, frozen=True, array_like=True):
-    """Response counts and attempts of one node for an order."""
+    """Response counts and attempts of one node for an order.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    incarnation : int
+        Its incarnation; the counts begin anew with each.
+    order_id : str
+        Id of the order.
+    counts : list of RouteCounts
+        Response counts by route and release.
+    attempts : AttemptCounts
+        Attempts at all routes.
+    elapsed_ms : int
+        Age of the order in milliseconds, as far as the node knows.
+    """
 
     node: str
     incarnation: int
     order_id: str
     counts: list[RouteCounts]
     attempts: AttemptCounts = NO_ATTEMPTS
+    elapsed_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @dataclasses.dataclass
@@ -231,7 +248,9 @@
             return None
         return state
 
-    def report(self, node: str, incarnation: int, order_id: str) -> NodeOutcomes:
+    def report(
+        self, node: str, incarnation: int, order_id: str, elapsed_ms: int
+    ) -> NodeOutcomes:
         """Return this node's counts of an order as a report.
 
         Parameters
@@ -242,11 +261,18 @@
             Its incarnation.
         order_id : str
             Id of the order.
+        elapsed_ms : int
+            Age of the order in milliseconds.
         """
         counts = self._orders.get(order_id)
         attempts = NO_ATTEMPTS if counts is None else counts.attempts()
         return NodeOutcomes(
-            node, incarnation, order_id, self.counts_of(order_id), attempts
+            node,
+            incarnation,
+            order_id,
+            self.counts_of(order_id),
+            attempts,
+            elapsed_ms,
         )
 
     def counts_of(self, order_id: str) -> list[RouteCounts]:
--- a/tests/support/order_simulation.py
+++ b/tests/support/order_simulation.py
@@ -292,7 +292,7 @@
             return
         node.counter.changed_order_ids.clear()
         name = f"vm-{id(node)}"
-        report = node.counter.report(name, 1, order_id)
+        report = node.counter.report(name, 1, order_id, int(self.now * 1000))
         delay_s = self.rng.random() * MAX_REPORT_DELAY_S
         self._at(
             self.now + delay_s,
--- a/tests/test_orders/test_reports.py
+++ b/tests/test_orders/test_reports.py
@@ -77,3 +77,24 @@
         assert state is not None
         self.assertTrue(node.book.is_faulty(state))
         self.assertTrue(state.is_open, "only the leader writes the verdict")
+
+
+class OrderAgeTest(unittest.TestCase):
+    """A node that learns of an order late takes it over."""
+
+    def test_age_of_the_order_is_that_of_the_oldest_report(self) -> None:
+        # Guards against a deadline that moves with each node that takes over.
+        run(self._take_over)
+
+    async def _take_over(self) -> None:
+        store = Store()
+        first, late = DriverNode("vm-1", store), DriverNode("vm-2", store)
+        order_id = await start_order(first, 90)
+        first.send_records(late)
+        first.candidates = ["vm-2"]
+        first.is_leader = False
+        with trio.move_on_after(0.6):
+            await first.driver.run()
+        for _, body in first.control.received:
+            await late.driver.handle_report(None, body)
+        self.assertGreater(late.driver.age_s(order_id, trio.current_time()), 9.0)
