Let no node drive orders that has just started

What callers saw: nothing by itself; shares and hold times of an order begin anew. Cause: a node that starts has heard no beacon and, before its first contact, is the first member it knows. It then took itself for the leader, and its beacons made all others send their counts to it. Change: a node is settled once it has been in contact with another member for the time in which three beacons come; before that it reads the store for itself only. Tests: two of test_reader failed before.

--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -95,6 +95,8 @@
     def __init__(self, directory: Directory) -> None:
         self.directory = directory
         self._started_at = 0.0
+        self._is_settled = True
+        self._contact_at: float | None = None
         self._last_beacon_at: dict[str, float] = {}
         self._latest: dict[str, tuple[int, int]] = {}
         # The order is needed many times a second and changes with the members only.
@@ -104,6 +106,29 @@
     def start_timeout(self, now: float) -> None:
         """Measure the time without beacons from ``now``, monotonic time in seconds."""
         self._started_at = now
+        self._is_settled = False
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether this node may act for the mesh.
+
+        After its start it knows neither the states of orders nor who leads. It is
+        settled once it has been in contact with another member for
+        ``BEACON_TIMEOUT_S``, or has found none listed for ``BACKUP_DELAY_S``.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._is_settled:
+            return True
+        if self._contact_at is None and len(self.directory.reachable()) > 1:
+            self._contact_at = now
+        if self._contact_at is not None:
+            self._is_settled = now - self._contact_at >= BEACON_TIMEOUT_S
+        elif len(self.directory.all()) <= 1:
+            self._is_settled = now - self._started_at >= BACKUP_DELAY_S
+        return self._is_settled
 
     def record_beacon(self, name: str, now: float) -> None:
         """Record a beacon of a member that reads the store successfully."""
@@ -149,8 +174,8 @@
     def is_leader(self, is_reading: bool, now: float) -> bool:
         """Return whether this node is the leader, which decides for all readers.
 
-        The leader is the first member of the order that reads the store. While no
-        member reads it, the first member of the order is the leader if it reaches a
+        The leader is the first settled member of the order that reads the store. While
+        no member reads it, the first member of the order is the leader if it reaches a
         majority of the members, so that rollouts in progress continue.
 
         Parameters
@@ -160,6 +185,8 @@
         now : float
             Monotonic time in seconds.
         """
+        if not self.is_settled(now):
+            return False
         local = self.directory.local.name
         active = set(self.active_readers(now))
         if is_reading:
@@ -300,7 +327,7 @@
                         "no longer reads the store for the mesh",
                     )
                 self._log.emit("reader", event, f"This node {text}.")
-            if is_reading:
+            if is_reading and self._duty.is_settled(now):
                 local = self._duty.directory.local
                 beacon = Beacon(
                     local.name, local.incarnation, next(self._beacon_numbers)
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -107,6 +107,23 @@
             self.assertFalse(duty.is_leader(False, 10.0))
             self.assertTrue(duty.is_leader(True, 10.0))
 
+    def test_node_that_has_just_started_does_not_lead(self) -> None:
+        # Guards against orders that are driven by a node which knows no state yet.
+        duty = make_duties(NAMES, set(NAMES))["vm-7"]
+        duty.start_timeout(100.0)
+        duty.directory.lost = set(NAMES) - {"vm-7"}  # type: ignore[attr-defined]
+        self.assertFalse(duty.is_leader(True, 100.1))
+        self.assertFalse(duty.is_leader(True, 100.0 + 2 * BACKUP_DELAY_S))
+        duty.directory.lost = set(NAMES) - {"vm-6", "vm-7"}  # type: ignore[attr-defined]
+        self.assertFalse(duty.is_leader(True, 110.0))
+        self.assertTrue(duty.is_leader(True, 110.1 + BEACON_TIMEOUT_S))
+
+    def test_only_member_leads_after_its_start(self) -> None:
+        duty = make_duties(["vm-7"], set())["vm-7"]
+        duty.start_timeout(100.0)
+        self.assertFalse(duty.is_leader(True, 100.1))
+        self.assertTrue(duty.is_leader(True, 100.0 + BACKUP_DELAY_S))
+
     def test_repeated_or_older_beacon_is_not_newer(self) -> None:
         duty = make_duties(NAMES, set(NAMES))["vm-7"]
         self.assertTrue(duty.is_newer(Beacon("vm-0", 5, 1)))
