Pause a release's share on evidence short of a proof

Cause: evidence below the threshold only delayed the next raise. The proof takes three windows of 250 ms, in which the release gets all requests. Change: such evidence at the second share and above takes the share back to the first at once. It returns when the responses have refuted the evidence, unless another fault at that share would exceed the limit. Ruled out: a return whenever the evidence is gone. Test changes: the simulation of test_outcomes reports attempts and follows the phases of the schedule as the driver does; its bounds are as they were.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -23,10 +23,11 @@
     SCHEDULE,
     Progress,
     advance,
+    expiry_reason,
     has_late_fault_evidence,
-    is_too_late,
     level_of,
     next_state,
+    phase_of,
 )
 
 if TYPE_CHECKING:
@@ -128,8 +129,8 @@
         self._log = log
         self._documents: dict[str, OrderDocument] = {}
         self._started_at: dict[str, float] = {}
-        # Order id, level and start of the present level by service.
-        self._level_since: dict[str, tuple[str, int, float]] = {}
+        # Phase of the order and its start by service.
+        self._phase_since: dict[str, tuple[tuple[str, int, bool], float]] = {}
         self._evidence: dict[str, OrderEvidence] = {}
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
@@ -200,10 +201,10 @@
     def _on_state_change(self, state: OrderState) -> None:
         now = trio.current_time()
         self._started_at.setdefault(state.order_id, now)
-        level = level_of(state)
-        since = self._level_since.get(state.service)
-        if since is None or since[:2] != (state.order_id, level):
-            self._level_since[state.service] = (state.order_id, level, now)
+        phase = phase_of(state)
+        previous = self._phase_since.get(state.service)
+        if previous is None or previous[0] != phase:
+            self._phase_since[state.service] = (phase, now)
         if not state.is_open:
             self._counter.discard(state.order_id)
             self._evidence.pop(state.order_id, None)
@@ -240,8 +241,9 @@
         progress = self._compute_progress(state, evidence, now)
         new_state = next_state(state, progress)
         if new_state is None:
-            if is_too_late(state, progress.elapsed_s):
-                self._book.report_fault(state, "the full share was not reached in time")
+            reason = expiry_reason(state, progress)
+            if reason:
+                self._book.report_fault(state, reason)
             return
         if has_late_fault_evidence(state, progress):
             reason = (
@@ -306,7 +308,7 @@
     def _log_raise(self, state: OrderState, progress: Progress) -> None:
         self._log.emit(
             "orders",
-            "raised",
+            "paused" if state.paused else "raised",
             f"{state.order_id} sends {state.share:.1%} to its target.",
             move=state.order_id,
             share=round(state.share, 4),
@@ -341,9 +343,8 @@
     def _compute_progress(
         self, state: OrderState, evidence: OrderEvidence, now: float
     ) -> Progress:
-        order_id, level, since = self._level_since[state.service]
-        is_same = (order_id, level) == (state.order_id, level_of(state))
-        held_s = now - since if is_same else 0
+        phase, since = self._phase_since[state.service]
+        held_s = now - since if phase == phase_of(state) else 0
         has_servers = any(
             server.service == state.service
             and server.release == state.target
--- a/marigoldchute/orders/exposure.py
+++ b/marigoldchute/orders/exposure.py
@@ -64,6 +64,30 @@
         return EXPOSURE_SHARE * expected + EXPOSURE_SLACK
 
 
+def may_detect_at(
+    share: float, traffic: OrderTraffic, elapsed_s: float, duration_s: float
+) -> bool:
+    """Return whether a fault would be detected at a share within the limit.
+
+    Parameters
+    ----------
+    share : float
+        Share of the requests that goes to the target.
+    traffic : OrderTraffic
+        Requests since the order.
+    elapsed_s, duration_s : float
+        Seconds since the order, and from the order to its deadline.
+    """
+    left = traffic.allowed(elapsed_s, duration_s) - traffic.exposed
+    return left >= share * _detection_cost(traffic, elapsed_s)
+
+
+def _detection_cost(traffic: OrderTraffic, elapsed_s: float) -> float:
+    """Return the requests that come until a fault is detected."""
+    rate = traffic.requests_per_s(elapsed_s)
+    return rate * (DETECTION_DELAY_S + traffic.response_s)
+
+
 def share_scale(
     traffic: OrderTraffic,
     elapsed_s: float,
@@ -91,8 +115,7 @@
     cost = rate * sum(share * seconds for share, seconds in planned)
     if cost <= 0.0:
         return 1.0
-    at_full_share = rate * (DETECTION_DELAY_S + traffic.response_s)
     allowed = traffic.allowed(elapsed_s, duration_s)
-    affordable = (allowed - traffic.exposed - at_full_share) / cost
+    left = allowed - traffic.exposed - _detection_cost(traffic, elapsed_s)
     needed = MIN_TARGET_REQUESTS_PER_S / (rate * planned[0][0])
-    return min(1.0, max(affordable, needed))
+    return min(1.0, max(left / cost, needed))
--- a/marigoldchute/orders/model.py
+++ b/marigoldchute/orders/model.py
@@ -80,6 +80,8 @@
     level : int
         Level of the schedule that the share belongs to; 0 before the first one, and in
         states of nodes that do not know levels.
+    paused : bool
+        Whether the share is below that of its level because of fault evidence.
     """
 
     service: str
@@ -91,6 +93,7 @@
     duration_s: float
     rejected: tuple[str, ...]
     level: int = 0
+    paused: bool = False
 
     @property
     def order_id(self) -> str:
--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from marigoldchute.orders.exposure import OrderTraffic, share_scale
+from marigoldchute.orders.exposure import OrderTraffic, may_detect_at, share_scale
 from marigoldchute.orders.model import OrderStage, OrderState
 
 
@@ -55,6 +55,11 @@
 # Evidence below the fault threshold delays the next raise. The delay ends while there
 # is still time to hold the full share for its minimum.
 MAX_RAISE_EVIDENCE = 0.3  # Fraction of the fault threshold.
+# With that much evidence the share falls to the first one, until responses to what was
+# sent at the larger share have shown that the target is not faulty.
+RESUME_EVIDENCE = 0.1  # Fraction of the fault threshold.
+# Both on top of the time of a response. The evidence is settled after the maximum.
+MIN_PAUSE_S, MAX_PAUSE_S = 0.6, 3.0
 EVIDENCE_DELAY_END_FRACTION = 0.76  # Fraction of the duration.
 # Most releases with more evidence than this at the end of the delay are faulty.
 LATE_FAULT_EVIDENCE = 0.5  # Fraction of the fault threshold.
@@ -111,6 +116,15 @@
     level = level_of(state)
     schedule_step = SCHEDULE[level - 1]
     duration_s = state.duration_s
+    if state.paused:
+        return _resume(state, progress)
+    if (
+        level > 1
+        and progress.fault_evidence > MAX_RAISE_EVIDENCE
+        and progress.elapsed_s < EVIDENCE_DELAY_END_FRACTION * duration_s
+    ):
+        share = min(state.share, planned_share(1, duration_s, progress))
+        return advance(state, share, OrderStage.RUNNING, level, paused=True)
     planned = planned_share(level, duration_s, progress)
     if planned < REDUCED_SHARE_RATIO * state.share:
         return advance(state, planned, OrderStage.RUNNING, level)
@@ -162,6 +176,19 @@
     )
 
 
+def _resume(state: OrderState, progress: Progress) -> OrderState | None:
+    """Return the state with its level's share again, None while evidence is left."""
+    if progress.fault_evidence > RESUME_EVIDENCE or not progress.has_servers:
+        return None
+    if progress.held_s < MIN_PAUSE_S + progress.traffic.response_s:
+        return None
+    # A fault that shows at the larger share only is not refuted by the smaller one.
+    share = SCHEDULE[level_of(state) - 1].share
+    if not may_detect_at(share, progress.traffic, progress.elapsed_s, state.duration_s):
+        return None
+    return _enter_level(state, level_of(state), progress)
+
+
 def _is_rate_known(progress: Progress) -> bool:
     rate = progress.traffic.requests_per_s(progress.elapsed_s)
     return rate > 0.0 or progress.elapsed_s >= MAX_TRAFFIC_WAIT_S
@@ -173,19 +200,38 @@
 
 
 def advance(
-    state: OrderState, share: float, stage: OrderStage, level: int = 0
+    state: OrderState,
+    share: float,
+    stage: OrderStage,
+    level: int = 0,
+    paused: bool = False,
 ) -> OrderState:
-    """Return a copy of a state with the next step, a share, a stage and a level."""
+    """Return a copy of a state with the next step and other values."""
     step = state.step + 1
     if stage > OrderStage.RUNNING:
         step += VERDICT_STEP_OFFSET
     return msgspec.structs.replace(
-        state, step=step, share=share, stage=stage, level=level
+        state, step=step, share=share, stage=stage, level=level, paused=paused
     )
 
 
+def phase_of(state: OrderState) -> tuple[str, int, bool]:
+    """Return what the hold time of a share belongs to."""
+    return state.order_id, level_of(state), state.paused
+
+
+def expiry_reason(state: OrderState, progress: Progress) -> str:
+    """Return why an order fails without a proof of a fault, empty if it does not."""
+    if is_too_late(state, progress.elapsed_s):
+        return "the full share was not reached in time"
+    max_pause_s = MAX_PAUSE_S + progress.traffic.response_s
+    if state.paused and progress.held_s > max_pause_s:
+        return "bad responses at a larger share were not refuted"
+    return ""
+
+
 def is_too_late(state: OrderState, elapsed_s: float) -> bool:
-    """Return whether the full share was not reached in time, so that an order fails."""
+    """Return whether the full share was not reached in time."""
     return (
         state.share < 1.0
         and elapsed_s >= FULL_SHARE_DEADLINE_FRACTION * state.duration_s
@@ -199,8 +245,8 @@
 
 
 def level_of(state: OrderState) -> int:
-    """Return the level of a running order, from its share if the state has none."""
-    if state.level:
+    """Return the level of an order, from its share if the state has none."""
+    if state.level or state.share <= 0.0:
         return state.level
     for level, schedule_step in enumerate(SCHEDULE, 1):
         if state.share <= schedule_step.share:
--- a/tests/support/order_simulation.py
+++ b/tests/support/order_simulation.py
@@ -25,10 +25,11 @@
 from marigoldchute.orders.outcomes import OrderEvidence, OutcomeCounter
 from marigoldchute.orders.schedule import (
     Progress,
+    expiry_reason,
     has_late_fault_evidence,
-    is_too_late,
     level_of,
     next_state,
+    phase_of,
 )
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.routing.outcomes import Outcome
@@ -46,7 +47,6 @@
 MAX_RECORD_DELAY_S = 0.15  # Until a replicated record has reached every node.
 MAX_REPORT_DELAY_S = 0.05
 LATENCY_SPREAD = 0.8
-ERROR_SHARE = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +67,8 @@
         Time after which a request is cut.
     duration_s : float
         Seconds from the order to its deadline.
+    error_share : float
+        Part of the responses of either release that are failures.
     """
 
     requests_per_s: float
@@ -75,6 +77,7 @@
     routes: tuple[str, ...] = ("query", "book")
     timeout_s: float = 3.0
     duration_s: float = 16.0
+    error_share: float = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -240,7 +243,9 @@
         run_s = self.rng.lognormvariate(
             math.log(mean_s) - LATENCY_SPREAD**2 / 2, LATENCY_SPREAD
         )
-        outcome = Outcome.OK if self.rng.random() >= ERROR_SHARE else Outcome.ERROR
+        outcome = (
+            Outcome.OK if self.rng.random() >= self.load.error_share else Outcome.ERROR
+        )
         if release == NEW:
             self.exposed += 1
             if outcome is Outcome.OK:
@@ -321,12 +326,13 @@
         )
         new_state = next_state(self.state, progress)
         if new_state is None:
-            if is_too_late(self.state, self.now):
-                self._report_fault("too late")
+            reason = expiry_reason(self.state, progress)
+            if reason:
+                self._report_fault(reason)
         elif has_late_fault_evidence(self.state, progress):
             self._report_fault("late evidence")
         else:
-            if level_of(new_state) != level_of(self.state) or not self.state.share:
+            if phase_of(new_state) != phase_of(self.state):
                 self.raised_at = self.now
             self._publish(new_state)
 
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -11,12 +11,14 @@
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.orders.book import OrderBook
 from marigoldchute.orders.model import OrderStage, OrderState
-from marigoldchute.orders.outcomes import NodeOutcomes, OrderEvidence, OutcomeCounter
+from marigoldchute.orders.outcomes import OrderEvidence, OutcomeCounter
 from marigoldchute.orders.schedule import (
     SCHEDULE,
     Progress,
+    expiry_reason,
     has_late_fault_evidence,
     next_state,
+    phase_of,
 )
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.routing.outcomes import Outcome
@@ -74,8 +76,7 @@
             for _ in range(int(requests_per_s / 10)):
                 self.serve_request(share, behaviour)
             for index, counter in enumerate(self.counters):
-                counts = counter.counts_of(ORDER.order_id)
-                report = NodeOutcomes(f"vm-{index}", 1, ORDER.order_id, counts)
+                report = counter.report(f"vm-{index}", 1, ORDER.order_id, self.now_ms)
                 self.evidence.apply_report(report, self.now_ms)
             reason = self.evidence.fault_reason()
             if reason or any(book.is_faulty(ORDER) for book in self.books):
@@ -98,7 +99,9 @@
         timeout_ms = self.timeouts_ms.get(route)
         if timeout_ms is not None and latency_ms > timeout_ms:
             latency_ms, outcome = timeout_ms, Outcome.OVERDUE
-        self.rng.choice(self.counters).record(
+        counter = self.rng.choice(self.counters)
+        counter.record_attempt("turnos", "v2" if new else "v1", ORDER.order_id)
+        counter.record(
             route,
             "turnos",
             "v2" if new else "v1",
@@ -222,12 +225,17 @@
                 True,
                 mesh.evidence.new_response_count,
                 mesh.evidence.fault_evidence(),
+                mesh.evidence.traffic(),
             )
             new_state = next_state(state, progress)
             if new_state is not None:
                 if has_late_fault_evidence(state, progress):
                     return "late evidence"
-                state, raised_at_ms = new_state, mesh.now_ms
+                if phase_of(new_state) != phase_of(state):
+                    raised_at_ms = mesh.now_ms
+                state = new_state
+            elif expiry_reason(state, progress):
+                return expiry_reason(state, progress)
             if not state.is_open:
                 return ""
 
--- a/tests/test_orders/test_schedule.py
+++ b/tests/test_orders/test_schedule.py
@@ -4,11 +4,14 @@
 
 import unittest
 
+from marigoldchute.orders.exposure import OrderTraffic
 from marigoldchute.orders.model import OrderStage, OrderState
 from marigoldchute.orders.schedule import (
     FULL_SHARE_DEADLINE_FRACTION,
+    SCHEDULE,
     Progress,
     advance,
+    expiry_reason,
     is_too_late,
     next_state,
 )
@@ -20,6 +23,52 @@
     return OrderState("turnos", "v2", 7, 0, share, stage, 16.0, ())
 
 
+def make_progress(
+    elapsed_s: float, held_s: float, fault_evidence: float = 0.0, exposed: int = 80
+) -> Progress:
+    """Return the progress of an order with 100 requests a second."""
+    traffic = OrderTraffic(int(100 * (elapsed_s - 0.2)), exposed, 0.2)
+    return Progress(elapsed_s, held_s, True, 500, fault_evidence, traffic)
+
+
+class PauseTest(unittest.TestCase):
+    """Evidence short of a proof at a larger share."""
+
+    full = OrderState("turnos", "v2", 7, 4, 1.0, OrderStage.RUNNING, 16.0, (), 4)
+
+    def pause(self) -> OrderState:
+        paused = next_state(self.full, make_progress(10.0, 0.5, 0.5))
+        assert paused is not None
+        return paused
+
+    def test_share_falls_to_the_first_one_before_the_fault_is_proved(self) -> None:
+        # Guards against a full share that is held while evidence is collected.
+        paused = self.pause()
+        self.assertTrue(paused.paused)
+        self.assertLessEqual(paused.share, SCHEDULE[0].share)
+
+    def test_share_returns_when_the_evidence_is_refuted(self) -> None:
+        paused = self.pause()
+        self.assertIsNone(next_state(paused, make_progress(10.5, 0.5)))
+        resumed = next_state(paused, make_progress(11.0, 1.0))
+        assert resumed is not None
+        self.assertEqual((resumed.share, resumed.paused), (1.0, False))
+
+    def test_share_does_not_return_beyond_the_exposure_limit(self) -> None:
+        # Guards against a fault at the full share that costs its exposure twice.
+        exposed = 150
+        progress = make_progress(11.0, 1.0, exposed=exposed)
+        self.assertIsNone(next_state(self.pause(), progress))
+
+    def test_pause_ends_with_a_fault_while_the_rule_for_bad_responses_holds(
+        self,
+    ) -> None:
+        # Guards against a release that gets requests 5 s after it was found bad.
+        paused = self.pause()
+        self.assertEqual(expiry_reason(paused, make_progress(13.0, 3.0)), "")
+        self.assertIn("refuted", expiry_reason(paused, make_progress(13.3, 3.3)))
+
+
 class ScheduleTest(unittest.TestCase):
     def run_schedule(
         self, duration_s: float, requests_per_s: float
