Take the first bundle only once the orders are known

What callers saw: requests to a node that has just started beside a server of a new release run on that release, before its order gives it a share. Cause: a bundle names services, and the orders name the release of each. A node that starts took the bundle from the store or a peer first and served from then on; without orders a service has the release of most servers that the node knows, and alone it knows its own only. Servers of the new release start by the dozen. Change: orders are listed before the first bundle, and the first bundle is fetched from peers once the records of one that offers it are compared. Tests: test_relay.test_first_bundle_waits_for_the_records failed before; test_reader.TopicOrderTest is of the reader's new order.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -213,7 +213,8 @@
             log,
         )
         bundles = BundleTopic(adapter.bundles, self._catalog, self._rejections, log)
-        topics: list[Topic] = [bundles, self._driver]
+        # Without the orders a bundle does not tell which release to serve.
+        topics: list[Topic] = [self._driver, bundles]
         self._reader = StoreReader(
             adapter.store, topics, self._reader_duty, self._overlay, handlers, log, rng
         )
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -33,6 +33,7 @@
 BACKUP_DELAY_S = 4.0
 DUTY_POLL_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.4
+EARLIER_TOPIC_POLL_S = 0.02
 # A member is near the store up to this multiple of the lowest latency of a member.
 NEAR_LATENCY_FACTOR = 3.0
 
@@ -225,7 +226,8 @@
     store : DocumentStore
         The platform's store.
     topics : sequence of Topic
-        Topics to follow; beacons are sent while all of them are read.
+        Topics to follow; beacons are sent while all of them are read. One of which
+        nothing is known is read after the one before it.
     duty : ReaderDuty
         Decides whether this node reads.
     overlay : Overlay
@@ -271,10 +273,16 @@
         """Read the store and send beacons until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_beacons)
-            for topic in self._topics:
-                nursery.start_soon(self._follow, topic)
+            self.start_topics(nursery)
 
-    async def _follow(self, topic: Topic) -> None:
+    def start_topics(self, nursery: trio.Nursery) -> None:
+        """Start to follow each topic."""
+        earlier: Topic | None = None
+        for topic in self._topics:
+            nursery.start_soon(self._follow, topic, earlier)
+            earlier = topic
+
+    async def _follow(self, topic: Topic, earlier: Topic | None) -> None:
         position: int | None = None
         while True:
             if not self._duty.is_reader(trio.current_time()):
@@ -284,6 +292,10 @@
                 continue
             if position is None:
                 position = topic.applied_revision()
+                if not position and earlier and earlier.kind not in self._last_read_at:
+                    position = None
+                    await trio.sleep(EARLIER_TOPIC_POLL_S)
+                    continue
             try:
                 position = await self._read_once(topic, position)
                 self._last_read_at[topic.kind] = trio.current_time()
--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -28,6 +28,7 @@
 # An offer is repeated to one neighbour at a time. A bundle must be in force within
 # 2.5 s.
 REOFFER_INTERVAL_S = 1.0
+RECORDS_POLL_S = 0.02
 _REVISION = struct.Struct(">Q")
 
 
@@ -37,8 +38,9 @@
     An offer is a revision. A neighbour with an older one requests the difference from
     its own revision, so that each node receives each change once, whatever the number
     of its neighbours. An offer is valid until its revision is in force or its link has
-    closed. To make up for lost offers, each node repeats its offer to one neighbour at
-    a time.
+    closed. The first bundle is fetched once the records of a node that offers one are
+    known, as they tell which release to serve. To make up for lost offers, each node
+    repeats its offer to one neighbour at a time.
 
     Parameters
     ----------
@@ -86,10 +88,18 @@
 
     async def _fetch_offers(self) -> None:
         while (link := self._best_offer()) is not None:
+            if not self._knows_records():
+                await trio.sleep(RECORDS_POLL_S)
+                continue
             if self._failures[link]:
                 await trio.sleep(FETCH_RETRY_DELAY_S)
             await self._fetch_from(link)
 
+    def _knows_records(self) -> bool:
+        if self._catalog.revision:
+            return True
+        return any(link in self._offers for link in self._overlay.synced_neighbours())
+
     async def _repeat_offers(self) -> None:
         while True:
             await trio.sleep(REOFFER_INTERVAL_S * self._rng.uniform(0.5, 1.5))
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import trio
+import trio.testing
 
 from marigoldchute.hosted.reader import (
     BACKUP_DELAY_S,
@@ -20,6 +21,7 @@
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.methods import Method
 from marigoldchute.membership.model import Member
+from marigoldchute.objectstore.documents import DocumentPage
 
 NAMES = [f"vm-{i}" for i in range(8)]
 
@@ -173,3 +175,64 @@
 
             trio.run(deliver)
             self.assertEqual(sent, expected)
+
+
+class FakeTopic:
+    """Documents of one kind."""
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self.revision = 0
+
+    def applied_revision(self) -> int:
+        return self.revision
+
+    def apply_page(self, page: DocumentPage, is_full_list: bool) -> None:
+        self.revision = page.revision
+
+
+class SlowStore:
+    """Store that needs some time for the list of one kind."""
+
+    def __init__(self, slow_kind: str) -> None:
+        self.slow_kind = slow_kind
+        self.listed: list[str] = []
+
+    async def list(self, kind: str) -> DocumentPage:
+        await trio.sleep(0.3 if kind == self.slow_kind else 0.01)
+        self.listed.append(kind)
+        return DocumentPage((), 7)
+
+    async def changes(self, kind: str, position: int, wait_ms: int) -> DocumentPage:
+        await trio.sleep(wait_ms / 1000)
+        return DocumentPage((), position)
+
+
+class TopicOrderTest(unittest.TestCase):
+    """Topics of a node that has just started."""
+
+    def test_orders_are_known_before_the_first_bundle(self) -> None:
+        # Guards against a node that serves a release which no order names.
+        self.assertEqual(self.list_topics(), ["rollouts", "config"])
+
+    def test_node_with_a_bundle_reads_all_topics_at_once(self) -> None:
+        self.assertEqual(self.list_topics(bundle_revision=5), ["rollouts"])
+
+    def list_topics(self, bundle_revision: int = 0) -> list[str]:
+        """Return the kinds that are listed within half a second."""
+        store: Any = SlowStore("rollouts")
+        orders, bundles = FakeTopic("rollouts"), FakeTopic("config")
+        bundles.revision = bundle_revision
+        duty = make_duties(["vm-7"], set())["vm-7"]
+        unused: Any = None
+        topics: list[Any] = [orders, bundles]
+        reader = StoreReader(store, topics, duty, unused, Handlers(), unused, unused)
+
+        async def main() -> None:
+            with trio.move_on_after(0.5):
+                async with trio.open_nursery() as nursery:
+                    reader.start_topics(nursery)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        listed: list[str] = store.listed
+        return listed
--- a/tests/test_hosted/test_relay.py
+++ b/tests/test_hosted/test_relay.py
@@ -68,8 +68,13 @@
         self.links: list[FakeLink] = []
         self.catalog = Catalog(InForce(), MemoryEventLog())  # type: ignore[arg-type]
         self._handlers = Handlers()
+        self.unsynced: set[FakeLink] = set()
         overlay: Any = types.SimpleNamespace(
-            neighbour_listeners=[], neighbours=lambda: self.links
+            neighbour_listeners=[],
+            neighbours=lambda: self.links,
+            synced_neighbours=lambda: [
+                link for link in self.links if link not in self.unsynced
+            ],
         )
         log: Any = MemoryEventLog()
         self.relay = BundleRelay(
@@ -138,6 +143,27 @@
         self.assertEqual(self.run_mesh(invalid=True), 0)
         self.assertLess(self.calls, 5)
 
+    def test_first_bundle_waits_for_the_records(self) -> None:
+        # Guards against a node that serves a release which no order names.
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                first, second = Node("vm-1", nursery), Node("vm-2", nursery)
+                link = first.link_to(second)
+                second.unsynced.add(link.reverse)
+                first.catalog.apply(make_bundle(5), "the store")
+                await trio.sleep(1.0)
+                self.assertEqual(second.catalog.revision, 0)
+                second.unsynced.clear()
+                await trio.sleep(0.2)
+                self.assertEqual(second.catalog.revision, 5)
+                second.unsynced.add(link.reverse)
+                first.catalog.apply(make_bundle(6), "the store")
+                await trio.sleep(0.2)
+                self.assertEqual(second.catalog.revision, 6)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
 
 if __name__ == "__main__":
     unittest.main()
