Never send requests to an excluded release for want of another one

Cause: without such servers the release used last was kept, even if an order excludes it. Evidence: test_rejected_release_is_not_used_without_another_one failed before. The requests are refused at once now.

--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -118,7 +118,7 @@
         ):
             return current
         if not counts:
-            return current or ""
+            return "" if current is None or current in excluded else current
         # A release that is being rolled out may run on as many servers as the old one;
         # a tie goes to the name that sorts first.
         base = min(counts, key=lambda name: (-counts[name], name))
--- a/tests/test_orders/test_outcomes.py
+++ b/tests/test_orders/test_outcomes.py
@@ -386,6 +386,13 @@
         split = book.split("turnos", "")
         self.assertEqual((split.old_release, split.new_release), ("v1", "v3"))
 
+    def test_rejected_release_is_not_used_without_another_one(self) -> None:
+        # Guards against a faulty release that serves while no other one is known.
+        book = self.make_book("v2", "v2")
+        self.assertEqual(book.split("turnos", "").old_release, "v2")
+        book.publish(ORDER)
+        self.assertEqual(book.split("turnos", "").old_release, "")
+
     def test_done_order_sends_all_requests_to_its_target(self) -> None:
         book = self.make_book("v1", "v1", "v2")
         book.publish(OrderState("turnos", "v2", 9, 9, 1.0, OrderStage.DONE, 16.0, ()))
