Collect response counts by data centre in a large mesh

Cause: each node sent its counts to each reader by itself, four times a second and ten times at the larger shares. The readers' work grows with the fleet; they are VMs like the others. Change: with more members than are linked in pairs, the reports of a data centre go to a member that all compute alike, which sends them on in batches. The reports have a module of their own, orders/reports.py. Also: a node tells the age of an order without any counts.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -4,28 +4,23 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-import msgspec
 import trio
 
 from marigoldchute.errors import (
-    AuthError,
     ConflictError,
     MoveError,
-    PeerError,
     PlatformError,
     ResultCode,
     UnknownOutcomeError,
 )
-from marigoldchute.link.methods import Method
 from marigoldchute.orders.model import OrderDocument, OrderStage, OrderState
-from marigoldchute.orders.outcomes import NodeOutcomes, OrderEvidence
+from marigoldchute.orders.outcomes import OrderEvidence
+from marigoldchute.orders.reports import OutcomeReporter
 from marigoldchute.orders.schedule import (
-    SCHEDULE,
     Progress,
     advance,
     expiry_reason,
     has_late_fault_evidence,
-    level_of,
     next_state,
     phase_of,
 )
@@ -36,19 +31,13 @@
     from marigoldchute.hosted.reader import ReaderDuty, StoreReader
     from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.link.handlers import Handlers
-    from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.objectstore.documents import Document, DocumentPage
     from marigoldchute.orders.book import OrderBook
-    from marigoldchute.orders.outcomes import OutcomeCounter
+    from marigoldchute.orders.outcomes import NodeOutcomes, OutcomeCounter
 
 TICK_INTERVAL_S = 0.1
 IDLE_TICK_INTERVAL_S = 0.5
-REPORT_INTERVAL_S = 0.25
-# From this level on, a faulty release can exceed its exposure limit within a second.
-FAST_REPORT_LEVEL = len(SCHEDULE) - 1
-FAST_REPORT_INTERVAL_S = 0.1
-REPORT_TIMEOUT_S = 0.5
 WRITE_RETRY_DELAY_S = 0.3
 
 
@@ -97,9 +86,9 @@
     duty : ReaderDuty
         Election of the nodes that read the store and of their leader.
     control : LinkPool
-        Links on which response counts are sent to the readers.
+        Links on which response counts are sent.
     handlers : Handlers
-        Message handlers; the one for reports of response counts is registered here.
+        Message handlers; those for reports of response counts are registered here.
     rejections : Rejections
         Documents that were rejected.
     log : EventLog
@@ -125,7 +114,6 @@
         self._counter = counter
         self._directory = directory
         self._duty = duty
-        self._control = control
         self._log = log
         self._documents: dict[str, OrderDocument] = {}
         self._started_at: dict[str, float] = {}
@@ -134,10 +122,17 @@
         self._evidence: dict[str, OrderEvidence] = {}
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
-        # Orders whose counts a candidate has yet to get, by its name.
-        self._unsent: dict[str, set[str]] = {}
-        self._sending: set[str] = set()
-        handlers.register(Method.REPORT_OUTCOMES, self.handle_report)
+        self._reporter = OutcomeReporter(
+            counter,
+            book,
+            directory,
+            duty,
+            control,
+            handlers,
+            log,
+            self.apply_report,
+            self.age_s,
+        )
 
     def applied_revision(self) -> int:
         """Return 0, as a reader that starts needs the revision of each document."""
@@ -212,7 +207,7 @@
     async def run(self) -> None:
         """Drive orders and report response counts until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._report_outcomes)
+            nursery.start_soon(self._reporter.run)
             while True:
                 open_orders = [s for s in self._book.states() if s.is_open]
                 for state in open_orders:
@@ -224,7 +219,8 @@
     async def _advance(self, state: OrderState) -> None:
         now = trio.current_time()
         evidence = self._evidence_for(state)
-        evidence.apply_report(self._local_report(state.order_id), int(now * 1000))
+        local_report = self._reporter.local_report(state.order_id, now)
+        evidence.apply_report(local_report, int(now * 1000))
         assert self.reader is not None
         is_reading = self.reader.is_reading(now)
         is_leader = self._duty.is_leader(is_reading, now)
@@ -373,86 +369,19 @@
             evidence = self._evidence[state.order_id] = OrderEvidence(state)
         return evidence
 
-    def _local_report(self, order_id: str) -> NodeOutcomes:
-        local = self._directory.local
-        elapsed_s = self.age_s(order_id, trio.current_time())
-        return self._counter.report(
-            local.name, local.incarnation, order_id, int(elapsed_s * 1000)
-        )
-
-    async def _report_outcomes(self) -> None:
-        """Send this node's response counts to the nodes that may decide on an order.
-
-        A candidate that does not respond does not delay the reports to the others.
-        """
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(self._report_interval_s())
-                self._update_unsent(trio.current_time())
-                for name in self._unsent:
-                    if self._unsent[name] and name not in self._sending:
-                        self._sending.add(name)
-                        nursery.start_soon(self._send_reports, name)
-
-    def _update_unsent(self, now: float) -> None:
-        changed = set(self._counter.changed_order_ids)
-        self._counter.changed_order_ids.clear()
-        # A node that has just become a candidate needs the earlier counts as well.
-        open_ids = {state.order_id for state in self._book.states() if state.is_open}
-        self._unsent = {
-            name: self._unsent.get(name, open_ids) | changed
-            for name in self._duty.leader_candidates(now)
-        }
-
-    async def _send_reports(self, name: str) -> None:
-        try:
-            order_ids, self._unsent[name] = self._unsent[name], set()
-            for order_id in order_ids:
-                body = msgspec.msgpack.encode(self._local_report(order_id))
-                if not await self._send_report(name, body) and name in self._unsent:
-                    self._unsent[name].add(order_id)
-        finally:
-            self._sending.discard(name)
-
     def _record_age(self, order_id: str, elapsed_s: float) -> None:
         """Use the age that another node knows if it knows the order for longer."""
         if order_id in self._started_at:
             started_at = trio.current_time() - elapsed_s
             self._started_at[order_id] = min(self._started_at[order_id], started_at)
 
-    def _report_interval_s(self) -> float:
-        fast = any(
-            state.is_open and level_of(state) >= FAST_REPORT_LEVEL
-            for state in self._book.states()
-        )
-        return FAST_REPORT_INTERVAL_S if fast else REPORT_INTERVAL_S
-
-    async def _send_report(self, name: str, body: bytes) -> bool:
-        """Send a report; return whether it was received."""
-        try:
-            await self._control.call(
-                name, Method.REPORT_OUTCOMES, body, REPORT_TIMEOUT_S
-            )
-        except (PeerError, AuthError) as exc:
-            self._log.emit(
-                "orders",
-                "report_lost",
-                f"{name} did not receive the response counts: {exc.message}.",
-                member=name,
-                code=exc.code.value,
-            )
-            return False
-        return True
-
-    async def handle_report(self, link: Link | None, body: bytes) -> bytes:
+    def apply_report(self, report: NodeOutcomes) -> None:
         """Apply the response counts of another node."""
-        report = msgspec.msgpack.decode(body, type=NodeOutcomes)
         self._record_age(report.order_id, report.elapsed_ms / 1000)
         for state in self._book.states():
             if state.order_id == report.order_id and state.is_open:
                 now_ms = int(trio.current_time() * 1000)
                 self._evidence_for(state).apply_report(report, now_ms)
-        return b""
 
 
 def _describe_traffic(state: OrderState, progress: Progress) -> dict[str, float]:
--- a/tests/support/order_drivers.py
+++ b/tests/support/order_drivers.py
@@ -88,7 +88,7 @@
 
     def __init__(self) -> None:
         self.silent: set[str] = set()
-        self.received: list[tuple[str, bytes]] = []
+        self.received: list[tuple[str, Method, bytes]] = []
 
     async def call(
         self, name: str, method: Method, body: bytes, timeout_s: float
@@ -97,7 +97,7 @@
         if name in self.silent:
             await trio.sleep(timeout_s)
             raise PeerError("no response")
-        self.received.append((name, body))
+        self.received.append((name, method, body))
         return b""
 
 
@@ -110,8 +110,12 @@
             for release in ("v1", "v2", "v3")
         )
         self.member = Member(name, 1, 1, "10.0.0.1", 1, "dc", "r", servers=servers)
-        members: Any = types.SimpleNamespace(
-            local=self.member, all=lambda: (self.member,)
+        self.reachable = [self.member]
+        self.directory: Any = types.SimpleNamespace(
+            local=self.member,
+            all=lambda: (self.member,),
+            is_full_mesh=True,
+            reachable=lambda: self.reachable,
         )
         self.is_leader = True
         self.candidates: list[str] = []
@@ -121,7 +125,8 @@
         )
         log: Any = MemoryEventLog()
         self.table = RecordTable()
-        self.book = OrderBook(members, self.table, log)
+        self.handlers = Handlers()
+        self.book = OrderBook(self.directory, self.table, log)
         self.store = store
         self.control = Control()
         self.counter = OutcomeCounter(self.book)
@@ -129,10 +134,10 @@
             PlatformOrderApi(store),  # type: ignore[arg-type]
             self.book,
             self.counter,
-            members,
+            self.directory,
             duty,
             self.control,  # type: ignore[arg-type]
-            Handlers(),
+            self.handlers,
             Rejections(),
             log,
         )
--- a/tests/support/order_simulation.py
+++ b/tests/support/order_simulation.py
@@ -15,14 +15,14 @@
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.orders.book import OrderBook
-from marigoldchute.orders.driver import (
+from marigoldchute.orders.driver import TICK_INTERVAL_S
+from marigoldchute.orders.model import OrderStage, OrderState
+from marigoldchute.orders.outcomes import OrderEvidence, OutcomeCounter
+from marigoldchute.orders.reports import (
     FAST_REPORT_INTERVAL_S,
     FAST_REPORT_LEVEL,
     REPORT_INTERVAL_S,
-    TICK_INTERVAL_S,
 )
-from marigoldchute.orders.model import OrderStage, OrderState
-from marigoldchute.orders.outcomes import OrderEvidence, OutcomeCounter
 from marigoldchute.orders.schedule import (
     Progress,
     expiry_reason,
