Settle a node by its contact, not by its first duty

Cause: the contact was only looked at when a node had a duty, so a node that had run for long was settled 1.3 s after it became a reader. Test: SettledReaderTest failed before.

--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -329,6 +329,7 @@
         while True:
             await trio.sleep(BEACON_INTERVAL_S)
             now = trio.current_time()
+            is_settled = self._duty.is_settled(now)
             is_reading = self._duty.is_reader(now) and self.is_reading(now)
             if is_reading != self._was_reading:
                 self._was_reading = is_reading
@@ -339,7 +340,7 @@
                         "no longer reads the store for the mesh",
                     )
                 self._log.emit("reader", event, f"This node {text}.")
-            if is_reading and self._duty.is_settled(now):
+            if is_reading and is_settled:
                 local = self._duty.directory.local
                 beacon = Beacon(
                     local.name, local.incarnation, next(self._beacon_numbers)
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -10,6 +10,7 @@
 import trio
 import trio.testing
 
+from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.reader import (
     BACKUP_DELAY_S,
     BEACON_TIMEOUT_S,
@@ -208,6 +209,31 @@
         return DocumentPage((), position)
 
 
+class SettledReaderTest(unittest.TestCase):
+    """A node that has been running for long takes over from the readers."""
+
+    def test_node_that_becomes_a_reader_late_leads_at_once(self) -> None:
+        # Guards against a mesh without a leader while a settled node takes over.
+        duty = make_duties(NAMES, set(NAMES))["vm-7"]
+        unused: Any = None
+        reader = StoreReader(
+            unused, [], duty, unused, Handlers(), MemoryEventLog(), unused
+        )
+
+        async def main() -> None:
+            duty.start_timeout(trio.current_time())
+            with trio.move_on_after(2 * BEACON_TIMEOUT_S):
+                while True:
+                    for name in NAMES[:2]:
+                        duty.record_beacon(name, trio.current_time())
+                    with trio.move_on_after(1.0):
+                        await reader.run()
+            duty.directory.lost = set(NAMES[:2])  # type: ignore[attr-defined]
+            self.assertTrue(duty.is_settled(trio.current_time()))
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class TopicOrderTest(unittest.TestCase):
     """Topics of a node that has just started."""
 
