--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -52,15 +52,15 @@
 )
 # Fraction of the duration to wait for ``min_responses``.
 MAX_RESPONSE_WAIT_FRACTION = 0.08
-# Evidence below the fault threshold delays the next raise. The delay ends while there
-# is still time to hold the full share for its minimum.
+# Evidence below the fault threshold delays the next raise, and pauses a larger share
+# than the first: it falls to the first one. The delay ends while there is still time
+# to hold the full share for its minimum.
 MAX_RAISE_EVIDENCE = 0.3  # Fraction of the fault threshold.
-# With that much evidence the share falls to the first one, until responses to what was
-# sent at the larger share have shown that the target is not faulty.
+EVIDENCE_DELAY_END_FRACTION = 0.76  # Fraction of the duration.
+# A pause ends when responses to what was sent before it have refuted the evidence.
 RESUME_EVIDENCE = 0.1  # Fraction of the fault threshold.
-# Both on top of the time of a response. The evidence is settled after the maximum.
+# Both on top of the time of a response. After the maximum the order fails.
 MIN_PAUSE_S, MAX_PAUSE_S = 0.6, 3.0
-EVIDENCE_DELAY_END_FRACTION = 0.76  # Fraction of the duration.
 # Most releases with more evidence than this at the end of the delay are faulty.
 LATE_FAULT_EVIDENCE = 0.5  # Fraction of the fault threshold.
 # A share is reduced within its level when the planned one is below this part of it. It
@@ -113,42 +113,42 @@
         if not progress.has_servers or not _is_rate_known(progress):
             return None
         return _enter_level(state, 1, progress)
-    level = level_of(state)
-    schedule_step = SCHEDULE[level - 1]
-    duration_s = state.duration_s
     if state.paused:
         return _resume(state, progress)
-    if (
-        level > 1
-        and progress.fault_evidence > MAX_RAISE_EVIDENCE
-        and progress.elapsed_s < EVIDENCE_DELAY_END_FRACTION * duration_s
-    ):
-        share = min(state.share, planned_share(1, duration_s, progress))
+    level = level_of(state)
+    if level > 1 and _has_doubt(state, progress):
+        share = min(state.share, planned_share(1, state.duration_s, progress))
         return advance(state, share, OrderStage.RUNNING, level, paused=True)
-    planned = planned_share(level, duration_s, progress)
+    planned = planned_share(level, state.duration_s, progress)
     if planned < REDUCED_SHARE_RATIO * state.share:
         return advance(state, planned, OrderStage.RUNNING, level)
-    if progress.held_s < schedule_step.hold_s(duration_s):
-        return None
-    if not progress.has_servers:
-        return None
-    if (
-        progress.fault_evidence > MAX_RAISE_EVIDENCE
-        and progress.elapsed_s < EVIDENCE_DELAY_END_FRACTION * duration_s
-    ):
-        return None
-    is_due = progress.elapsed_s >= schedule_step.end_fraction * duration_s
-    if not is_due or (
-        progress.responses < schedule_step.min_responses
-        and progress.elapsed_s
-        < (schedule_step.end_fraction + MAX_RESPONSE_WAIT_FRACTION) * duration_s
-    ):
+    if not _may_leave(SCHEDULE[level - 1], state, progress):
         return None
     if level < len(SCHEDULE):
         return _enter_level(state, level + 1, progress)
     return advance(state, 1.0, OrderStage.DONE, level)
 
 
+def _has_doubt(state: OrderState, progress: Progress) -> bool:
+    """Return whether evidence stops the order from going on, while there is time."""
+    is_late = progress.elapsed_s >= EVIDENCE_DELAY_END_FRACTION * state.duration_s
+    return progress.fault_evidence > MAX_RAISE_EVIDENCE and not is_late
+
+
+def _may_leave(
+    schedule_step: ScheduleStep, state: OrderState, progress: Progress
+) -> bool:
+    """Return whether the share of a level was held for long enough."""
+    if progress.held_s < schedule_step.hold_s(state.duration_s):
+        return False
+    if not progress.has_servers or _has_doubt(state, progress):
+        return False
+    end_fraction = schedule_step.end_fraction
+    if progress.responses < schedule_step.min_responses:
+        end_fraction += MAX_RESPONSE_WAIT_FRACTION
+    return progress.elapsed_s >= end_fraction * state.duration_s
+
+
 def planned_share(level: int, duration_s: float, progress: Progress) -> float:
     """Return the share of a level for the traffic so far.
 
