Compare records at once with a node whose bundle is awaited

Cause: the first bundle waits for the comparison of records with a node that offers one, and a second neighbour of a region compares 0.3 to 0.9 s later than the first, which may be a node that has just started as well. Test: RequestedCompareTest is of the new call; without it the second link has no call after 0.06 s.

--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -89,6 +89,7 @@
     async def _fetch_offers(self) -> None:
         while (link := self._best_offer()) is not None:
             if not self._knows_records():
+                self._overlay.request_compare(link)
                 await trio.sleep(RECORDS_POLL_S)
                 continue
             if self._failures[link]:
--- a/marigoldchute/overlay/overlay.py
+++ b/marigoldchute/overlay/overlay.py
@@ -101,6 +101,12 @@
             if item.link.is_open and item.is_synced
         ]
 
+    def request_compare(self, link: Link) -> None:
+        """Compare records with a neighbour for the first time without a delay."""
+        neighbour = self._neighbours.get(link.peer.name)
+        if neighbour is not None and neighbour.link is link:
+            neighbour.compare_requested.set()
+
     def is_linked(self, name: str) -> bool:
         """Return whether an open, unsuspected control link to a peer exists."""
         return self.link_to(name) is not None
@@ -281,7 +287,9 @@
     async def _run_repair(self, neighbour: _Neighbour) -> None:
         if self._compares_with_region(neighbour.link.peer.region):
             # Most differences arrive meanwhile over the other link and are not resent.
-            await trio.sleep(LATER_COMPARE_DELAY_S * self._rng.uniform(0.5, 1.5))
+            delay_s = LATER_COMPARE_DELAY_S * self._rng.uniform(0.5, 1.5)
+            with trio.move_on_after(delay_s):
+                await neighbour.compare_requested.wait()
         neighbour.compare_started = True
         while True:
             try:
@@ -314,6 +322,7 @@
     def __init__(self, link: Link) -> None:
         self.link = link
         self.has_queued = trio.Event()
+        self.compare_requested = trio.Event()
         self.compare_started = False
         self.is_synced = False
         self._queued: dict[tuple[int, str], Record] = {}
--- a/tests/test_hosted/test_relay.py
+++ b/tests/test_hosted/test_relay.py
@@ -69,12 +69,14 @@
         self.catalog = Catalog(InForce(), MemoryEventLog())  # type: ignore[arg-type]
         self._handlers = Handlers()
         self.unsynced: set[FakeLink] = set()
+        self.requested: list[FakeLink] = []
         overlay: Any = types.SimpleNamespace(
             neighbour_listeners=[],
             neighbours=lambda: self.links,
             synced_neighbours=lambda: [
                 link for link in self.links if link not in self.unsynced
             ],
+            request_compare=self.requested.append,
         )
         log: Any = MemoryEventLog()
         self.relay = BundleRelay(
@@ -153,6 +155,7 @@
                 first.catalog.apply(make_bundle(5), "the store")
                 await trio.sleep(1.0)
                 self.assertEqual(second.catalog.revision, 0)
+                self.assertIn(link.reverse, second.requested)
                 second.unsynced.clear()
                 await trio.sleep(0.2)
                 self.assertEqual(second.catalog.revision, 5)
--- a/tests/test_overlay/test_overlay.py
+++ b/tests/test_overlay/test_overlay.py
@@ -39,6 +39,7 @@
 
     def __init__(self, name: str) -> None:
         self.peer = PeerIdentity(name, 1, "dc", "r")
+        self.calls = 0
         self.lost = self.closed = trio.Event()
 
     @property
@@ -49,6 +50,7 @@
         self.closed.set()
 
     async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
+        self.calls += 1
         raise PeerError("no response")
 
 
@@ -112,6 +114,30 @@
         self.assertEqual(sorted(endpoint.dialled), ["vm-2", "vm-3", "vm-4"])
 
 
+class RequestedCompareTest(unittest.TestCase):
+    """Two neighbours in one region, of which the second compares records later."""
+
+    def test_requested_comparison_starts_at_once(self) -> None:
+        # Guards against a first bundle that waits for a comparison which is put off.
+        endpoint: Any = FakeEndpoint()
+        directory = FakeDirectory("vm-2", "vm-3")
+
+        async def main() -> None:
+            overlay = Overlay(endpoint, Handlers(), RecordTable(), random.Random(1))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(overlay.run, directory)
+                await trio.sleep(0.05)
+                links = list(endpoint.links.values())
+                waiting = [link for link in links if not link.calls]
+                self.assertEqual(len(waiting), 1)
+                overlay.request_compare(waiting[0])
+                await trio.sleep(0.01)
+                self.assertEqual(waiting[0].calls, 1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
 class UnwantedLinkTest(unittest.TestCase):
     def test_unwanted_link_is_closed_only_when_idle(self) -> None:
         endpoint: Any = FakeEndpoint()
