Count the time for which a share was held

What callers saw: nothing; a release gets fewer requests than it may while it is tested. Cause: within a level the share was planned as if its whole hold time were to come, so it fell with each request that the release got.

--- a/marigoldchute/orders/schedule.py
+++ b/marigoldchute/orders/schedule.py
@@ -66,6 +66,7 @@
 # A share is reduced within its level when the planned one is below this part of it. It
 # is not raised there: a driver that has just taken over counts too few requests.
 REDUCED_SHARE_RATIO = 0.8
+MIN_PLANNED_S = 0.1  # A share lasts until the next tick at least.
 # Time to wait for counts before the first share.
 MAX_TRAFFIC_WAIT_S = 1.0
 # Fraction of the duration to reach the full share by.
@@ -119,7 +120,7 @@
     if level > 1 and _has_doubt(state, progress):
         share = min(state.share, planned_share(1, state.duration_s, progress))
         return advance(state, share, OrderStage.RUNNING, level, paused=True)
-    planned = planned_share(level, state.duration_s, progress)
+    planned = planned_share(level, state.duration_s, progress, progress.held_s)
     if planned < REDUCED_SHARE_RATIO * state.share:
         return advance(state, planned, OrderStage.RUNNING, level)
     if not _may_leave(SCHEDULE[level - 1], state, progress):
@@ -149,7 +150,9 @@
     return progress.elapsed_s >= end_fraction * state.duration_s
 
 
-def planned_share(level: int, duration_s: float, progress: Progress) -> float:
+def planned_share(
+    level: int, duration_s: float, progress: Progress, held_s: float = 0.0
+) -> float:
     """Return the share of a level for the traffic so far.
 
     Parameters
@@ -161,6 +164,8 @@
     progress : Progress
         Observations; the share falls with the rate of requests and the time of a
         response.
+    held_s : float
+        Seconds for which the level was held.
     """
     share = SCHEDULE[level - 1].share
     if level == len(SCHEDULE):
@@ -168,9 +173,10 @@
     planned, start_s = [], progress.elapsed_s
     for schedule_step in SCHEDULE[level - 1 : -1]:
         end_s = schedule_step.end_fraction * duration_s
-        seconds = max(schedule_step.hold_s(duration_s), end_s - start_s)
+        hold_s = schedule_step.hold_s(duration_s) - held_s
+        seconds = max(hold_s, end_s - start_s, MIN_PLANNED_S)
         planned.append((schedule_step.share, seconds))
-        start_s += seconds
+        start_s, held_s = start_s + seconds, 0.0
     return share * share_scale(
         progress.traffic, progress.elapsed_s, duration_s, planned
     )
--- a/tests/test_orders/test_schedule.py
+++ b/tests/test_orders/test_schedule.py
@@ -14,6 +14,7 @@
     expiry_reason,
     is_too_late,
     next_state,
+    planned_share,
 )
 
 
@@ -24,10 +25,14 @@
 
 
 def make_progress(
-    elapsed_s: float, held_s: float, fault_evidence: float = 0.0, exposed: int = 80
+    elapsed_s: float,
+    held_s: float,
+    fault_evidence: float = 0.0,
+    exposed: int = 80,
+    rate: int = 100,
 ) -> Progress:
-    """Return the progress of an order with 100 requests a second."""
-    traffic = OrderTraffic(int(100 * (elapsed_s - 0.2)), exposed, 0.2)
+    """Return the progress of an order with some requests a second."""
+    traffic = OrderTraffic(int(rate * (elapsed_s - 0.2)), exposed, 0.2)
     return Progress(elapsed_s, held_s, True, 500, fault_evidence, traffic)
 
 
@@ -69,6 +74,22 @@
         self.assertIn("refuted", expiry_reason(paused, make_progress(13.3, 3.3)))
 
 
+class PlannedShareTest(unittest.TestCase):
+    """Share of a level while it is held."""
+
+    def test_share_is_not_reduced_for_time_that_has_passed(self) -> None:
+        # Guards against a share that falls until its level ends, for want of evidence.
+        duration_s, rate, level = 16.0, 300, 3
+        start_s = 0.58 * duration_s
+        at_start = make_progress(start_s, 0.0, rate=rate, exposed=90)
+        share = planned_share(level, duration_s, at_start)
+        held_s = 0.6
+        exposed = 90 + int(held_s * rate * share)
+        later = make_progress(start_s + held_s, held_s, rate=rate, exposed=exposed)
+        planned = planned_share(level, duration_s, later, later.held_s)
+        self.assertGreaterEqual(planned, 0.9 * share)
+
+
 class ScheduleTest(unittest.TestCase):
     def run_schedule(
         self, duration_s: float, requests_per_s: float
