Leave out a collector that does not respond

Cause: in a large mesh a node sees the loss of linked members only. The collector of a data centre that is gone stayed the collector for all without a link to it. Change: a collector that does not take a report is left out for 10 s; the next one collects.

--- a/marigoldchute/orders/reports.py
+++ b/marigoldchute/orders/reports.py
@@ -33,6 +33,7 @@
 FAST_REPORT_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.5
 MAX_REPORTS_IN_MESSAGE = 100
+AVOID_COLLECTOR_S = 10.0
 
 _REPORTS = msgspec.msgpack.Decoder(list[NodeOutcomes])
 _Key = tuple[str, int, str]  # Node, incarnation and order.
@@ -93,8 +94,10 @@
         # Reports that a destination has yet to get, by its name.
         self._pending: dict[str, set[_Key]] = {}
         self._sending: set[str] = set()
-        self._collector_from: list[Member] | None = None
-        self._collector = ""
+        self._ordered_from: list[Member] | None = None
+        self._collectors: list[str] = []
+        # Collectors that did not respond, and until when they are left out.
+        self._avoided_until: dict[str, float] = {}
         handlers.register(Method.REPORT_OUTCOMES, self._handle_reports)
         handlers.register(Method.COLLECT_OUTCOMES, self._handle_collected)
 
@@ -123,21 +126,32 @@
         elapsed_ms = int(self._age_s(order_id, now) * 1000)
         return self._counter.report(local.name, local.incarnation, order_id, elapsed_ms)
 
-    def collector(self) -> str:
-        """Return the name of the member that collects for this data centre."""
+    def collector(self, now: float) -> str:
+        """Return the name of the member that collects for this data centre.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
         members = self._directory.reachable()
-        if members is not self._collector_from:
-            self._collector_from = members
-            data_centre = self._directory.local.data_centre
-            alive = [
-                member
-                for member in members
-                if member.data_centre == data_centre
-                and member.state is MemberState.ALIVE
-            ]
-            order = rendezvous_order(alive, "order-collector")
-            self._collector = order[0].name if order else self._directory.local.name
-        return self._collector
+        if members is not self._ordered_from:
+            self._ordered_from = members
+            self._collectors = self._order_collectors(members)
+        for name in self._collectors:
+            # A member without a link to this one may be gone and still be listed.
+            if self._avoided_until.get(name, 0.0) <= now:
+                return name
+        return self._directory.local.name
+
+    def _order_collectors(self, members: list[Member]) -> list[str]:
+        data_centre = self._directory.local.data_centre
+        alive = [
+            member
+            for member in members
+            if member.data_centre == data_centre and member.state is MemberState.ALIVE
+        ]
+        return [m.name for m in rendezvous_order(alive, "order-collector")]
 
     def _update_pending(self, now: float) -> Method:
         """Add the changed counts of this node; return how to send what is pending."""
@@ -161,7 +175,7 @@
     def _destinations(self, now: float) -> tuple[Method, list[str]]:
         candidates = self._duty.leader_candidates(now)
         if not self._directory.is_full_mesh:
-            collector = self.collector()
+            collector = self.collector(now)
             if collector != self._directory.local.name:
                 return Method.COLLECT_OUTCOMES, [collector]
         return Method.REPORT_OUTCOMES, candidates
@@ -185,8 +199,13 @@
             for batch in _split(list(keys)):
                 reports = [self._latest[key] for key in batch if key in self._latest]
                 is_sent = await self._send_batch(name, method, reports)
-                if not is_sent and name in self._pending:
+                if is_sent:
+                    continue
+                if name in self._pending:
                     self._pending[name].update(batch)
+                if method is Method.COLLECT_OUTCOMES:
+                    avoided_until = trio.current_time() + AVOID_COLLECTOR_S
+                    self._avoided_until[name] = avoided_until
         finally:
             self._sending.discard(name)
 
