--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -349,17 +349,12 @@
             if member.accepts_requests
             for server in member.servers
         )
-        elapsed_s = self.age_s(state.order_id, now)
-        responses, fault_evidence = (
-            evidence.new_response_count,
-            evidence.fault_evidence(),
-        )
         return Progress(
-            elapsed_s,
+            self.age_s(state.order_id, now),
             held_s,
             has_servers,
-            responses,
-            fault_evidence,
+            evidence.new_response_count,
+            evidence.fault_evidence(),
             evidence.traffic(),
         )
 
