Test the counts of an order while its status is written

Cause: one task drove all orders and waited for each write to the store, for as long as a call may take. A status of one order held up the evidence against it and against others. Evidence: test_reports.SilentStoreTest failed before: no fault after 12 reports in 3 s. Change: a task for each order; its counts are tested beside it on each tick. Ruled out: writing in the background and going on. A verdict is published only after it is written.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -120,6 +120,7 @@
         # Phase of the order and its start by service.
         self._phase_since: dict[str, tuple[tuple[str, int, bool], float]] = {}
         self._evidence: dict[str, OrderEvidence] = {}
+        self._advancing: set[str] = set()  # Services.
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
         self._reporter = OutcomeReporter(
@@ -211,13 +212,24 @@
             while True:
                 open_orders = [s for s in self._book.states() if s.is_open]
                 for state in open_orders:
-                    await self._advance(state)
+                    if state.service in self._advancing:
+                        # A write to a store that is away must not delay a fault.
+                        self._test_evidence(state, trio.current_time())
+                    else:
+                        self._advancing.add(state.service)
+                        nursery.start_soon(self._advance_one, state)
                 await trio.sleep(
                     TICK_INTERVAL_S if open_orders else IDLE_TICK_INTERVAL_S
                 )
 
-    async def _advance(self, state: OrderState) -> None:
-        now = trio.current_time()
+    async def _advance_one(self, state: OrderState) -> None:
+        try:
+            await self._advance(state)
+        finally:
+            self._advancing.discard(state.service)
+
+    def _test_evidence(self, state: OrderState, now: float) -> bool:
+        """Report a fault that the counts prove; return whether this node leads."""
         evidence = self._evidence_for(state)
         local_report = self._reporter.local_report(state.order_id, now)
         evidence.apply_report(local_report, int(now * 1000))
@@ -229,12 +241,16 @@
             fault = evidence.fault_reason()
             if fault and not self._book.is_faulty(state):
                 self._book.report_fault(state, fault)
-        if not is_leader:
+        return is_leader
+
+    async def _advance(self, state: OrderState) -> None:
+        now = trio.current_time()
+        if not self._test_evidence(state, now):
             return
         if self._book.is_faulty(state):
             await self._take_back(state)
             return
-        progress = self._compute_progress(state, evidence, now)
+        progress = self._compute_progress(state, self._evidence_for(state), now)
         new_state = next_state(state, progress)
         if new_state is None:
             reason = expiry_reason(state, progress)
--- a/tests/support/order_drivers.py
+++ b/tests/support/order_drivers.py
@@ -42,6 +42,7 @@
         self.late_writes: list[Callable[[], None]] = []
         self.next_write = ""
         self.history: list[tuple[str, str]] = []
+        self.write_delay_s = 0.0
 
     def order(self, target: str) -> None:
         """Order a move to a release, as the operator does."""
@@ -63,6 +64,7 @@
     async def write_status(
         self, kind: str, name: str, status: Any, expected_revision: int
     ) -> Document:
+        await trio.sleep(self.write_delay_s)
         way, self.next_write = self.next_write, ""
         if way == "late":
             self.late_writes.append(lambda: self._apply(status, expected_revision))
--- a/tests/test_orders/test_reports.py
+++ b/tests/test_orders/test_reports.py
@@ -87,6 +87,34 @@
         self.assertTrue(state.is_open, "only the leader writes the verdict")
 
 
+class SilentStoreTest(unittest.TestCase):
+    """The store does not answer the write of a status."""
+
+    def test_fault_is_found_while_a_status_is_written(self) -> None:
+        # Guards against a faulty release that keeps its share while the store is away.
+        run(self._report_during_a_write)
+
+    async def _report_during_a_write(self) -> None:
+        node = DriverNode("vm-1", Store())
+        node.store.write_delay_s = 30.0
+        node.store.order("v2")
+        node.read()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.driver.run)
+            await trio.sleep(3.0)
+            state = node.book.state(SERVICE)
+            assert state is not None
+            self.assertGreater(state.share, 0.0)
+            for number in range(1, 13):
+                counts = [RouteCounts("r", True, 10 * number, 5 * number, 0)]
+                node.driver.apply_report(
+                    NodeOutcomes("vm-2", 1, state.order_id, counts)
+                )
+                await trio.sleep(0.25)
+            self.assertTrue(node.book.is_faulty(state))
+            nursery.cancel_scope.cancel()
+
+
 class OrderAgeTest(unittest.TestCase):
     """A node that learns of an order late takes it over."""
 
