--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -23,5 +23,5 @@
     OFFER_BUNDLE = 30
     FETCH_BUNDLE = 31
     READER_BEACON = 32
-    REPORT_OUTCOMES = 34
+    REPORT_OUTCOMES = 34  # 33 carried a single report.
     COLLECT_OUTCOMES = 35
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -239,15 +239,15 @@
 
     def test_orders_are_known_before_the_first_bundle(self) -> None:
         # Guards against a node that serves a release which no order names.
-        self.assertEqual(self.list_topics(), ["rollouts", "config"])
+        self.assertEqual(self.list_topics(), ["orders", "bundles"])
 
     def test_node_with_a_bundle_reads_all_topics_at_once(self) -> None:
-        self.assertEqual(self.list_topics(bundle_revision=5), ["rollouts"])
+        self.assertEqual(self.list_topics(bundle_revision=5), ["orders"])
 
     def list_topics(self, bundle_revision: int = 0) -> list[str]:
         """Return the kinds that are listed within half a second."""
-        store: Any = SlowStore("rollouts")
-        orders, bundles = FakeTopic("rollouts"), FakeTopic("config")
+        store: Any = SlowStore("orders")
+        orders, bundles = FakeTopic("orders"), FakeTopic("bundles")
         bundles.revision = bundle_revision
         duty = make_duties(["vm-7"], set())["vm-7"]
         unused: Any = None
--- a/tests/test_orders/test_exposure_at_scale.py
+++ b/tests/test_orders/test_exposure_at_scale.py
@@ -66,6 +66,30 @@
         )
 
 
+class LowRateTest(unittest.TestCase):
+    """A faulty or good release at the smallest rates of requests."""
+
+    def test_release_that_fails_at_the_full_share_with_slow_responses(self) -> None:
+        # Guards against a full share that lasts until a low rate has given evidence.
+        load = Load(requests_per_s=30.0, response_s=1.0, nodes=13)
+        behaviour = Behaviour(lambda situation: situation.share >= 1.0)
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                simulation = OrderSimulation(load, behaviour, seed)
+                simulation.run()
+                self.assertLessEqual(simulation.exposed, simulation.allowed)
+
+    def test_good_release_is_done_before_the_deadline(self) -> None:
+        # Guards against an order that waits for more responses than there are.
+        for requests_per_s in (0.5, 2.0, 5.0, 10.0, 30.0):
+            for response_s in (0.16, 1.0):
+                load = Load(requests_per_s, response_s, nodes=13)
+                with self.subTest(load=load):
+                    simulation = OrderSimulation(load, Behaviour(lambda s: False), 1)
+                    simulation.run()
+                    self.assertEqual(simulation.state.stage, OrderStage.DONE)
+
+
 class GoodReleaseAtScaleTest(unittest.TestCase):
     """A good release gets its verdict in time at any scale."""
 
