Log the hops of a bundle and the time of each

The line in_force now has the hops since the store, the age of the bundle, the wait from offer to fetch, the fetch and the processor time that the process used meanwhile; fetch_failed has the time of the fetch.

RelayTest.test_log_tells_the_hops_and_their_times failed first (no such fields).

--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -21,7 +21,7 @@
 from marigoldchute.errors import BundleError, PeerError, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.events import EventLog
@@ -54,11 +54,18 @@
         Version assigned by the operator.
     items : dict of str to bytes
         Encoded services, routes and limits by key.
+    hops : int
+        Number of transfers between nodes since it was read from the store.
+    age_ms : int
+        Milliseconds from its arrival at the first node to its arrival at this one,
+        without the time that the last response took.
     """
 
     revision: int
     version: int
     items: Items
+    hops: int = dataclasses.field(default=0, compare=False)
+    age_ms: int = dataclasses.field(default=0, compare=False)
 
 
 class Difference(msgspec.Struct, frozen=True, array_like=True):
@@ -74,6 +81,8 @@
         Items that were added or changed.
     removed : list of str
         Keys of items that were removed.
+    hops, age_ms : int
+        Transfers and milliseconds since the first node read the resulting snapshot.
     """
 
     base: int
@@ -81,6 +90,8 @@
     version: int
     changed: dict[str, bytes]
     removed: list[str]
+    hops: int = 0
+    age_ms: int = 0
 
 
 _DIFFERENCE = msgspec.msgpack.Decoder(Difference)
@@ -160,8 +171,13 @@
     return ContentDecoder().decode(items)
 
 
-def encode_difference(base: Snapshot | None, target: Snapshot) -> bytes:
-    """Return the compressed difference from ``base``, or from an empty snapshot."""
+def encode_difference(
+    base: Snapshot | None, target: Snapshot, held_ms: int = 0
+) -> bytes:
+    """Return the compressed difference from ``base``, or from an empty snapshot.
+
+    ``held_ms`` is the time since ``target`` arrived at this node, in milliseconds.
+    """
     base_items = base.items if base is not None else {}
     changed = {k: v for k, v in target.items.items() if base_items.get(k) != v}
     removed = [key for key in base_items if key not in target.items]
@@ -171,6 +187,8 @@
         target.version,
         changed,
         removed,
+        target.hops + 1,
+        target.age_ms + held_ms,
     )
     return zlib.compress(_ENCODER.encode(difference), COMPRESSION_LEVEL)
 
@@ -208,7 +226,13 @@
     for key in difference.removed:
         items.pop(key, None)
     items.update(difference.changed)
-    return Snapshot(difference.revision, difference.version, items)
+    return Snapshot(
+        difference.revision,
+        difference.version,
+        items,
+        difference.hops,
+        difference.age_ms,
+    )
 
 
 class Catalog:
@@ -251,7 +275,9 @@
         """Return the recent snapshot of a revision, None when it is no longer kept."""
         return self._snapshots.get(revision)
 
-    def apply(self, snapshot: Snapshot, source: str) -> bool:
+    def apply(
+        self, snapshot: Snapshot, source: str, times_ms: Mapping[str, int] | None = None
+    ) -> bool:
         """Put a snapshot in force if it is newer.
 
         Parameters
@@ -260,6 +286,8 @@
             Snapshot from the store or a peer.
         source : str
             Origin of the snapshot, for the log.
+        times_ms : mapping of str to int, optional
+            Durations of the steps of its transfer in milliseconds, for the log.
 
         Raises
         ------
@@ -289,6 +317,9 @@
             revision=snapshot.revision,
             source=source,
             routes=len(content.routes),
+            hops=snapshot.hops,
+            age_ms=snapshot.age_ms,
+            **(times_ms or {}),
         )
         self._report_unknown_kinds(content)
         for listener in self.on_update:
--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -4,6 +4,7 @@
 
 import collections
 import struct
+import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -71,6 +72,9 @@
         self._offers: dict[Link, int] = {}
         self._failures: collections.Counter[Link] = collections.Counter()
         self._offer_received = trio.Event()
+        self._updated_at = 0.0
+        # Monotonic and processor time of the first offer of the next bundle.
+        self._awaited_since: tuple[float, float] | None = None
         handlers.register(Method.OFFER_BUNDLE, self._handle_offer)
         handlers.register(Method.FETCH_BUNDLE, self._handle_fetch)
         overlay.neighbour_listeners.append(self._offer_to)
@@ -125,9 +129,12 @@
         revision = self._offers.pop(link)
         base = self._catalog.newest
         base_revision = _REVISION.pack(base.revision if base is not None else 0)
+        started_at = trio.current_time()
         try:
             data = await link.call(Method.FETCH_BUNDLE, base_revision, FETCH_TIMEOUT_S)
-            self._catalog.apply(apply_difference(base, data), link.peer.name)
+            times_ms = self._measure_transfer(started_at, trio.current_time())
+            snapshot = apply_difference(base, data)
+            self._catalog.apply(snapshot, link.peer.name, times_ms)
         except (PeerError, BundleError) as exc:
             if isinstance(exc, PeerError):
                 # The bundle may still be fetched from this neighbour or another one.
@@ -141,13 +148,26 @@
                 member=link.peer.name,
                 revision=revision,
                 code=exc.code.value,
+                fetch_ms=round((trio.current_time() - started_at) * 1000),
             )
 
+    def _measure_transfer(self, started_at: float, now: float) -> dict[str, int]:
+        """Return the times from the first offer of a bundle to its arrival."""
+        offered_at, offered_cpu_s = self._awaited_since or (started_at, 0.0)
+        cpu_s = time.process_time() - offered_cpu_s if offered_cpu_s else 0.0
+        return {
+            "waited_ms": round((started_at - offered_at) * 1000),
+            "fetch_ms": round((now - started_at) * 1000),
+            "cpu_ms": round(cpu_s * 1000),
+        }
+
     async def _handle_offer(self, link: Link, body: bytes) -> bytes:
         (revision,) = _REVISION.unpack(body)
         if revision > self._catalog.revision:
             self._offers[link] = revision
             self._offer_received.set()
+            if self._awaited_since is None:
+                self._awaited_since = trio.current_time(), time.process_time()
         return b""
 
     async def _handle_fetch(self, link: Link, body: bytes) -> bytes:
@@ -155,7 +175,8 @@
         if newest is None:
             raise PeerError("this node has no bundle yet")
         (revision,) = _REVISION.unpack(body)
-        return encode_difference(self._catalog.get_snapshot(revision), newest)
+        held_ms = round((trio.current_time() - self._updated_at) * 1000)
+        return encode_difference(self._catalog.get_snapshot(revision), newest, held_ms)
 
     def _offer_to(self, link: Link) -> None:
         if self._catalog.revision:
@@ -165,6 +186,8 @@
                 return  # The link has closed; the offer is sent again on the next one.
 
     def _offer_to_all(self, snapshot: Snapshot) -> None:
+        self._updated_at = trio.current_time()
+        self._awaited_since = None
         for link in self._overlay.neighbours():
             if self._offers.get(link, 0) < snapshot.revision:
                 self._offer_to(link)
--- a/tests/test_hosted/test_relay.py
+++ b/tests/test_hosted/test_relay.py
@@ -66,7 +66,8 @@
         self.name = name
         self.nursery = nursery
         self.links: list[FakeLink] = []
-        self.catalog = Catalog(InForce(), MemoryEventLog())  # type: ignore[arg-type]
+        self.events = MemoryEventLog()
+        self.catalog = Catalog(InForce(), self.events)  # type: ignore[arg-type]
         self._handlers = Handlers()
         self.unsynced: set[FakeLink] = set()
         self.requested: list[FakeLink] = []
@@ -167,6 +168,27 @@
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
+    def test_log_tells_the_hops_and_their_times(self) -> None:
+        # Guards against a late bundle of which no line tells where it was held up.
+        async def main() -> dict[str, Any]:
+            async with trio.open_nursery() as nursery:
+                nodes = [Node(f"vm-{i}", nursery) for i in range(3)]
+                nodes[0].link_to(nodes[1])
+                last = nodes[1].link_to(nodes[2])
+                last.reverse.failures = 1
+                nodes[0].catalog.apply(make_bundle(5), "the store")
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            fields: dict[str, Any] = nodes[2].events.events[-1].fields
+            return fields
+
+        fields = trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(fields["hops"], 2)
+        self.assertGreater(fields["age_ms"], fields["waited_ms"])
+        self.assertGreater(fields["waited_ms"], 1000 * ROUND_TRIP_S)
+        self.assertGreaterEqual(fields["fetch_ms"], 1000 * ROUND_TRIP_S)
+        self.assertLess(fields["fetch_ms"], fields["age_ms"])
+
 
 if __name__ == "__main__":
     unittest.main()
