--- /dev/null
+++ b/tests/support/bundle_mesh.py
@@ -0,0 +1,323 @@
+"""Hosted mesh in one process and in simulated time: links, readers and bundles."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+from typing import TYPE_CHECKING, Any
+
+import trio
+from trio.testing import MockClock
+
+from marigoldchute.bundle.inforce import InForce
+from marigoldchute.bundle.model import BundleContent, Route, Service
+from marigoldchute.errors import PeerError, PlatformError
+from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.bundle_topic import BundleTopic
+from marigoldchute.hosted.catalog import Catalog
+from marigoldchute.hosted.directory import Directory
+from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+from marigoldchute.hosted.rejections import Rejections
+from marigoldchute.hosted.relay import BundleRelay
+from marigoldchute.link.handlers import Handlers
+from marigoldchute.link.handshake import PeerIdentity
+from marigoldchute.membership.claims import own_record
+from marigoldchute.membership.model import Member
+from marigoldchute.objectstore.documents import Document, DocumentPage
+from marigoldchute.overlay.flooding import Flooding
+from marigoldchute.overlay.records import RecordTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+IN_REGION_S, BETWEEN_REGIONS_S = 0.001, 0.03
+SUSPECTED_AFTER_S, LOST_AFTER_S = 1.125, 1.5  # Heartbeats twice a second.
+MAINTENANCE_INTERVAL_S = 0.25
+STORE_TIMEOUT_S = 3.0
+CONTENT = BundleContent((Service("turnos", ""),), (Route("a", "/a/", "turnos"),))
+
+
+class _Api:
+    kind, name = "config", "main"
+
+    def decode(self, document: Document) -> tuple[int, BundleContent]:
+        return document.revision, CONTENT
+
+
+class FakeStore:
+    """The store as one node sees it; the revision is that of the only document."""
+
+    calls = 0
+    is_reachable = True
+    min_latency_s = 0.004
+
+    def __init__(self, mesh: BundleMesh, node: Node) -> None:
+        self._mesh = mesh
+        self._node = node
+
+    async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
+        return await self.changes(kind, 0, 0)
+
+    async def changes(self, kind: str, after: int, wait_ms: int) -> DocumentPage:
+        """Wait for a change; fail late while the store is silent for this node."""
+        Node.store_calls += 1
+        name = self._node.member.name
+        with trio.move_on_after(STORE_TIMEOUT_S + wait_ms / 1000):
+            await self._node.pause()
+            await trio.sleep(2 * self._mesh.store_latency_s(self._node))
+            with trio.move_on_after(wait_ms / 1000):
+                await self._mesh.wait_for_change(after)
+            if name in self._mesh.without_store:
+                await trio.sleep_forever()
+            revision = self._mesh.revision
+            return DocumentPage((Document(kind, "main", revision, None),), revision)
+        raise PlatformError("store sent no response")
+
+
+class FakeLink:
+    """One end of a link between two nodes."""
+
+    def __init__(self, node: Node, to: Node) -> None:
+        self.peer = to.identity
+        self.is_open = True
+        self.reverse: FakeLink = self
+        self._node, self._to = node, to
+
+    def is_usable(self, now: float) -> bool:
+        silent_since = self._node.mesh.silent_since(self._node, self._to)
+        return self.is_open and now - silent_since <= SUSPECTED_AFTER_S
+
+    def notify(self, method: int, body: bytes) -> None:
+        if not self.is_open:
+            raise PeerError("closed")
+        self._node.mesh.nursery.start_soon(self._deliver, method, body)
+
+    async def _deliver(self, method: int, body: bytes) -> bytes:
+        await self._node.pause()
+        await trio.sleep(self._node.mesh.latency_s(self._node, self._to))
+        if math.isfinite(self._node.mesh.silent_since(self._node, self._to)):
+            await trio.sleep_forever()
+        await self._to.pause()
+        handler: Any = self._to.handlers.find(method)
+        response: bytes = await handler(self.reverse, body)
+        return response
+
+    async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
+        response: list[bytes] = []
+        failure: list[PeerError] = []
+
+        async def run() -> None:
+            try:
+                data = await self._deliver(method, body)
+            except PeerError as exc:
+                failure.append(exc)
+            else:
+                await trio.sleep(self._node.mesh.latency_s(self._node, self._to))
+                await self._node.pause()
+                response.append(data)
+            done.set()
+
+        done = trio.Event()
+        self._node.mesh.nursery.start_soon(run)
+        with trio.move_on_after(timeout_s):
+            await done.wait()
+        if not response:
+            raise failure[0] if failure else PeerError("did not respond in time")
+        return response[0]
+
+
+class Node:
+    """Links, reader, relay and catalog of one node; ``delay_s`` makes it slow."""
+
+    store_calls = 0
+
+    def __init__(self, mesh: BundleMesh, member: Member, rng: random.Random) -> None:
+        self.mesh, self.member = mesh, member
+        self.identity = PeerIdentity(member.name, 1, member.data_centre, member.region)
+        self.delay_s = 0.0
+        self.links: dict[str, FakeLink] = {}
+        self.handlers = Handlers()
+        self.events = MemoryEventLog()
+        self.neighbour_listeners: list[Callable[[FakeLink], None]] = []
+        log: Any = self.events
+        overlay: Any = self
+        self.table = RecordTable()
+        self.directory = Directory(member, self.table, log)
+        self.catalog = Catalog(InForce(), log)
+        self.relay = BundleRelay(self.catalog, overlay, self.handlers, log, rng)
+        self.duty = ReaderDuty(self.directory)
+        api: Any = _Api()
+        topic = BundleTopic(api, self.catalog, Rejections(), log)
+        store: Any = FakeStore(mesh, self)
+        self.reader = StoreReader(
+            store, [topic], self.duty, overlay, self.handlers, log, rng
+        )
+        self._flooding = Flooding(self.identity)
+
+    async def pause(self) -> None:
+        """Wait for as long as this node needs for a message."""
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
+
+    async def run(self) -> None:
+        self.duty.start_timeout(trio.current_time())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.relay.run)
+            nursery.start_soon(self.reader.run)
+
+    # The interface of the overlay.
+
+    def neighbours(self) -> list[FakeLink]:
+        return [link for link in self.links.values() if link.is_open]
+
+    synced_neighbours = neighbours
+
+    def request_compare(self, link: FakeLink) -> None:
+        pass
+
+    def flood_links(self, source: str = "") -> list[FakeLink]:
+        now = trio.current_time()
+        peers = [link.peer for link in self.links.values() if link.is_usable(now)]
+        origin = self.links[source].peer if source in self.links else None
+        return [self.links[n] for n in self._flooding.targets(origin, peers)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """Nodes of a mesh and the data centres among which they are distributed.
+
+    The store is in the first region.
+    """
+
+    nodes: int
+    data_centres: tuple[tuple[str, str], ...]
+
+
+class BundleMesh:
+    """Mesh whose links, nodes and ways to the store can be cut."""
+
+    def __init__(self, layout: Layout, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.revision = 1
+        self.without_store: set[str] = set()
+        self._changed = trio.Event()
+        self._cuts: list[tuple[Callable[[Member, Member], bool], float]] = []
+        self._store_region = layout.data_centres[0][1]
+        members = [self._make_member(i, layout) for i in range(layout.nodes)]
+        self.nodes = {
+            m.name: Node(self, m, random.Random(self.rng.random())) for m in members
+        }
+        self.nursery: trio.Nursery
+        records = [own_record(member) for member in members]
+        for node in self.nodes.values():
+            for record in records:
+                if record.key != node.member.name:
+                    node.table.apply(record, "peer")
+
+    def _make_member(self, index: int, layout: Layout) -> Member:
+        place = index % len(layout.data_centres)
+        data_centre, region = layout.data_centres[place]
+        store_ms = 5 if region == self._store_region else 65
+        return Member(
+            f"vm-{index}-{self.rng.randrange(10**6)}",
+            1,
+            0,
+            "10.0.0.1",
+            index + 1,
+            data_centre,
+            region,
+            store_ms=store_ms,
+        )
+
+    def run(self, scenario: Callable[[BundleMesh], Any]) -> None:
+        """Start the mesh, let it settle for five seconds and play a scenario."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                nursery.start_soon(self._maintain_links)
+                for node in self.nodes.values():
+                    nursery.start_soon(node.run)
+                await trio.sleep(5.0)
+                await scenario(self)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def latency_s(self, node: Node, to: Node) -> float:
+        same = node.member.region == to.member.region
+        return IN_REGION_S if same else BETWEEN_REGIONS_S
+
+    def store_latency_s(self, node: Node) -> float:
+        near = node.member.region == self._store_region
+        return IN_REGION_S if near else BETWEEN_REGIONS_S
+
+    def put_change(self) -> int:
+        """Confirm a change; return its revision."""
+        self.revision += 3
+        self._changed.set()
+        self._changed = trio.Event()
+        return self.revision
+
+    async def wait_for_change(self, after: int) -> None:
+        while self.revision <= after:
+            await self._changed.wait()
+
+    def cut(self, separates: Callable[[Member, Member], bool]) -> None:
+        """Lose all messages between two members, in either direction."""
+        self._cuts.append((separates, trio.current_time()))
+
+    def cut_off(self, names: Iterable[str]) -> None:
+        """Cut nodes off from every other node."""
+        cut = set(names)
+        self.cut(lambda a, b: a.name in cut or b.name in cut)
+
+    def silent_since(self, node: Node, to: Node) -> float:
+        """Return the time since which two nodes are cut, infinity if they are not."""
+        ends = (node.member, to.member)
+        times = [at for separates, at in self._cuts if separates(*ends)]
+        return min(times, default=math.inf)
+
+    def readers(self) -> list[str]:
+        """Return the nodes that read the store."""
+        now = trio.current_time()
+        return [n for n, node in self.nodes.items() if node.reader.is_reading(now)]
+
+    async def wait_until_in_force(
+        self, revision: int, names: Iterable[str], limit_s: float
+    ) -> list[str]:
+        """Return the nodes on which a revision is not in force after a time."""
+        await trio.sleep(limit_s)
+        nodes = self.nodes
+        return [n for n in names if nodes[n].catalog.revision < revision]
+
+    async def _maintain_links(self) -> None:
+        while True:
+            for node in self.nodes.values():
+                for name in node.directory.wanted_peers():
+                    self._link(node, self.nodes[name])
+            self._close_lost()
+            await trio.sleep(MAINTENANCE_INTERVAL_S)
+
+    def _link(self, node: Node, to: Node) -> None:
+        cut = math.isfinite(self.silent_since(node, to))
+        if to.member.name in node.links or cut:
+            return
+        link, reverse = FakeLink(node, to), FakeLink(to, node)
+        link.reverse, reverse.reverse = reverse, link
+        for end, near, far in ((link, node, to), (reverse, to, node)):
+            near.links[far.member.name] = end
+            near.directory.link_up(far.member.name, 1, trio.current_time())
+            for listener in near.neighbour_listeners:
+                listener(end)
+
+    def _close_lost(self) -> None:
+        now = trio.current_time()
+        for node in self.nodes.values():
+            for name, link in tuple(node.links.items()):
+                silent_since = self.silent_since(node, self.nodes[name])
+                if now - silent_since > LOST_AFTER_S:
+                    link.is_open = False
+                    del node.links[name]
+                    node.directory.link_lost(name, False, now)
