Let each part of a mesh read the store when it hears no reader

Cause: the members that read in place of silent readers were the next four in one order for the whole mesh. In a mesh of more than 48 members, whose order keeps members that are out of reach, a region, a data centre, a half or a single node without links to these had no reader for 4 s; 3 s are allowed. Besides, members that stood in stopped as soon as they received each other's beacons, and the mesh was without a reader for another 1.3 s, again and again.

Evidence: the simulation of tests.test_hosted.test_late_bundles.

Change: the members of each data centre follow the backups one after the other, each doubling of their number 0.2 s later; a node without any link does not wait; a member that stands in stops for beacons of two members before it only.

--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -126,6 +126,12 @@
         """Whether the mesh is small enough for a link between every pair of members."""
         return self._present_count <= MAX_FULL_MESH_MEMBERS
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether links to peers are wanted and none of these peers is reachable."""
+        wanted = self.wanted_peers()
+        return bool(wanted) and wanted.keys() <= self._unreachable
+
     def wanted_peers(self) -> dict[str, tuple[str, int]]:
         """Return the address and port of each peer to keep a link to.
 
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -30,7 +31,11 @@
 # A store that stops responding is detected within this time plus that of one call.
 WATCH_TIMEOUT_MS = 1_000
 NUM_BACKUPS = 4
-BACKUP_DELAY_S = 4.0
+# The other members of a data centre follow the backups one after the other, so that a
+# part of the mesh without links to the backups has a reader as well.
+STANDBY_DELAY_S = 0.3
+STANDBY_STEP_S = 0.2  # For each doubling of the number of members that may read.
+NO_PEERS_DELAY_S = 4.0
 DUTY_POLL_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.4
 EARLIER_TOPIC_POLL_S = 0.02
@@ -84,8 +89,10 @@
     All nodes compute the same order of members, in which those near the store come
     first. The first ``NUM_READERS`` members read the store. A member that reads
     successfully sends a beacon twice a second. A node without a recent beacon reads the
-    store until it receives one: at once when it is among the next ``NUM_BACKUPS``
-    members of the order, after ``BACKUP_DELAY_S`` otherwise.
+    store in their place: at once when it is among the next ``NUM_BACKUPS`` members of
+    the order or has no link to any member, otherwise after a delay that increases with
+    its place among the members of its data centre. It stops once it receives beacons
+    from ``NUM_READERS`` members before it in the order.
 
     Parameters
     ----------
@@ -103,6 +110,8 @@
         # The order is needed many times a second and changes with the members only.
         self._ordered_from: list[Member] | None = None
         self._order: list[Member] = []
+        self._positions: dict[str, int] = {}
+        self._stands_in = False
 
     def start_timeout(self, now: float) -> None:
         """Measure the time without beacons from ``now``, monotonic time in seconds."""
@@ -114,7 +123,7 @@
 
         After its start it knows neither the states of orders nor who leads. It is
         settled once it has been in contact with another member for
-        ``BEACON_TIMEOUT_S``, or has found none listed for ``BACKUP_DELAY_S``.
+        ``BEACON_TIMEOUT_S``, or has found none listed for ``NO_PEERS_DELAY_S``.
 
         Parameters
         ----------
@@ -128,7 +137,7 @@
         if self._contact_at is not None:
             self._is_settled = now - self._contact_at >= BEACON_TIMEOUT_S
         elif len(self.directory.all()) <= 1:
-            self._is_settled = now - self._started_at >= BACKUP_DELAY_S
+            self._is_settled = now - self._started_at >= NO_PEERS_DELAY_S
         return self._is_settled
 
     def record_beacon(self, name: str, now: float) -> None:
@@ -145,14 +154,29 @@
 
     def is_reader(self, now: float) -> bool:
         """Return whether this node has to read the store now."""
-        position = self._local_position()
-        if position < NUM_READERS:
+        if self._position(self.directory.local.name) < NUM_READERS:
             return True
+        self._stands_in = self._is_needed(now)
+        return self._stands_in
+
+    def _is_needed(self, now: float) -> bool:
+        if self._stands_in:
+            # Two members that stand in must not both stop because of each other.
+            position = self._position(self.directory.local.name)
+            active = self.active_readers(now)
+            return sum(self._position(n) < position for n in active) < NUM_READERS
         last_beacon_at = max(self._last_beacon_at.values(), default=self._started_at)
-        elapsed_s = now - last_beacon_at
-        if elapsed_s <= BEACON_TIMEOUT_S:
-            return False
-        return position < NUM_READERS + NUM_BACKUPS or elapsed_s > BACKUP_DELAY_S
+        elapsed_s = now - last_beacon_at - BEACON_TIMEOUT_S
+        return elapsed_s > 0.0 and elapsed_s > self._takeover_delay_s()
+
+    def _takeover_delay_s(self) -> float:
+        local = self.directory.local
+        position = self._position(local.name)
+        if position < NUM_READERS + NUM_BACKUPS or self.directory.is_isolated:
+            return 0.0
+        data_centre = [m for m in self._ordered() if m.data_centre == local.data_centre]
+        place = sum(self._position(m.name) < position for m in data_centre)
+        return STANDBY_DELAY_S + STANDBY_STEP_S * math.log2(1 + place)
 
     def active_readers(self, now: float) -> list[str]:
         """Return the names of other members with a recent beacon."""
@@ -203,6 +227,7 @@
         if members is not self._ordered_from:
             self._ordered_from = members
             self._order = self._compute_order(members)
+            self._positions = {m.name: i for i, m in enumerate(self._order)}
         return self._order
 
     def _compute_order(self, members: list[Member]) -> list[Member]:
@@ -211,11 +236,9 @@
         order = rendezvous_order(members, "store-reader")
         return sorted(order, key=lambda m: not 0 < m.store_ms <= limit_ms)
 
-    def _local_position(self) -> int:
-        for index, member in enumerate(self._ordered()):
-            if member.name == self.directory.local.name:
-                return index
-        return NUM_READERS + NUM_BACKUPS
+    def _position(self, name: str) -> int:
+        order = self._ordered()
+        return self._positions.get(name, len(order))
 
 
 class StoreReader:
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -12,8 +12,8 @@
 
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.reader import (
-    BACKUP_DELAY_S,
     BEACON_TIMEOUT_S,
+    NO_PEERS_DELAY_S,
     NUM_READERS,
     Beacon,
     ReaderDuty,
@@ -44,6 +44,10 @@
     def all(self) -> list[Member]:
         return self._members
 
+    @property
+    def is_isolated(self) -> bool:
+        return len(self.reachable()) <= 1
+
 
 def make_duties(names: list[str], near: set[str]) -> dict[str, ReaderDuty]:
     return {n: ReaderDuty(FakeDirectory(n, names, near)) for n in names}  # type: ignore[arg-type]
@@ -66,9 +70,23 @@
         reading = sum(d.is_reader(after_timeout) for d in duties.values())
         self.assertGreater(reading, NUM_READERS)
         self.assertLess(reading, len(NAMES))
-        after_backup_delay = 10.0 + BACKUP_DELAY_S + 0.1
+        after_backup_delay = 10.0 + NO_PEERS_DELAY_S + 0.1
         self.assertTrue(all(d.is_reader(after_backup_delay) for d in duties.values()))
 
+    def test_two_members_that_stand_in_do_not_both_stop(self) -> None:
+        # Guards against a mesh that no member reads while backups hear each other.
+        duties = make_duties(NAMES, set(NAMES))
+        readers = [n for n, duty in duties.items() if duty.is_reader(0.0)]
+        now = BEACON_TIMEOUT_S + 0.1
+        backups = [n for n, duty in duties.items() if duty.is_reader(now)]
+        backups = [name for name in backups if name not in readers]
+        for name in backups:
+            for other in backups:
+                if other != name:
+                    duties[name].record_beacon(other, now)
+        reading = [n for n in backups if duties[n].is_reader(now + 0.1)]
+        self.assertEqual(len(reading), NUM_READERS)
+
     def test_backups_wait_for_first_beacons_after_start(self) -> None:
         duties = make_duties(NAMES, set(NAMES))
         for duty in duties.values():
@@ -116,7 +134,7 @@
         duty.start_timeout(100.0)
         duty.directory.lost = set(NAMES) - {"vm-7"}  # type: ignore[attr-defined]
         self.assertFalse(duty.is_leader(True, 100.1))
-        self.assertFalse(duty.is_leader(True, 100.0 + 2 * BACKUP_DELAY_S))
+        self.assertFalse(duty.is_leader(True, 100.0 + 2 * NO_PEERS_DELAY_S))
         duty.directory.lost = set(NAMES) - {"vm-6", "vm-7"}  # type: ignore[attr-defined]
         self.assertFalse(duty.is_leader(True, 110.0))
         self.assertTrue(duty.is_leader(True, 110.1 + BEACON_TIMEOUT_S))
@@ -125,7 +143,7 @@
         duty = make_duties(["vm-7"], set())["vm-7"]
         duty.start_timeout(100.0)
         self.assertFalse(duty.is_leader(True, 100.1))
-        self.assertTrue(duty.is_leader(True, 100.0 + BACKUP_DELAY_S))
+        self.assertTrue(duty.is_leader(True, 100.0 + NO_PEERS_DELAY_S))
 
     def test_repeated_or_older_beacon_is_not_newer(self) -> None:
         duty = make_duties(NAMES, set(NAMES))["vm-7"]
