Take over at once from a reader that has lost the store

Cause: a reader whose watch got no response said that it reads until 1.5 s after its last read, and the others began 1.3 s after its last beacon; with the first read, which waited up to a second for a change before it counted, and the way through the mesh that is more than a change may take. A reader that stops now says so in a last beacon, the first read of the next one does not wait, and its first beacon is sent at once.

SilentStoreTest and test_backups_read_at_once failed before. Earlier builds ignore the new field and take the last beacon for one more.

--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -30,6 +30,11 @@
 BEACON_TIMEOUT_S = 1.3  # Two beacons may be lost before a backup starts to read.
 # A store that stops responding is detected within this time plus that of one call.
 WATCH_TIMEOUT_MS = 1_000
+READ_OVERDUE_S = (
+    0.45  # A response of a slow store may be late by some tenths of a second.
+)
+# A watch without a response is given up, as the store may be back on a new connection.
+WATCH_RESPONSE_TIMEOUT_S = 2.5
 NUM_BACKUPS = 4
 # The other members of a data centre follow the backups one after the other, so that a
 # part of the mesh without links to the backups has a reader as well.
@@ -56,11 +61,14 @@
         Incarnation of the member.
     number : int
         Increases with each beacon of an incarnation.
+    is_reading : bool
+        False in the last beacon of a member that reads no longer.
     """
 
     member: str
     incarnation: int
     number: int
+    is_reading: bool = True
 
 
 _BEACON = msgspec.msgpack.Decoder(Beacon)
@@ -144,6 +152,10 @@
         """Record a beacon of a member that reads the store successfully."""
         self._last_beacon_at[name] = now
 
+    def record_stop(self, name: str, now: float) -> None:
+        """Record that a member no longer reads the store, as if its beacon expired."""
+        self._last_beacon_at[name] = now - BEACON_TIMEOUT_S
+
     def is_newer(self, beacon: Beacon) -> bool:
         """Return whether a beacon is its member's newest so far, and record it."""
         rank = (beacon.incarnation, beacon.number)
@@ -181,7 +193,7 @@
     def active_readers(self, now: float) -> list[str]:
         """Return the names of other members with a recent beacon."""
         return [
-            n for n, at in self._last_beacon_at.items() if now - at <= BEACON_TIMEOUT_S
+            n for n, at in self._last_beacon_at.items() if now - at < BEACON_TIMEOUT_S
         ]
 
     def leader_candidates(self, now: float) -> list[str]:
@@ -287,7 +299,7 @@
 
     def is_reading(self, now: float) -> bool:
         """Return whether every topic was recently read successfully."""
-        oldest = now - WATCH_TIMEOUT_MS / 1000 - BEACON_INTERVAL_S
+        oldest = now - WATCH_TIMEOUT_MS / 1000 - READ_OVERDUE_S
         return len(self._last_read_at) == len(self._topics) and all(
             at >= oldest for at in self._last_read_at.values()
         )
@@ -313,14 +325,17 @@
                 self._last_read_at.pop(topic.kind, None)
                 await trio.sleep(DUTY_POLL_INTERVAL_S)
                 continue
+            wait_ms = WATCH_TIMEOUT_MS
             if position is None:
+                # The first read shows at once whether this node can take the duty over.
+                wait_ms = 0
                 position = topic.applied_revision()
                 if not position and earlier and earlier.kind not in self._last_read_at:
                     position = None
                     await trio.sleep(EARLIER_TOPIC_POLL_S)
                     continue
             try:
-                position = await self._read_once(topic, position)
+                position = await self._read_once(topic, position, wait_ms)
                 self._last_read_at[topic.kind] = trio.current_time()
             except CompactedError as exc:
                 self._log_failure(topic, exc)
@@ -329,15 +344,17 @@
                 self._log_failure(topic, exc)
                 await trio.sleep(RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0))
 
-    async def _read_once(self, topic: Topic, position: int) -> int:
+    async def _read_once(self, topic: Topic, position: int, wait_ms: int) -> int:
         """Read all documents when ``position`` is 0, else the changes since then."""
         if not position:
             page = await self._store.list(topic.kind)
             topic.apply_page(page, True)
             return page.revision
-        page = await self._store.changes(topic.kind, position, WATCH_TIMEOUT_MS)
-        topic.apply_page(page, False)
-        return max(position, page.revision)
+        with trio.move_on_after(WATCH_RESPONSE_TIMEOUT_S):
+            page = await self._store.changes(topic.kind, position, wait_ms)
+            topic.apply_page(page, False)
+            return max(position, page.revision)
+        raise PlatformError("the store did not respond to a watch in time")
 
     def _log_failure(self, topic: Topic, exc: PlatformError) -> None:
         self._log.emit(
@@ -349,29 +366,37 @@
         )
 
     async def _send_beacons(self) -> None:
+        sent_at = float("-inf")
         while True:
-            await trio.sleep(BEACON_INTERVAL_S)
+            await trio.sleep(DUTY_POLL_INTERVAL_S)
             now = trio.current_time()
             is_settled = self._duty.is_settled(now)
             is_reading = self._duty.is_reader(now) and self.is_reading(now)
-            if is_reading != self._was_reading:
+            has_changed = is_reading != self._was_reading
+            if has_changed:
                 self._was_reading = is_reading
-                event, text = ("duty_taken", "reads the store for the mesh")
-                if not is_reading:
-                    event, text = (
-                        "duty_lost",
-                        "no longer reads the store for the mesh",
-                    )
-                self._log.emit("reader", event, f"This node {text}.")
-            if is_reading and is_settled:
-                local = self._duty.directory.local
-                beacon = Beacon(
-                    local.name, local.incarnation, next(self._beacon_numbers)
-                )
-                if self._duty.directory.is_full_mesh:
-                    self._send_beacon(self._overlay.neighbours(), beacon)
-                else:
-                    self._send_beacon(self._overlay.flood_links(), beacon)
+                self._log_duty(is_reading)
+            is_due = is_reading and now - sent_at >= BEACON_INTERVAL_S
+            if is_settled and (is_due or has_changed):
+                sent_at = now
+                self._publish_beacon(is_reading)
+
+    def _log_duty(self, is_reading: bool) -> None:
+        event, text = "duty_taken", "reads the store for the mesh"
+        if not is_reading:
+            event, text = "duty_lost", "no longer reads the store for the mesh"
+        self._log.emit("reader", event, f"This node {text}.")
+
+    def _publish_beacon(self, is_reading: bool) -> None:
+        directory = self._duty.directory
+        local = directory.local
+        beacon = Beacon(
+            local.name, local.incarnation, next(self._beacon_numbers), is_reading
+        )
+        if directory.is_full_mesh:
+            self._send_beacon(self._overlay.neighbours(), beacon)
+        else:
+            self._send_beacon(self._overlay.flood_links(), beacon)
 
     def _send_beacon(self, links: list[Link], beacon: Beacon) -> None:
         body = _ENCODER.encode(beacon)
@@ -386,7 +411,10 @@
         local = self._duty.directory.local.name
         if beacon.member == local or not self._duty.is_newer(beacon):
             return b""
-        self._duty.record_beacon(beacon.member, trio.current_time())
+        if beacon.is_reading:
+            self._duty.record_beacon(beacon.member, trio.current_time())
+        else:
+            self._duty.record_stop(beacon.member, trio.current_time())
         if not self._duty.directory.is_full_mesh:
             # Most members have no link to the reader, so the beacon is relayed.
             self._send_beacon(self._overlay.flood_links(link.peer.name), beacon)
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import types
 import unittest
 from typing import Any
@@ -73,6 +74,18 @@
         after_backup_delay = 10.0 + NO_PEERS_DELAY_S + 0.1
         self.assertTrue(all(d.is_reader(after_backup_delay) for d in duties.values()))
 
+    def test_backups_read_at_once_when_the_readers_stop(self) -> None:
+        # Guards against nodes that wait for the beacons of a reader that reads no more.
+        duties = make_duties(NAMES, set(NAMES))
+        readers = [n for n, duty in duties.items() if duty.is_reader(0.0)]
+        for duty in duties.values():
+            for name in readers:
+                duty.record_beacon(name, 10.0)
+                duty.record_stop(name, 10.2)
+        reading = [n for n, duty in duties.items() if duty.is_reader(10.3)]
+        self.assertGreater(len(reading), NUM_READERS)
+        self.assertEqual(duties["vm-7"].active_readers(10.2), [])
+
     def test_two_members_that_stand_in_do_not_both_stop(self) -> None:
         # Guards against a mesh that no member reads while backups hear each other.
         duties = make_duties(NAMES, set(NAMES))
@@ -252,6 +265,49 @@
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class SilentStore:
+    """Store that never responds to the first watch."""
+
+    def __init__(self) -> None:
+        self.waits_ms: list[int] = []
+
+    async def changes(self, kind: str, position: int, wait_ms: int) -> DocumentPage:
+        self.waits_ms.append(wait_ms)
+        if len(self.waits_ms) == 1:
+            await trio.sleep_forever()
+        await trio.sleep(wait_ms / 1000)
+        return DocumentPage((), position)
+
+
+class SilentStoreTest(unittest.TestCase):
+    def test_watch_without_a_response_is_given_up(self) -> None:
+        # Guards against a reader that waits for seconds after the store is back.
+        store: Any = SilentStore()
+        topic: Any = FakeTopic("bundles")
+        topic.revision = 5
+        duty = make_duties(["vm-7"], set())["vm-7"]
+        unused: Any = None
+        reader = StoreReader(
+            store,
+            [topic],
+            duty,
+            unused,
+            Handlers(),
+            MemoryEventLog(),  # type: ignore[arg-type]
+            random.Random(1),
+        )
+
+        async def main() -> bool:
+            with trio.move_on_after(4.0):
+                async with trio.open_nursery() as nursery:
+                    reader.start_topics(nursery)
+            return reader.is_reading(trio.current_time())
+
+        is_reading = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertTrue(is_reading)
+        self.assertEqual(store.waits_ms[0], 0)
+
+
 class TopicOrderTest(unittest.TestCase):
     """Topics of a node that has just started."""
 
