Fetch a bundle from a further neighbour while the first one is slow

Cause: a node fetched from one neighbour at a time, up to a second each, and discarded a response that came later. A node that is short of processor time takes longer than that for each response, so it discarded all of them; a node with slow neighbours waited for one after the other. Change: after 0.3 s without a response the node asks a further neighbour as well, three at most, and uses whichever response comes first, up to 3 s. A closed link still ends its fetch.

--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -22,9 +22,11 @@
     from marigoldchute.link.link import Link
     from marigoldchute.overlay.overlay import Overlay
 
-# A difference takes one round trip. After the timeout the node fetches from another
-# neighbour that offers the bundle, if there is one.
-FETCH_TIMEOUT_S = 1.0
+# A difference takes one round trip. After the delay the node fetches from a further
+# neighbour as well; a response that comes later is still used.
+NEXT_FETCH_DELAY_S = 0.3
+MAX_FETCHES = 3
+FETCH_TIMEOUT_S = 3.0
 FETCH_RETRY_DELAY_S = 0.1  # Delay while every neighbour with an offer has failed.
 # An offer is repeated to one neighbour at a time. A bundle must be in force within
 # 2.5 s.
@@ -72,6 +74,8 @@
         self._offers: dict[Link, int] = {}
         self._failures: collections.Counter[Link] = collections.Counter()
         self._offer_received = trio.Event()
+        self._fetching: set[Link] = set()
+        self._fetch_ended = trio.Event()
         self._updated_at = 0.0
         # Monotonic and processor time of the first offer of the next bundle.
         self._awaited_since: tuple[float, float] | None = None
@@ -87,10 +91,9 @@
             while True:
                 await self._offer_received.wait()
                 self._offer_received = trio.Event()
-                await self._fetch_offers()
-                self._failures.clear()
+                await self._fetch_offers(nursery)
 
-    async def _fetch_offers(self) -> None:
+    async def _fetch_offers(self, nursery: trio.Nursery) -> None:
         while (link := self._best_offer()) is not None:
             if not self._knows_records():
                 self._overlay.request_compare(link)
@@ -98,7 +101,15 @@
                 continue
             if self._failures[link]:
                 await trio.sleep(FETCH_RETRY_DELAY_S)
-            await self._fetch_from(link)
+                if self._best_offer() is not link:
+                    continue
+            self._fetch_ended = trio.Event()
+            self._fetching.add(link)
+            nursery.start_soon(self._fetch_from, link, self._offers.pop(link))
+            with trio.move_on_after(NEXT_FETCH_DELAY_S):
+                await self._fetch_ended.wait()
+            while len(self._fetching) >= MAX_FETCHES:
+                await self._fetch_ended.wait()
 
     def _knows_records(self) -> bool:
         if self._catalog.revision:
@@ -119,14 +130,12 @@
             for link, revision in self._offers.items()
             if link.is_open and revision > current_revision
         }
-        if not self._offers:
+        idle = [link for link in self._offers if link not in self._fetching]
+        if not idle:
             return None
-        return max(
-            self._offers, key=lambda link: (-self._failures[link], self._offers[link])
-        )
+        return max(idle, key=lambda link: (-self._failures[link], self._offers[link]))
 
-    async def _fetch_from(self, link: Link) -> None:
-        revision = self._offers.pop(link)
+    async def _fetch_from(self, link: Link, revision: int) -> None:
         base = self._catalog.newest
         base_revision = _REVISION.pack(base.revision if base is not None else 0)
         started_at = trio.current_time()
@@ -150,6 +159,11 @@
                 code=exc.code.value,
                 fetch_ms=round((trio.current_time() - started_at) * 1000),
             )
+        finally:
+            self._fetching.discard(link)
+            self._fetch_ended.set()
+            # Offers that came, or came back, during the fetch are considered now.
+            self._offer_received.set()
 
     def _measure_transfer(self, started_at: float, now: float) -> dict[str, int]:
         """Return the times from the first offer of a bundle to its arrival."""
@@ -188,6 +202,7 @@
     def _offer_to_all(self, snapshot: Snapshot) -> None:
         self._updated_at = trio.current_time()
         self._awaited_since = None
+        self._failures.clear()
         for link in self._overlay.neighbours():
             if self._offers.get(link, 0) < snapshot.revision:
                 self._offer_to(link)
--- a/tests/test_hosted/test_relay.py
+++ b/tests/test_hosted/test_relay.py
@@ -42,6 +42,7 @@
         self.failures = 0
         self.calls = 0
         self.loses_offers = False
+        self.delay_s = 0.0
 
     def notify(self, method: int, body: bytes) -> None:
         if not self.loses_offers:
@@ -53,6 +54,10 @@
     async def call(self, method: int, body: bytes, timeout_s: float) -> bytes:
         await trio.sleep(ROUND_TRIP_S)
         self.calls += 1
+        if self.delay_s >= timeout_s:
+            await trio.sleep(timeout_s)
+            raise PeerError("no response in time")
+        await trio.sleep(self.delay_s)
         if self.failures:
             self.failures -= 1
             raise PeerError("no response in time")
@@ -168,6 +173,36 @@
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
+    def fetch_from_slow_neighbours(self, *delays_s: float) -> float:
+        """Return the time after which a node has a bundle that neighbours offer."""
+
+        async def main() -> float:
+            async with trio.open_nursery() as nursery:
+                node = Node("vm-9", nursery)
+                for index, delay_s in enumerate(delays_s):
+                    neighbour = Node(f"vm-{index}", nursery)
+                    link = node.link_to(neighbour)
+                    link.delay_s = delay_s
+                    neighbour.catalog.apply(make_bundle(5), "the store")
+                    await trio.sleep(0.01)
+                started_at = trio.current_time()
+                with trio.move_on_after(10.0):
+                    while node.catalog.revision < 5:
+                        await trio.sleep(0.01)
+                elapsed_s = trio.current_time() - started_at
+                nursery.cancel_scope.cancel()
+            return elapsed_s
+
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_slow_neighbours_do_not_hold_up_a_fetch(self) -> None:
+        # Guards against fetches that wait for one silent neighbour after the other.
+        self.assertLess(self.fetch_from_slow_neighbours(9.0, 9.0, 0.0), 1.0)
+
+    def test_late_response_is_used(self) -> None:
+        # Guards against a busy node that discards each response as too late.
+        self.assertLess(self.fetch_from_slow_neighbours(1.4, 1.4), 1.6)
+
     def test_log_tells_the_hops_and_their_times(self) -> None:
         # Guards against a late bundle of which no line tells where it was held up.
         async def main() -> dict[str, Any]:
