Link the parts of a mesh whose gateways are lost

Cause: two pairs of gateways link two regions or data centres, one to one, and are chosen from all members that have not left, reachable or not. A cut of a third of the nodes leaves the others in parts between which no record goes: members, leaves, states and faults of orders. Change: a member that stands in for readers that it does not hear opens a link to each other data centre, to three members one after the other.

--- a/marigoldchute/hosted/directory.py
+++ b/marigoldchute/hosted/directory.py
@@ -48,6 +48,7 @@
         self._members: dict[str, Member] = {}
         self._discovered: dict[str, tuple[str, int]] = {}
         self._unreachable: set[str] = set()
+        self._requested: list[tuple[str, int]] = []
         self._cached_view: tuple[Member, ...] | None = None
         self._cached_reachable: list[Member] | None = None
         self._cached_peers: dict[str, tuple[str, int]] | None = None
@@ -160,9 +161,18 @@
         """Return addresses to try while no peer is linked."""
         return list(self._discovered.values())
 
+    def request_links(self, names: list[str]) -> None:
+        """Have members dialled once, in addition to the wanted peers."""
+        endpoints = [self.address_of(name) for name in names]
+        self._requested += [item for item in endpoints if item is not None]
+
     def pop_one_time_addresses(self) -> list[tuple[str, int]]:
-        """Return no addresses; those from the store are dialled until a link is up."""
-        return []
+        """Return the addresses of the requested links.
+
+        Those from the store are not among them, they are dialled until a link is up.
+        """
+        requested, self._requested = self._requested, []
+        return requested
 
     def link_up(self, name: str, incarnation: int, now: float) -> None:
         """Handle a new link to a peer."""
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -41,6 +41,8 @@
 STANDBY_DELAY_S = 0.3
 STANDBY_STEP_S = 0.2  # For each doubling of the number of members that may read.
 NO_PEERS_DELAY_S = 4.0
+# Links that a member which stands in opens to each other data centre, one at a time.
+MAX_REPAIR_LINKS = 3
 DUTY_POLL_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.4
 EARLIER_TOPIC_POLL_S = 0.02
@@ -120,6 +122,7 @@
         self._order: list[Member] = []
         self._positions: dict[str, int] = {}
         self._stands_in = False
+        self._repair_round = 0
 
     def start_timeout(self, now: float) -> None:
         """Measure the time without beacons from ``now``, monotonic time in seconds."""
@@ -169,8 +172,26 @@
         if self._position(self.directory.local.name) < NUM_READERS:
             return True
         self._stands_in = self._is_needed(now)
+        if not self._stands_in:
+            self._repair_round = 0
         return self._stands_in
 
+    def next_repair_peers(self) -> list[str]:
+        """Return members to link to, as this part of the mesh may be separated.
+
+        While this node stands in for readers that it does not hear, each call returns
+        one more member of each other data centre, ``MAX_REPAIR_LINKS`` times.
+        """
+        if not self._stands_in or self._repair_round >= MAX_REPAIR_LINKS:
+            return []
+        by_data_centre: dict[str, list[str]] = {}
+        for member in self._ordered():
+            by_data_centre.setdefault(member.data_centre, []).append(member.name)
+        by_data_centre.pop(self.directory.local.data_centre, None)
+        place = self._repair_round
+        self._repair_round += 1
+        return [names[place] for names in by_data_centre.values() if len(names) > place]
+
     def _is_needed(self, now: float) -> bool:
         if self._stands_in:
             # Two members that stand in must not both stop because of each other.
@@ -380,6 +401,14 @@
             if is_settled and (is_due or has_changed):
                 sent_at = now
                 self._publish_beacon(is_reading)
+                self._repair_links()
+
+    def _repair_links(self) -> None:
+        directory = self._duty.directory
+        if not directory.is_full_mesh:
+            linked = {link.peer.name for link in self._overlay.neighbours()}
+            names = self._duty.next_repair_peers()
+            directory.request_links([n for n in names if n not in linked])
 
     def _log_duty(self, is_reading: bool) -> None:
         event, text = "duty_taken", "reads the store for the mesh"
--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -293,11 +293,29 @@
         nodes = self.nodes
         return [n for n in names if nodes[n].catalog.revision < revision]
 
+    def components(self, names: Iterable[str]) -> list[set[str]]:
+        """Return the parts into which the links between some nodes divide them."""
+        remaining = set(names)
+        parts: list[set[str]] = []
+        while remaining:
+            part, pending = set(), [remaining.pop()]
+            while pending:
+                name = pending.pop()
+                part.add(name)
+                linked = self.nodes[name].links.keys() & remaining
+                remaining -= linked
+                pending += linked
+            parts.append(part)
+        return parts
+
     async def _maintain_links(self) -> None:
+        nodes = list(self.nodes.values())
         while True:
             for node in self.nodes.values():
                 for name in node.directory.wanted_peers():
                     self._link(node, self.nodes[name])
+                for _, port in node.directory.pop_one_time_addresses():
+                    self._link(node, nodes[port - 1])
             self._close_lost()
             await trio.sleep(MAINTENANCE_INTERVAL_S)
 
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -72,6 +72,12 @@
         self.assertEqual(set(self.directory.wanted_peers()), {"vm-2", "vm-4"})
         self.assertEqual(self.directory.seeds(), [("10.0.0.4", 7600)])
 
+    def test_requested_link_is_dialled_once(self) -> None:
+        self.directory.request_links(["vm-2", "vm-unknown"])
+        addresses = self.directory.pop_one_time_addresses()
+        self.assertEqual(addresses, [("10.0.0.2", 7600)])
+        self.assertEqual(self.directory.pop_one_time_addresses(), [])
+
     def test_large_mesh_wants_fewer_links_than_members(self) -> None:
         for index in range(3, 3 * MAX_FULL_MESH_MEMBERS):
             other = RecordTable()
--- a/tests/test_hosted/test_late_bundles.py
+++ b/tests/test_hosted/test_late_bundles.py
@@ -117,6 +117,30 @@
         self.check(cut_halves)
 
 
+class RepairedLinksTest(unittest.TestCase):
+    """Links between the nodes that a cut of many nodes has spared."""
+
+    def test_nodes_that_were_spared_are_linked_again(self) -> None:
+        # Guards against parts of a mesh that exchange no records after a cut.
+        for layout in (GROWN, GROWN_3):
+            for seed in range(SEED, SEED + 6):
+                with self.subTest(nodes=layout.nodes, seed=seed):
+                    mesh = BundleMesh(layout, seed)
+                    parts: list[set[str]] = []
+
+                    async def scenario(
+                        mesh: BundleMesh, parts: list[set[str]] = parts
+                    ) -> None:
+                        names = sorted(mesh.nodes)
+                        cut = set(mesh.rng.sample(names, len(names) // 3))
+                        mesh.cut_off(cut)
+                        await trio.sleep(6.0)
+                        parts += mesh.components(set(names) - cut)
+
+                    mesh.run(scenario)
+                    self.assertEqual([len(part) for part in parts[1:]], [])
+
+
 class LostReadersTest(_LateBundleCase):
     """Nodes whose readers have lost the store."""
 
