--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -176,20 +176,26 @@
             self._repair_round = 0
         return self._stands_in
 
-    def next_repair_peers(self) -> list[str]:
+    def next_repair_peers(self, now: float) -> list[str]:
         """Return members to link to, as this part of the mesh may be separated.
 
-        While this node stands in for readers that it does not hear, each call returns
-        one more member of each other data centre, ``MAX_REPAIR_LINKS`` times.
+        While this node reads the store and stands in for readers that it does not
+        hear, or hears no other reader, each call returns one more member of each other
+        data centre, ``MAX_REPAIR_LINKS`` times.
         """
-        if not self._stands_in or self._repair_round >= MAX_REPAIR_LINKS:
-            return []
+        if not self._stands_in and self.active_readers(now):
+            self._repair_round = 0
+        elif self._repair_round < MAX_REPAIR_LINKS:
+            self._repair_round += 1
+            return self._members_elsewhere(self._repair_round - 1)
+        return []
+
+    def _members_elsewhere(self, place: int) -> list[str]:
+        """Return the member at a place in the order of each other data centre."""
         by_data_centre: dict[str, list[str]] = {}
         for member in self._ordered():
             by_data_centre.setdefault(member.data_centre, []).append(member.name)
         by_data_centre.pop(self.directory.local.data_centre, None)
-        place = self._repair_round
-        self._repair_round += 1
         return [names[place] for names in by_data_centre.values() if len(names) > place]
 
     def _is_needed(self, now: float) -> bool:
@@ -401,13 +407,13 @@
             if is_settled and (is_due or has_changed):
                 sent_at = now
                 self._publish_beacon(is_reading)
-                self._repair_links()
+                self._repair_links(now)
 
-    def _repair_links(self) -> None:
+    def _repair_links(self, now: float) -> None:
         directory = self._duty.directory
         if not directory.is_full_mesh:
             linked = {link.peer.name for link in self._overlay.neighbours()}
-            names = self._duty.next_repair_peers()
+            names = self._duty.next_repair_peers(now)
             directory.request_links([n for n in names if n not in linked])
 
     def _log_duty(self, is_reading: bool) -> None:
--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -49,10 +49,6 @@
 class FakeStore:
     """The store as one node sees it; the revision is that of the only document."""
 
-    calls = 0
-    is_reachable = True
-    min_latency_s = 0.004
-
     def __init__(self, mesh: BundleMesh, node: Node) -> None:
         self._mesh = mesh
         self._node = node
@@ -62,7 +58,6 @@
 
     async def changes(self, kind: str, after: int, wait_ms: int) -> DocumentPage:
         """Wait for a change; fail late while the store is silent for this node."""
-        Node.store_calls += 1
         name = self._node.member.name
         with trio.move_on_after(STORE_TIMEOUT_S + wait_ms / 1000):
             await self._node.pause()
@@ -131,8 +126,6 @@
 class Node:
     """Links, reader, relay and catalog of one node; ``delay_s`` makes it slow."""
 
-    store_calls = 0
-
     def __init__(self, mesh: BundleMesh, member: Member, rng: random.Random) -> None:
         self.mesh, self.member = mesh, member
         self.identity = PeerIdentity(member.name, 1, member.data_centre, member.region)
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -14,6 +14,7 @@
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.reader import (
     BEACON_TIMEOUT_S,
+    MAX_REPAIR_LINKS,
     NO_PEERS_DELAY_S,
     NUM_READERS,
     Beacon,
@@ -100,6 +101,23 @@
         reading = [n for n in backups if duties[n].is_reader(now + 0.1)]
         self.assertEqual(len(reading), NUM_READERS)
 
+    def test_reader_that_hears_no_other_reader_links_to_other_data_centres(
+        self,
+    ) -> None:
+        # Guards against two parts with a reader each that never link to each other.
+        duties = make_duties(NAMES, set(NAMES)).values()
+        duty = next(duty for duty in duties if duty.is_reader(0.0))
+        for place, member in enumerate(duty.directory.reachable()):
+            data_centre = "dc" if member is duty.directory.local else f"dc-{place % 2}"
+            object.__setattr__(member, "data_centre", data_centre)
+        duty.record_beacon("vm-0", 10.0)
+        self.assertEqual(duty.next_repair_peers(10.1), [])
+        later = 10.0 + BEACON_TIMEOUT_S + 0.1
+        rounds = [duty.next_repair_peers(later) for _ in range(MAX_REPAIR_LINKS + 1)]
+        self.assertEqual([len(names) for names in rounds], [2, 2, 2, 0])
+        names = {name for names in rounds for name in names}
+        self.assertEqual(len(names - {duty.directory.local.name}), 2 * MAX_REPAIR_LINKS)
+
     def test_backups_wait_for_first_beacons_after_start(self) -> None:
         duties = make_duties(NAMES, set(NAMES))
         for duty in duties.values():
