--- a/tests/test_hosted/test_late_bundles.py
+++ b/tests/test_hosted/test_late_bundles.py
@@ -170,7 +170,7 @@
             mesh.without_store.update(first)
             return set()
 
-        self.check(cut_first, layouts=(GROWN, GROWN_3))
+        self.check(cut_first, layouts=(GROWN, GROWN_3, LARGE))
 
 
 class SlowNodeTest(_LateBundleCase):
@@ -185,7 +185,7 @@
                 mesh.nodes[name].delay_s = 0.7
             return slow
 
-        self.check(slow_down, layouts=(GROWN, GROWN_3))
+        self.check(slow_down, layouts=(GROWN, GROWN_3, LARGE))
 
     def test_slow_node_gets_the_bundle_in_time(self) -> None:
         # Guards against a busy node that discards each response as too late.
@@ -195,7 +195,7 @@
                 mesh.nodes[name].delay_s = 0.6
             return set()
 
-        self.check(slow_down, layouts=(GROWN, GROWN_3))
+        self.check(slow_down, layouts=(GROWN, GROWN_3, LARGE))
 
     def test_slow_readers_do_not_hold_up_the_others(self) -> None:
         # Guards against readers that send beacons in time but read late.
