Log large and slow responses of the store

The time that a bundle takes from the store to a reader was in no line: a slow transfer could not be told from a late change. One line for a response of 100,000 bytes or 0.25 s, with its size and the time from its first byte to its last.

--- a/marigoldchute/objectstore/caller.py
+++ b/marigoldchute/objectstore/caller.py
@@ -18,10 +18,15 @@
     import random
     from collections.abc import Callable, Iterator
 
+    from marigoldchute.events import EventLog
     from marigoldchute.objectstore.settings import StoreSettings
 
 MAX_CONNECTIONS = 8
 MAX_RESPONSE_BYTES = 16_000_000  # A list or an object is a megabyte at most.
+# A response of this size, or one that takes this long after its first byte, is logged.
+LOGGED_RESPONSE_BYTES = 100_000
+LOGGED_TRANSFER_S = 0.25
+MAX_LOGGED_TARGET = 100
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
 
@@ -62,13 +67,20 @@
         Source of back-off jitter.
     local_address : str
         IP address from which connections are opened; any when empty.
+    log : EventLog, optional
+        Event log of the process, for large and slow responses.
     """
 
     def __init__(
-        self, settings: StoreSettings, rng: random.Random, local_address: str = ""
+        self,
+        settings: StoreSettings,
+        rng: random.Random,
+        local_address: str = "",
+        log: EventLog | None = None,
     ) -> None:
         self._settings = settings
         self._rng = rng
+        self._log = log
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, local_address=local_address or None
         )
@@ -186,12 +198,16 @@
         deadline: float,
     ) -> tuple[int, bytes]:
         """Send a request; return the status and the content of its response."""
+        content = bytearray()
+        started_at = trio.current_time()
         try:
             with trio.fail_at(deadline):
                 async with self._pool.stream(
                     method, url, headers=headers, content=body
                 ) as response:
-                    return response.status, await _read_content(response, method)
+                    started_at = trio.current_time()
+                    await _read_content(response, method, content)
+                    return response.status, bytes(content)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise PlatformError(f"store cannot be reached: {exc}") from exc
         except (
@@ -201,16 +217,36 @@
             trio.TooSlowError,
         ) as exc:
             raise _lost_response_error(method, exc) from exc
+        finally:
+            self._log_transfer(method, url, len(content), started_at)
+
+    def _log_transfer(
+        self, method: str, url: str, size: int, started_at: float
+    ) -> None:
+        transfer_s = trio.current_time() - started_at
+        is_slow = size > 0 and transfer_s >= LOGGED_TRANSFER_S
+        if self._log is not None and (is_slow or size >= LOGGED_RESPONSE_BYTES):
+            target = url.partition("/api/")[2]
+            self._log.emit(
+                "store",
+                "large_response",
+                f"{size} bytes of a response of the store took {transfer_s:.3f} s.",
+                method=method,
+                target=target[:MAX_LOGGED_TARGET],
+                bytes=size,
+                transfer_ms=round(transfer_s * 1000),
+            )
 
 
-async def _read_content(response: httpcore.Response, method: str) -> bytes:
-    content = bytearray()
+async def _read_content(
+    response: httpcore.Response, method: str, content: bytearray
+) -> None:
     async for piece in response.aiter_stream():
         content += piece
         if len(content) > MAX_RESPONSE_BYTES:
             break
     else:
-        return bytes(content)
+        return
     detail = f"response of the store is over {MAX_RESPONSE_BYTES} bytes"
     if method != "GET":
         raise UnknownOutcomeError(detail)
--- a/marigoldchute/platform/adapter.py
+++ b/marigoldchute/platform/adapter.py
@@ -14,6 +14,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
+    from marigoldchute.events import EventLog
     from marigoldchute.hosted.node_entry import Leave
     from marigoldchute.hosted.registry import LocalRegistry
     from marigoldchute.hosted.settings import Endpoint, HostedSettings
@@ -30,12 +31,16 @@
         Settings of the node.
     rng : random.Random
         Source of jitter.
+    log : EventLog, optional
+        Event log of the process.
     """
 
     dialect = DIALECT
 
-    def __init__(self, cfg: HostedSettings, rng: random.Random) -> None:
-        self.store = PlatformDocumentStore(cfg.store, rng, cfg.address)
+    def __init__(
+        self, cfg: HostedSettings, rng: random.Random, log: EventLog | None = None
+    ) -> None:
+        self.store = PlatformDocumentStore(cfg.store, rng, cfg.address, log)
         self.bundles = PlatformBundleApi()
         self.orders = PlatformOrderApi(self.store)
 
--- a/marigoldchute/platform/process.py
+++ b/marigoldchute/platform/process.py
@@ -89,7 +89,7 @@
         return exc.code.exit_status
     rng = random.Random()
     log = EventLog(cfg.name)
-    node = HostedNode(cfg, PlatformAdapter(cfg, rng), log, rng)
+    node = HostedNode(cfg, PlatformAdapter(cfg, rng, log), log, rng)
     settings = SettingsFile(path, node.reload, log)
     node.refresh_settings = settings.refresh
     gc.collect()
--- a/marigoldchute/platform/store.py
+++ b/marigoldchute/platform/store.py
@@ -30,6 +30,7 @@
     import random
     from collections.abc import Callable
 
+    from marigoldchute.events import EventLog
     from marigoldchute.objectstore.settings import StoreSettings
 
 JSON_CONTENT_TYPE = "application/json"
@@ -49,12 +50,18 @@
         Source of back-off jitter.
     local_address : str
         IP address from which connections are opened.
+    log : EventLog, optional
+        Event log of the process, for large and slow responses.
     """
 
     def __init__(
-        self, settings: StoreSettings, rng: random.Random, local_address: str
+        self,
+        settings: StoreSettings,
+        rng: random.Random,
+        local_address: str,
+        log: EventLog | None = None,
     ) -> None:
-        self._caller = StoreCaller(settings, rng, local_address)
+        self._caller = StoreCaller(settings, rng, local_address, log)
 
     @property
     def is_reachable(self) -> bool:
