Show that a large bundle is late behind narrow connections

The simulation of a mesh gives each node a rate of its connection, shared by all that it sends or receives, and the store keeps each version.

--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 import math
 import random
 from typing import TYPE_CHECKING, Any
@@ -36,38 +37,66 @@
 MAINTENANCE_INTERVAL_S = 0.25
 STORE_TIMEOUT_S = 3.0
 SETTLING_S = 3.0
+# A message up to this size passes between the packets of larger ones.
+SMALL_MESSAGE_BYTES = 1_000
+DOCUMENT_BYTES_PER_ROUTE = 170  # As the platform encodes them, in JSON.
 CONTENT = BundleContent((Service("turnos", ""),), (Route("a", "/a/", "turnos"),))
 
 
+def make_content(count: int, version: int = 0) -> BundleContent:
+    """Return a content with a number of routes, of which one names the version."""
+    routes = [Route("version", f"/version-{version}/", "turnos")]
+    for index in range(count):
+        # Names as random as the platform's, which leave little to compress.
+        digest = hashlib.blake2b(str(index).encode(), digest_size=5).hexdigest()
+        prefix, host = f"/{digest[:6]}/", f"{digest[6:]}.example"
+        routes.append(Route(f"route-{digest}", prefix, "turnos", host=host))
+    return BundleContent((Service("turnos", ""),), tuple(routes))
+
+
 class _Api:
     kind, name = "config", "main"
 
+    def __init__(self, mesh: BundleMesh) -> None:
+        self._mesh = mesh
+
     def decode(self, document: Document) -> tuple[int, BundleContent]:
-        return document.revision, CONTENT
+        return document.revision, self._mesh.contents[document.revision]
 
 
 class FakeStore:
-    """The store as one node sees it; the revision is that of the only document."""
+    """The store as one node sees it; it keeps each change of its only document."""
 
     def __init__(self, mesh: BundleMesh, node: Node) -> None:
         self._mesh = mesh
         self._node = node
 
     async def list(self, kind: str, stale_allowed: bool = False) -> DocumentPage:
-        return await self.changes(kind, 0, 0)
+        return await self._read(kind, None, 0)
 
     async def changes(self, kind: str, after: int, wait_ms: int) -> DocumentPage:
         """Wait for a change; fail late while the store is silent for this node."""
-        name = self._node.member.name
+        return await self._read(kind, after, wait_ms)
+
+    async def _read(self, kind: str, after: int | None, wait_ms: int) -> DocumentPage:
+        mesh, node = self._mesh, self._node
         with trio.move_on_after(STORE_TIMEOUT_S + wait_ms / 1000):
-            await self._node.pause()
-            await trio.sleep(2 * self._mesh.store_latency_s(self._node))
+            await node.pause()
+            await trio.sleep(2 * mesh.store_latency_s(node))
             with trio.move_on_after(wait_ms / 1000):
-                await self._mesh.wait_for_change(after)
-            if name in self._mesh.without_store:
+                await mesh.wait_for_change(
+                    mesh.revision - 1 if after is None else after
+                )
+            if node.member.name in mesh.without_store:
                 await trio.sleep_forever()
-            revision = self._mesh.revision
-            return DocumentPage((Document(kind, "main", revision, None),), revision)
+            revisions = [mesh.revision]
+            if after is not None:
+                revisions = [r for r in mesh.contents if r > after]
+            routes = sum(len(mesh.contents[r].routes) for r in revisions)
+            revision = mesh.revision
+            await mesh.receive_from_store(node, routes * DOCUMENT_BYTES_PER_ROUTE)
+            documents = tuple(Document(kind, "main", r, None) for r in revisions)
+            return DocumentPage(documents, revision)
         raise PlatformError("store sent no response")
 
 
@@ -91,7 +120,7 @@
 
     async def _deliver(self, method: int, body: bytes) -> bytes:
         await self._node.pause()
-        await trio.sleep(self._node.mesh.latency_s(self._node, self._to))
+        await self._node.mesh.transfer(self._node, self._to, len(body))
         if math.isfinite(self._node.mesh.silent_since(self._node, self._to)):
             await trio.sleep_forever()
         await self._to.pause()
@@ -109,7 +138,7 @@
             except PeerError as exc:
                 failure.append(exc)
             else:
-                await trio.sleep(self._node.mesh.latency_s(self._node, self._to))
+                await self._node.mesh.transfer(self._to, self._node, len(data))
                 await self._node.pause()
                 response.append(data)
             done.set()
@@ -124,12 +153,17 @@
 
 
 class Node:
-    """Links, reader, relay and catalog of one node; ``delay_s`` makes it slow."""
+    """Links, reader, relay and catalog of one node; ``delay_s`` makes it slow.
+
+    ``bytes_per_s`` is the rate of its connection to the network, in each direction.
+    """
 
     def __init__(self, mesh: BundleMesh, member: Member, rng: random.Random) -> None:
         self.mesh, self.member = mesh, member
         self.identity = PeerIdentity(member.name, 1, member.data_centre, member.region)
         self.delay_s = 0.0
+        self.bytes_per_s = math.inf
+        self.uplink, self.downlink = trio.Lock(), trio.Lock()
         self.links: dict[str, FakeLink] = {}
         self.handlers = Handlers()
         self.events = MemoryEventLog()
@@ -141,7 +175,7 @@
         self.catalog = Catalog(InForce(), log)
         self.relay = BundleRelay(self.catalog, overlay, self.handlers, log, rng)
         self.duty = ReaderDuty(self.directory)
-        api: Any = _Api()
+        api: Any = _Api(mesh)
         topic = BundleTopic(api, self.catalog, Rejections(), log)
         store: Any = FakeStore(mesh, self)
         self.reader = StoreReader(
@@ -194,6 +228,11 @@
     def __init__(self, layout: Layout, seed: int) -> None:
         self.rng = random.Random(seed)
         self.revision = 1
+        self.contents = {self.revision: CONTENT}
+        self.settling_s = SETTLING_S
+        # All messages between two regions share one link in each direction.
+        self.region_bytes_per_s = math.inf
+        self._region_links = {region: trio.Lock() for _, region in layout.data_centres}
         self.without_store: set[str] = set()
         self._changed = trio.Event()
         self._cuts: list[tuple[Callable[[Member, Member], bool], float]] = []
@@ -233,7 +272,7 @@
                 nursery.start_soon(self._maintain_links)
                 for node in self.nodes.values():
                     nursery.start_soon(node.run)
-                await trio.sleep(SETTLING_S)
+                await trio.sleep(self.settling_s)
                 await scenario(self)
                 nursery.cancel_scope.cancel()
 
@@ -247,9 +286,35 @@
         near = node.member.region == self._store_region
         return IN_REGION_S if near else BETWEEN_REGIONS_S
 
-    def put_change(self) -> int:
+    async def transfer(self, node: Node, to: Node, size: int) -> None:
+        """Wait until a message between two nodes has arrived."""
+        if size > SMALL_MESSAGE_BYTES:
+            async with node.uplink:
+                await trio.sleep(size / node.bytes_per_s)
+            if node.member.region != to.member.region:
+                async with self._region_links[node.member.region]:
+                    await trio.sleep(size / self.region_bytes_per_s)
+        await trio.sleep(self.latency_s(node, to))
+        await self._receive(to, size, node.bytes_per_s)
+
+    async def receive_from_store(self, node: Node, size: int) -> None:
+        """Wait until a response of the store has arrived, after its first byte."""
+        if node.member.region != self._store_region:
+            async with self._region_links[self._store_region]:
+                await trio.sleep(size / self.region_bytes_per_s)
+        await self._receive(node, size, math.inf)
+
+    async def _receive(self, node: Node, size: int, sent_per_s: float) -> None:
+        """Wait for what the connection of a node delays beyond that of the sender."""
+        delay_s = size / node.bytes_per_s - size / sent_per_s
+        if size > SMALL_MESSAGE_BYTES and delay_s > 0.0:
+            async with node.downlink:
+                await trio.sleep(delay_s)
+
+    def put_change(self, content: BundleContent = CONTENT) -> int:
         """Confirm a change; return its revision."""
         self.revision += 3
+        self.contents[self.revision] = content
         self._changed.set()
         self._changed = trio.Event()
         return self.revision
--- /dev/null
+++ b/tests/test_hosted/test_narrow_links.py
@@ -0,0 +1,128 @@
+"""Time in which a large bundle is in force where connections are narrow."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from tests.support.bundle_mesh import BundleMesh, Layout, make_content
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+GROWN = Layout(87, (("a", "r"), ("b", "s"), ("c", "r"), ("d", "s")))
+GROWN_3 = Layout(90, (*GROWN.data_centres, ("e", "r"), ("f", "s")))
+LARGE = Layout(195, (*GROWN_3.data_centres, ("g", "r"), ("h", "s")))
+LIMITS_S = {GROWN: 3.0, GROWN_3: 3.0, LARGE: 4.0}
+SEED = int(os.environ.get("MARIGOLDCHUTE_SEED", "1"))
+MBIT = 125_000.0  # Bytes.
+REGION_MBIT = 30.0
+# What requests leave of a connection.
+FREE_SHARE = 0.6
+SETTLING_S = 12.0
+
+
+def limit_connections(mesh: BundleMesh, narrow_mbit: float, wide: int) -> None:
+    """Give every n-th node a wide connection, with ``wide`` 0 none."""
+    mesh.region_bytes_per_s = REGION_MBIT * MBIT * FREE_SHARE
+    for index, node in enumerate(mesh.nodes.values()):
+        is_wide = wide and index % wide == 0
+        rate_mbit = 100.0 if is_wide else narrow_mbit
+        node.bytes_per_s = rate_mbit * MBIT * FREE_SHARE
+
+
+class _NarrowLinkCase(unittest.TestCase):
+    def check(
+        self,
+        gaps_s: Sequence[float] = (0.0,),
+        added: int = 1400,
+        layouts: Sequence[Layout] = (GROWN, GROWN_3),
+        narrow_mbit: float = 5.0,
+        wide: int = 7,
+        fault: Callable[[BundleMesh], None] = lambda mesh: None,
+    ) -> None:
+        """Fail if any version of a series, of many routes, is late on a node."""
+        for layout in layouts:
+            with self.subTest(nodes=layout.nodes, seed=SEED):
+                mesh = BundleMesh(layout, SEED)
+                mesh.contents = {mesh.revision: make_content(800)}
+                mesh.settling_s = SETTLING_S
+                limit_connections(mesh, narrow_mbit, wide)
+                late = self.play(mesh, gaps_s, 800 + added, LIMITS_S[layout], fault)
+                self.assertEqual(len(late), 0, late[:3])
+
+    def play(
+        self,
+        mesh: BundleMesh,
+        gaps_s: Sequence[float],
+        count: int,
+        limit_s: float,
+        fault: Callable[[BundleMesh], None],
+    ) -> list[tuple[int, str]]:
+        late: list[tuple[int, str]] = []
+
+        async def check_version(revision: int) -> None:
+            names = await mesh.wait_until_in_force(revision, mesh.nodes, limit_s)
+            late.extend((revision, name) for name in names)
+
+        async def scenario(mesh: BundleMesh) -> None:
+            await trio.sleep(mesh.rng.random())
+            fault(mesh)
+            async with trio.open_nursery() as nursery:
+                for version, gap_s in enumerate(gaps_s):
+                    await trio.sleep(gap_s)
+                    revision = mesh.put_change(make_content(count, version))
+                    nursery.start_soon(check_version, revision)
+
+        mesh.run(scenario)
+        return late
+
+
+class ManyRoutesTest(_NarrowLinkCase):
+    """One change of a bundle that adds many routes."""
+
+    def test_many_routes_are_added(self) -> None:
+        # Guards against one node that sends a large change to all of its neighbours.
+        self.check()
+
+    def test_many_routes_are_added_in_a_large_mesh(self) -> None:
+        # Guards against a time that grows with the number of neighbours.
+        self.check(layouts=(LARGE,))
+
+    def test_many_routes_are_added_without_wide_connections(self) -> None:
+        # Guards against a bound that holds only behind some wide connections.
+        self.check(wide=0)
+
+    def test_largest_document_of_the_store(self) -> None:
+        # Guards against a document that takes longer than the time limit of a read.
+        self.check(added=5300)
+
+    def test_readers_lose_the_store(self) -> None:
+        # Guards against readers behind narrow connections that take over.
+        def cut_readers(mesh: BundleMesh) -> None:
+            mesh.without_store.update(mesh.readers())
+
+        self.check(fault=cut_readers)
+
+
+class ManyVersionsTest(_NarrowLinkCase):
+    """Versions of a bundle of many routes in quick succession."""
+
+    def test_version_each_60_ms(self) -> None:
+        # Guards against a reader that receives each version and not only the last one.
+        self.check(gaps_s=[0.06] * 25)
+
+    def test_version_each_170_ms(self) -> None:
+        # Guards against a watch whose response grows while the one before arrives.
+        self.check(gaps_s=[0.17] * 29)
+
+    def test_version_each_330_ms_without_wide_connections(self) -> None:
+        # Guards against transfers of which each is replaced before it is complete.
+        self.check(gaps_s=[0.33] * 12, wide=0)
+
+
+if __name__ == "__main__":
+    unittest.main()
