Give up a response of the store when it is silent, not when it is slow

A read was given up 1.5 s after it began, whether or not its bytes arrived, and began anew with more to receive.

A call also returns the time of its transfer, which the reader needs.

--- a/marigoldchute/objectstore/caller.py
+++ b/marigoldchute/objectstore/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 from typing import TYPE_CHECKING, TypeVar
 
 import httpcore
@@ -27,6 +28,7 @@
 LOGGED_RESPONSE_BYTES = 100_000
 LOGGED_TRANSFER_S = 0.25
 MAX_LOGGED_TARGET = 100
+MAX_TRANSFER_S = 8.0  # For a response of a megabyte behind a connection of 1 Mbit/s.
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
 
@@ -51,13 +53,34 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    """Response of the store.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    content : bytes
+        Body.
+    transfer_s : float
+        Time from the first byte to the last in seconds.
+    """
+
+    status: int
+    content: bytes
+    transfer_s: float
+
+
 class StoreCaller:
     """Sends the calls of one node to the platform's store, for any HTTP protocol.
 
     Each call has a deadline and uses one token of the node's call budget. Calls that
     are known not to have run, and all reads, are retried with full jitter until the
-    deadline. A write with an unknown outcome is not retried, because it may have run;
-    the code that made the call resolves it.
+    deadline. A response that arrives slowly is given up only when no byte has arrived
+    for the time limit of a call, or ``MAX_TRANSFER_S`` after its first byte. A write
+    with an unknown outcome is not retried, because it may have run; the code that made
+    the call resolves it.
 
     Parameters
     ----------
@@ -103,7 +126,24 @@
         wait_ms: int = 0,
         content_type: str = "",
     ) -> _T:
-        """Make a call and decode its response.
+        """Make a call and decode its response; see ``call_timed``."""
+        result, _ = await self.call_timed(
+            decode, method, path, body, wait_ms, content_type
+        )
+        return result
+
+    async def call_timed(
+        self,
+        decode: Callable[..., _T],
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        wait_ms: int = 0,
+        content_type: str = "",
+    ) -> tuple[_T, float]:
+        """Make a call; return its decoded response and the time of its transfer.
+
+        The time is that from the first byte of the response to its last, in seconds.
 
         Parameters
         ----------
@@ -130,8 +170,8 @@
         headers = [("content-type", content_type)] if content_type else None
         while True:
             try:
-                content = await self._send_once(method, path, body, headers, deadline)
-                return decode(content, method=method)
+                response = await self._send_once(method, path, body, headers, deadline)
+                return decode(response.content, method=method), response.transfer_s
             except PlatformError as exc:
                 delay_s = backoff.next_delay_s()
                 if exc.code not in _RETRIED_CODES:
@@ -147,18 +187,18 @@
         body: bytes | None,
         headers: list[tuple[str, str]] | None,
         deadline: float,
-    ) -> bytes:
+    ) -> _Response:
         await self._acquire_budget(deadline)
         url = f"http://{self._settings.address}:{self._settings.port}{path}"
         with self._track_outcome():
             self.calls += 1
             started_at = trio.current_time()
-            status, content = await self._send(method, url, body, headers, deadline)
+            response = await self._send(method, url, body, headers, deadline)
             self.min_latency_s = min(
                 self.min_latency_s, trio.current_time() - started_at
             )
-            raise_for_status(method, path, status, content)
-            return content
+            raise_for_status(method, path, response.status, response.content)
+            return response
 
     async def _acquire_budget(self, deadline: float) -> None:
         now = trio.current_time()
@@ -196,18 +236,18 @@
         body: bytes | None,
         headers: list[tuple[str, str]] | None,
         deadline: float,
-    ) -> tuple[int, bytes]:
-        """Send a request; return the status and the content of its response."""
+    ) -> _Response:
         content = bytearray()
         started_at = trio.current_time()
         try:
-            with trio.fail_at(deadline):
+            with trio.fail_at(deadline) as scope:
                 async with self._pool.stream(
                     method, url, headers=headers, content=body
                 ) as response:
                     started_at = trio.current_time()
-                    await _read_content(response, method, content)
-                    return response.status, bytes(content)
+                    await self._receive(response, method, content, scope)
+                    transfer_s = trio.current_time() - started_at
+                    return _Response(response.status, bytes(content), transfer_s)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise PlatformError(f"store cannot be reached: {exc}") from exc
         except (
@@ -220,6 +260,22 @@
         finally:
             self._log_transfer(method, url, len(content), started_at)
 
+    async def _receive(
+        self,
+        response: httpcore.Response,
+        method: str,
+        content: bytearray,
+        scope: trio.CancelScope,
+    ) -> None:
+        """Receive a body; each piece extends the deadline."""
+        latest = trio.current_time() + MAX_TRANSFER_S
+        async for piece in response.aiter_stream():
+            content += piece
+            if len(content) > MAX_RESPONSE_BYTES:
+                raise _too_large_error(method)
+            silence_ends_at = trio.current_time() + self._settings.timeout_ms / 1000
+            scope.deadline = max(scope.deadline, min(silence_ends_at, latest))
+
     def _log_transfer(
         self, method: str, url: str, size: int, started_at: float
     ) -> None:
@@ -238,19 +294,11 @@
             )
 
 
-async def _read_content(
-    response: httpcore.Response, method: str, content: bytearray
-) -> None:
-    async for piece in response.aiter_stream():
-        content += piece
-        if len(content) > MAX_RESPONSE_BYTES:
-            break
-    else:
-        return
+def _too_large_error(method: str) -> PlatformError:
     detail = f"response of the store is over {MAX_RESPONSE_BYTES} bytes"
     if method != "GET":
-        raise UnknownOutcomeError(detail)
-    raise PlatformError(detail, ResultCode.STORE_ANSWER_TOO_LARGE)
+        return UnknownOutcomeError(detail)
+    return PlatformError(detail, ResultCode.STORE_ANSWER_TOO_LARGE)
 
 
 def _lost_response_error(method: str, exc: Exception) -> PlatformError:
--- a/marigoldchute/objectstore/documents.py
+++ b/marigoldchute/objectstore/documents.py
@@ -45,10 +45,13 @@
         In the order of the store.
     revision : int
         Revision from which a watch continues.
+    transfer_s : float
+        Time from the first byte of the response to its last in seconds.
     """
 
     documents: tuple[Document, ...]
     revision: int
+    transfer_s: float = 0.0
 
 
 class DocumentStore(Protocol):
@@ -85,7 +88,8 @@
     ) -> DocumentPage:
         """Wait for changes of a kind after a revision.
 
-        Raises ``CompactedError`` when the store no longer holds all of them.
+        Raises ``CompactedError`` when the store no longer holds all of them, and
+        ``PlatformError`` when it is silent for the wait and the time limit of a call.
         """
 
     async def create(self, kind: str, name: str, content: Any) -> Document:
--- a/marigoldchute/objectstore/settings.py
+++ b/marigoldchute/objectstore/settings.py
@@ -28,7 +28,7 @@
     burst_calls : float
         Calls that this node may make at once after an idle period.
     timeout_ms : int
-        Time limit of one call.
+        Time limit of one call without any byte of its response.
     """
 
     address: str
--- a/marigoldchute/platform/store.py
+++ b/marigoldchute/platform/store.py
@@ -83,15 +83,19 @@
         documents: dict[str, Document] = {}
         query = {"allow_stale": "1"} if stale_allowed else {}
         revision = 0
+        transfer_s = 0.0
         while True:
-            page = await self._caller.call(decode_page, "GET", _path(kind, **query))
+            page, page_s = await self._caller.call_timed(
+                decode_page, "GET", _path(kind, **query)
+            )
+            transfer_s += page_s
             # Changes between two pages are found by a watch from the first one.
             revision = revision or page.at
             count = len(documents)
             for item in page.items:
                 documents[item.metadata.name] = _to_document(kind, item)
             if not page.more or not page.items:
-                return DocumentPage(tuple(documents.values()), revision)
+                return DocumentPage(tuple(documents.values()), revision, transfer_s)
             if len(documents) == count or len(documents) > MAX_LISTED_DOCUMENTS:
                 raise PlatformError(
                     f"list of {kind!r} does not end", ResultCode.STORE_ANSWER_MALFORMED
@@ -109,11 +113,13 @@
     ) -> DocumentPage:
         """Wait for and return the changes of a kind after a revision."""
         path = _path(kind, watch=str(after_revision), wait_ms=str(wait_ms))
-        page = await self._caller.call(decode_events, "GET", path, wait_ms=wait_ms)
+        page, transfer_s = await self._caller.call_timed(
+            decode_events, "GET", path, wait_ms=wait_ms
+        )
         documents = tuple(
             _to_document(kind, event.object, event.deleted) for event in page.events
         )
-        return DocumentPage(documents, page.at)
+        return DocumentPage(documents, page.at, transfer_s)
 
     async def create(self, kind: str, name: str, content: Any) -> Document:
         """Create a document; raise ``ConflictError`` when it exists."""
