Read only the newest version when versions arrive slowly

Callers were served by an older configuration for seconds during changes in quick succession: a watch returns each version in full, and a reader behind a connection of 5 Mbit/s receives fewer of them than are made. The next response is larger than the one before, until none arrives in time.

After a slow transfer that brought a change, and after a failed read, the reader lists the documents instead of reading the changes. The time limit of a watch in the reader is gone: it repeated that of the call, and would have given up a slow transfer.

--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -32,8 +32,9 @@
 WATCH_TIMEOUT_MS = 1_000
 # Delay of a response beyond the time of its watch, as from a slow store.
 READ_OVERDUE_S = 0.45
-# A watch without a response is given up, as the store may be back on a new connection.
-WATCH_RESPONSE_TIMEOUT_S = 2.5
+# After a transfer of a change that takes this long, the next read is of the present
+# documents, because the store may keep more versions than can be received in time.
+SLOW_TRANSFER_S = 0.1
 NUM_BACKUPS = 4
 # The other members of a data centre follow the backups one after the other, so that a
 # part of the mesh without links to the backups has a reader as well.
@@ -368,20 +369,24 @@
                 position = 0
             except PlatformError as exc:
                 self._log_failure(topic, exc)
-                wait_ms = 0
+                # The changes since then may be too many to be received in time.
+                position, wait_ms = 0, 0
                 await trio.sleep(RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0))
 
     async def _read_once(self, topic: Topic, position: int, wait_ms: int) -> int:
-        """Read all documents when ``position`` is 0, else the changes since then."""
-        if not position:
-            page = await self._store.list(topic.kind)
-            topic.apply_page(page, True)
-            return page.revision
-        with trio.move_on_after(WATCH_RESPONSE_TIMEOUT_S):
+        """Read all documents when ``position`` is 0, else the changes since then.
+
+        Returns the position from which to read on.
+        """
+        applied = topic.applied_revision()
+        if position:
             page = await self._store.changes(topic.kind, position, wait_ms)
-            topic.apply_page(page, False)
-            return max(position, page.revision)
-        raise PlatformError("the store did not respond to a watch in time")
+        else:
+            page = await self._store.list(topic.kind)
+        topic.apply_page(page, is_full_list=not position)
+        if page.transfer_s >= SLOW_TRANSFER_S and topic.applied_revision() != applied:
+            return 0
+        return max(position, page.revision)
 
     def _log_failure(self, topic: Topic, exc: PlatformError) -> None:
         self._log.emit(
