Read the store first behind wide connections, in different data centres

A node publishes the rate of its connection in its member record; readers and backups are taken from the widest near the store, in turns from each data centre.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -165,7 +165,14 @@
         register_checks(table)
         self._in_force = InForce()
         local = Member(
-            cfg.name, now_ms, 0, cfg.address, cfg.peer_port, cfg.data_centre, cfg.region
+            cfg.name,
+            now_ms,
+            0,
+            cfg.address,
+            cfg.peer_port,
+            cfg.data_centre,
+            cfg.region,
+            link_mbps=cfg.link_mbps,
         )
         self.directory = Directory(local, table, log)
         self._link_endpoint = LinkEndpoint(
--- a/marigoldchute/hosted/reader.py
+++ b/marigoldchute/hosted/reader.py
@@ -10,8 +10,8 @@
 import trio
 
 from marigoldchute.errors import CompactedError, PeerError, PlatformError
+from marigoldchute.hosted.reader_order import reader_order
 from marigoldchute.link.methods import Method
-from marigoldchute.overlay.topology import rendezvous_order
 
 if TYPE_CHECKING:
     import random
@@ -46,8 +46,6 @@
 DUTY_POLL_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.4
 EARLIER_TOPIC_POLL_S = 0.02
-# A member is near the store up to this multiple of the lowest latency of a member.
-NEAR_LATENCY_FACTOR = 3.0
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -96,8 +94,8 @@
 class ReaderDuty:
     """Decides whether this node reads the store; beacons are its only messages.
 
-    All nodes compute the same order of members, in which those near the store come
-    first. The first ``NUM_READERS`` members read the store. A member that reads
+    All nodes compute the same order of members, see ``reader_order``. The first
+    ``NUM_READERS`` members read the store. A member that reads
     successfully sends a beacon twice a second. A node without a recent beacon reads the
     store in their place: at once when it is among the next ``NUM_BACKUPS`` members of
     the order or has no link to any member, otherwise after a delay that increases with
@@ -265,16 +263,10 @@
         members = self.directory.reachable()
         if members is not self._ordered_from:
             self._ordered_from = members
-            self._order = self._compute_order(members)
+            self._order = reader_order(members)
             self._positions = {m.name: i for i, m in enumerate(self._order)}
         return self._order
 
-    def _compute_order(self, members: list[Member]) -> list[Member]:
-        times = [member.store_ms for member in members if member.store_ms]
-        limit_ms = NEAR_LATENCY_FACTOR * min(times, default=0)
-        order = rendezvous_order(members, "store-reader")
-        return sorted(order, key=lambda m: not 0 < m.store_ms <= limit_ms)
-
     def _position(self, name: str) -> int:
         order = self._ordered()
         return self._positions.get(name, len(order))
--- a/marigoldchute/hosted/settings.py
+++ b/marigoldchute/hosted/settings.py
@@ -71,6 +71,8 @@
         Typical time between two reports of a backend server.
     bounds : Bounds
         Limits that the mesh guarantees.
+    link_mbps : float
+        Rate of the VM's connection to the network in megabits a second; 0 if unknown.
     """
 
     name: str
@@ -87,6 +89,7 @@
     store: StoreSettings
     report_interval_ms: int
     bounds: Bounds = Bounds()
+    link_mbps: float = 0.0
 
 
 def parse_endpoint(field: str, text: object) -> Endpoint:
--- a/marigoldchute/membership/model.py
+++ b/marigoldchute/membership/model.py
@@ -80,6 +80,8 @@
         the epoch; 0 before.
     store_ms : int
         Lowest latency of its calls to the store in milliseconds; 0 while unknown.
+    link_mbps : float
+        Rate of the VM's connection to the network in megabits a second; 0 if unknown.
     """
 
     name: str
@@ -93,6 +95,7 @@
     servers: tuple[BackendServer, ...] = ()
     gone_at_ms: int = 0
     store_ms: int = 0
+    link_mbps: float = 0.0
 
     @property
     def accepts_requests(self) -> bool:
--- a/marigoldchute/platform/settings.py
+++ b/marigoldchute/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from typing import Any
 
@@ -49,6 +50,7 @@
     app_addr: str
     service: str
     platform: _Store
+    limits: Any = None  # Not needed to start, so not checked here.
 
 
 def settings_path() -> str:
@@ -133,9 +135,18 @@
         ),
         decoded.heartbeat_ms,
         _parse_bounds(decoded.bounds, source),
+        _parse_rate(decoded.limits),
     )
 
 
+def _parse_rate(limits: object) -> float:
+    """Return the rate of the VM's connection, 0 for none or one that is no number."""
+    value = limits.get("link_mbps") if isinstance(limits, dict) else None
+    if isinstance(value, int | float) and math.isfinite(value):
+        return max(0.0, float(value))
+    return 0.0
+
+
 def _parse_bounds(assignments: list[str], source: str) -> Bounds:
     values: dict[str, Any] = {}
     for assignment in assignments:
--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -39,6 +39,8 @@
 MAINTENANCE_INTERVAL_S = 0.25
 STORE_TIMEOUT_S = STORE_TIMEOUT_MS / 1000
 SETTLING_S = 3.0
+# Of a connection, beside the requests that it carries.
+FREE_BYTES_PER_MBIT = 0.6 * 125_000
 # A message up to this size passes between the packets of larger ones.
 SMALL_MESSAGE_BYTES = 1_000
 DOCUMENT_BYTES_PER_ROUTE = 170  # As the platform encodes them, in JSON.
@@ -166,7 +168,7 @@
         self.mesh, self.member = mesh, member
         self.identity = PeerIdentity(member.name, 1, member.data_centre, member.region)
         self.delay_s = 0.0
-        self.bytes_per_s = math.inf
+        self.bytes_per_s = member.link_mbps * FREE_BYTES_PER_MBIT or math.inf
         self.uplink, self.downlink = trio.Lock(), trio.Lock()
         self.links: dict[str, FakeLink] = {}
         self.handlers = Handlers()
@@ -227,9 +229,17 @@
 
 
 class BundleMesh:
-    """Mesh whose links, nodes and ways to the store can be cut."""
+    """Mesh whose links, nodes and ways to the store can be cut.
 
-    def __init__(self, layout: Layout, seed: int) -> None:
+    ``link_mbps`` returns the rate of the connection of the n-th node; 0 for no limit.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        seed: int,
+        link_mbps: Callable[[int], float] = lambda index: 0.0,
+    ) -> None:
         self.rng = random.Random(seed)
         self.revision = 1
         self.contents = {self.revision: CONTENT}
@@ -241,7 +251,10 @@
         self._changed = trio.Event()
         self._cuts: list[tuple[Callable[[Member, Member], bool], float]] = []
         self._store_region = layout.data_centres[0][1]
-        members = [self._make_member(i, layout) for i in range(layout.nodes)]
+        members = [
+            dataclasses.replace(self._make_member(i, layout), link_mbps=link_mbps(i))
+            for i in range(layout.nodes)
+        ]
         self.nodes = {
             m.name: Node(self, m, random.Random(self.rng.random())) for m in members
         }
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -167,7 +167,7 @@
                 directory_module, "wanted_peers", wraps=directory_module.wanted_peers
             ) as select,
             mock.patch.object(
-                reader_module, "rendezvous_order", wraps=reader_module.rendezvous_order
+                reader_module, "reader_order", wraps=reader_module.reader_order
             ) as order,
         ):
             for _ in range(100):
--- a/tests/test_hosted/test_narrow_links.py
+++ b/tests/test_hosted/test_narrow_links.py
@@ -8,7 +8,12 @@
 
 import trio
 
-from tests.support.bundle_mesh import BundleMesh, Layout, make_content
+from tests.support.bundle_mesh import (
+    FREE_BYTES_PER_MBIT,
+    BundleMesh,
+    Layout,
+    make_content,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -18,20 +23,21 @@
 LARGE = Layout(195, (*GROWN_3.data_centres, ("g", "r"), ("h", "s")))
 LIMITS_S = {GROWN: 3.0, GROWN_3: 3.0, LARGE: 4.0}
 SEED = int(os.environ.get("MARIGOLDCHUTE_SEED", "1"))
-MBIT = 125_000.0  # Bytes.
-REGION_MBIT = 30.0
-# What requests leave of a connection.
-FREE_SHARE = 0.6
+NARROW_MBPS, WIDE_MBPS, REGION_MBPS = 5.0, 100.0, 30.0
 SETTLING_S = 12.0
 
 
-def limit_connections(mesh: BundleMesh, narrow_mbit: float, wide: int) -> None:
-    """Give every n-th node a wide connection, with ``wide`` 0 none."""
-    mesh.region_bytes_per_s = REGION_MBIT * MBIT * FREE_SHARE
-    for index, node in enumerate(mesh.nodes.values()):
-        is_wide = wide and index % wide == 0
-        rate_mbit = 100.0 if is_wide else narrow_mbit
-        node.bytes_per_s = rate_mbit * MBIT * FREE_SHARE
+def make_mesh(layout: Layout, narrow_mbps: float, wide: int) -> BundleMesh:
+    """Return a mesh in which every n-th node is wide, with ``wide`` 0 none."""
+
+    def link_mbps(index: int) -> float:
+        return WIDE_MBPS if wide and index % wide == 0 else narrow_mbps
+
+    mesh = BundleMesh(layout, SEED, link_mbps)
+    mesh.contents = {mesh.revision: make_content(800)}
+    mesh.settling_s = SETTLING_S
+    mesh.region_bytes_per_s = REGION_MBPS * FREE_BYTES_PER_MBIT
+    return mesh
 
 
 class _NarrowLinkCase(unittest.TestCase):
@@ -40,17 +46,13 @@
         gaps_s: Sequence[float] = (0.0,),
         added: int = 1400,
         layouts: Sequence[Layout] = (GROWN, GROWN_3),
-        narrow_mbit: float = 5.0,
         wide: int = 7,
         fault: Callable[[BundleMesh], None] = lambda mesh: None,
     ) -> None:
         """Fail if any version of a series, of many routes, is late on a node."""
         for layout in layouts:
             with self.subTest(nodes=layout.nodes, seed=SEED):
-                mesh = BundleMesh(layout, SEED)
-                mesh.contents = {mesh.revision: make_content(800)}
-                mesh.settling_s = SETTLING_S
-                limit_connections(mesh, narrow_mbit, wide)
+                mesh = make_mesh(layout, NARROW_MBPS, wide)
                 late = self.play(mesh, gaps_s, 800 + added, LIMITS_S[layout], fault)
                 self.assertEqual(len(late), 0, late[:3])
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -50,6 +50,21 @@
         self.assertEqual((cfg.bounds.retry_share, cfg.bounds.grace_s), (0.3, 9.0))
         self.assertEqual((cfg.store.address, cfg.store.port), ("10.200.1.7", 8627))
 
+    def test_rate_of_the_connection_is_optional(self) -> None:
+        # Guards against a node that does not start for a value that it can do without.
+        for limits, expected in (
+            ({"link_mbps": 100.0}, 100.0),
+            ({"link_mbps": 5}, 5.0),
+            ({"link_mbps": "wide"}, 0.0),
+            ({"link_mbps": -1}, 0.0),
+            ({}, 0.0),
+            (None, 0.0),
+            (7, 0.0),
+        ):
+            with self.subTest(limits=limits):
+                cfg = parse_settings(make_settings(limits=limits), "f")
+                self.assertEqual(cfg.link_mbps, expected)
+
     def test_invalid_settings_raise_an_error_with_its_code(self) -> None:
         cases = [b"{", make_settings(app_addr="nowhere"), make_settings(listen={})]
         cases += [make_settings(internal_port_range=[1]), make_settings(node=5)]
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -196,10 +196,12 @@
         self.paths: list[str] = []
         self._pages = pages
 
-    async def call(self, decode: Callable[..., Any], method: str, path: str) -> Any:
+    async def call_timed(
+        self, decode: Callable[..., Any], method: str, path: str
+    ) -> tuple[Any, float]:
         self.paths.append(path)
         page = self._pages[min(len(self.paths), len(self._pages)) - 1]
-        return decode(page, method=method)
+        return decode(page, method=method), 0.0
 
 
 class ListTest(unittest.TestCase):
