Identify the routes of a hosted bundle by host and prefix, not by name

Of two routes of the same name on two hosts the second replaced the first without a word, and a name that is no name of a bundle (a space, a slash, 64 characters) had every node refuse the whole version. The platform promises neither: it identifies a route by host and prefix.

A name that two routes share, or that is not valid, is replaced by one made from host and prefix. Other values that the bundle's limits refuse (service names, prefixes of over 512 characters or beyond ASCII) still do.

--- a/marigoldchute/bundle/limits.py
+++ b/marigoldchute/bundle/limits.py
@@ -31,6 +31,11 @@
 _PATH = re.compile(rf"/[!-\"$->@-~]{{0,{MAX_PATH_LENGTH - 1}}}")
 
 
+def is_name(text: str) -> bool:
+    """Return whether a text is valid as a name, see ``check_name``."""
+    return _NAME.fullmatch(text) is not None
+
+
 def check_name(path: str, name: str) -> None:
     """Raise an error for a name that is empty, too long or has invalid characters.
 
@@ -42,7 +47,7 @@
         Name of letters, digits, dots, underscores and hyphens, which must start with
         a letter or digit.
     """
-    if _NAME.fullmatch(name) is None:
+    if not is_name(name):
         raise _out_of_range(
             path,
             f"{name[:80]!r} is not a name of 1 to {MAX_NAME_LENGTH} letters, digits "
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import collections
+import hashlib
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from marigoldchute.bundle import limits
 from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
 from marigoldchute.bundle.model import (
     BundleContent,
@@ -21,6 +24,7 @@
 
 # Requests of these kinds may be executed more than once.
 REPEATABLE_ROUTE_KINDS = frozenset(("idempotent", "download"))
+NAME_DIGEST_BYTES = 12
 ROUTE_KINDS = REPEATABLE_ROUTE_KINDS | {"non_idempotent", "upload"}
 
 
@@ -93,22 +97,40 @@
         for s in configuration.services
     )
     hosts = configuration.virtual_hosts
-    routes = tuple(_to_route(h.host, path) for h in hosts for path in h.paths)
-    limits = configuration.limits
+    names = collections.Counter(path.name for h in hosts for path in h.paths)
+    routes = tuple(
+        _to_route(h.host, path, _route_name(h.host, path, names[path.name] > 1))
+        for h in hosts
+        for path in h.paths
+    )
+    callers = configuration.limits
     return BundleContent(
         services,
         routes,
         (),
         CallerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms,
-            limits.idle_timeout_ms,
+            callers.max_header_bytes,
+            callers.max_body_bytes,
+            callers.header_timeout_ms,
+            callers.idle_timeout_ms,
         ),
     )
 
 
-def _to_route(host: str, path: _Path) -> Route:
+def _route_name(host: str, path: _Path, is_shared: bool) -> str:
+    """Return the name of a route, unique within the bundle.
+
+    The platform identifies a route by host and prefix. Its name may be that of a route
+    of another host, or be no name in a bundle.
+    """
+    if limits.is_name(path.name) and not is_shared:
+        return path.name
+    place = f"{host}{path.path_prefix}".encode()
+    digest = hashlib.blake2b(place, digest_size=NAME_DIGEST_BYTES).hexdigest()
+    return f"route-{digest}"
+
+
+def _to_route(host: str, path: _Path, name: str) -> Route:
     """Convert a route; values beyond the limits of a bundle are reduced to them.
 
     Requests of an unknown kind are executed at most once, as the strictest kind is.
@@ -118,7 +140,7 @@
     if not service:
         raise ValueError(f"route {path.name!r} has no service")
     return Route(
-        path.name,
+        name,
         path.path_prefix,
         service,
         _clamp(int(path.timeout_ms), 1, MAX_TIMEOUT_MS),
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -7,9 +7,12 @@
 import unittest
 from typing import Any
 
+from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.errors import BundleError, MoveError, SettingsError
+from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.catalog import Catalog, make_snapshot
 from marigoldchute.objectstore.documents import Document
 from marigoldchute.orders.model import OrderStage
 from marigoldchute.platform.bundle import PlatformBundleApi
@@ -130,6 +133,35 @@
             with self.subTest(change), self.assertRaises(BundleError):
                 self.decode({**make_configuration(), **change})
 
+    def test_routes_of_two_hosts_may_have_the_same_name(self) -> None:
+        # Guards against an added route that replaces one of another host.
+        value = make_configuration()
+        host = value["virtual_hosts"][0]
+        value["virtual_hosts"].append({**host, "host": "other.example"})
+        self.assertEqual(
+            self.put_in_force(value),
+            {(h, p) for h in ("h.example", "other.example") for p in ("/a/", "/a/b/")},
+        )
+
+    def test_name_of_a_route_does_not_cost_the_bundle(self) -> None:
+        # Guards against nodes that keep an old version for a name of the operator.
+        for name in ("a b", "x" * 200, "", "routes/lookup", "조회"):
+            with self.subTest(name=name):
+                value = make_configuration()
+                value["virtual_hosts"][0]["paths"][0]["name"] = name
+                expected = {("h.example", "/a/"), ("h.example", "/a/b/")}
+                self.assertEqual(self.put_in_force(value), expected)
+
+    def put_in_force(self, value: Any) -> set[tuple[str, str]]:
+        """Return host and prefix of the routes in force from a configuration."""
+        in_force = InForce()
+        log: Any = MemoryEventLog()
+        version, content = self.decode(value)
+        Catalog(in_force, log).apply(make_snapshot(8, version, content), "the store")
+        bundle = in_force.bundle
+        routes = bundle.content.routes if bundle is not None else ()
+        return {(route.host, route.path_prefix) for route in routes}
+
     def test_downloads_are_repeatable(self) -> None:
         value = make_configuration()
         value["virtual_hosts"][0]["paths"][0]["route_kind"] = "download"
