--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -14,7 +14,8 @@
 from marigoldchute.hosted.discovery import Discovery
 from marigoldchute.hosted.drain import DrainStage, NodeDrain
 from marigoldchute.hosted.metrics import MetricsPage, count_states
-from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+from marigoldchute.hosted.reader import StoreReader
+from marigoldchute.hosted.reader_duty import ReaderDuty
 from marigoldchute.hosted.record_checks import register_checks
 from marigoldchute.hosted.registry import MAX_MISSED_REPORTS, LocalRegistry
 from marigoldchute.hosted.rejections import Rejections
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -28,7 +28,8 @@
 if TYPE_CHECKING:
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.directory import Directory
-    from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+    from marigoldchute.hosted.reader import StoreReader
+    from marigoldchute.hosted.reader_duty import ReaderDuty
     from marigoldchute.hosted.rejections import Rejections
     from marigoldchute.link.handlers import Handlers
     from marigoldchute.link.pool import LinkPool
--- a/marigoldchute/orders/reports.py
+++ b/marigoldchute/orders/reports.py
@@ -19,7 +19,7 @@
 
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.directory import Directory
-    from marigoldchute.hosted.reader import ReaderDuty
+    from marigoldchute.hosted.reader_duty import ReaderDuty
     from marigoldchute.link.handlers import Handlers
     from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -18,7 +18,8 @@
 from marigoldchute.hosted.bundle_topic import BundleTopic
 from marigoldchute.hosted.catalog import Catalog
 from marigoldchute.hosted.directory import Directory
-from marigoldchute.hosted.reader import ReaderDuty, StoreReader
+from marigoldchute.hosted.reader import StoreReader
+from marigoldchute.hosted.reader_duty import ReaderDuty
 from marigoldchute.hosted.rejections import Rejections
 from marigoldchute.hosted.relay import BundleRelay
 from marigoldchute.link.handlers import Handlers
--- a/tests/test_hosted/test_directory.py
+++ b/tests/test_hosted/test_directory.py
@@ -8,9 +8,9 @@
 
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted import directory as directory_module
-from marigoldchute.hosted import reader as reader_module
+from marigoldchute.hosted import reader_duty as duty_module
 from marigoldchute.hosted.directory import MAX_FULL_MESH_MEMBERS, Directory
-from marigoldchute.hosted.reader import ReaderDuty
+from marigoldchute.hosted.reader_duty import ReaderDuty
 from marigoldchute.membership.claims import claim_record, own_record
 from marigoldchute.membership.model import BackendServer, Member, MemberState
 from marigoldchute.overlay.records import RecordKind, RecordTable
@@ -167,7 +167,7 @@
                 directory_module, "wanted_peers", wraps=directory_module.wanted_peers
             ) as select,
             mock.patch.object(
-                reader_module, "reader_order", wraps=reader_module.reader_order
+                duty_module, "reader_order", wraps=duty_module.reader_order
             ) as order,
         ):
             for _ in range(100):
--- a/tests/test_hosted/test_reader.py
+++ b/tests/test_hosted/test_reader.py
@@ -13,15 +13,14 @@
 
 from marigoldchute.errors import PlatformError
 from marigoldchute.events import MemoryEventLog
-from marigoldchute.hosted.reader import (
+from marigoldchute.hosted.reader import SLOW_TRANSFER_S, StoreReader
+from marigoldchute.hosted.reader_duty import (
     BEACON_TIMEOUT_S,
     MAX_REPAIR_LINKS,
     NO_PEERS_DELAY_S,
     NUM_READERS,
-    SLOW_TRANSFER_S,
     Beacon,
     ReaderDuty,
-    StoreReader,
 )
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.link.methods import Method
--- a/tests/test_hosted/test_reader_order.py
+++ b/tests/test_hosted/test_reader_order.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from marigoldchute.hosted.reader import NUM_READERS
+from marigoldchute.hosted.reader_duty import NUM_READERS
 from marigoldchute.hosted.reader_order import reader_order
 from marigoldchute.membership.model import Member
 
--- a/tests/test_hosted/test_record_checks.py
+++ b/tests/test_hosted/test_record_checks.py
@@ -17,7 +17,7 @@
 from marigoldchute.events import HybridClock, MemoryEventLog
 from marigoldchute.hosted.catalog import encode_difference, make_snapshot
 from marigoldchute.hosted.node import HostedNode
-from marigoldchute.hosted.reader import Beacon
+from marigoldchute.hosted.reader_duty import Beacon
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
 from marigoldchute.link.handshake import PeerIdentity
 from marigoldchute.link.link import Link
--- a/tests/test_platform/test_shapes.py
+++ b/tests/test_platform/test_shapes.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from marigoldchute.hosted.reader import ReaderDuty
+from marigoldchute.hosted.reader_duty import ReaderDuty
 from marigoldchute.platform.settings import parse_settings
 from marigoldchute.routing.candidates import Candidates
 from marigoldchute.routing.choice import PickInfo
