Limit the time for which a node is busy with one transfer

A rate of the connection that is far too low in the settings would have a node refuse fetches for minutes after each transfer. Found when the diff was read; the test fails without the limit.

--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -37,6 +37,7 @@
 # another one, or returns after the delay.
 MAX_SEND_DELAY_S = 0.05
 BUSY_RETRY_DELAY_S = 0.05
+MAX_BUSY_S = 1.0  # After one transfer, whatever the rate in the settings.
 SEND_SHARE = 0.5  # Of the connection of a VM; the other half is for requests.
 BYTES_PER_MBIT = 125_000
 _REVISION = struct.Struct(">Q")
@@ -225,7 +226,7 @@
         held_ms = round((now - self._updated_at) * 1000)
         base = self._catalog.get_snapshot(revision)
         data = encode_difference(base, newest, held_ms)
-        send_s = len(data) / self._send_bytes_per_s
+        send_s = min(len(data) / self._send_bytes_per_s, MAX_BUSY_S)
         self._sending_until = max(now, self._sending_until) + send_s
         return data
 
--- a/tests/test_hosted/test_relay.py
+++ b/tests/test_hosted/test_relay.py
@@ -161,6 +161,21 @@
         self.assertEqual(sorted(early), [0, 0, 0, 5])
         self.assertEqual(late, 5)
 
+    def test_rate_that_is_far_too_low_holds_up_nobody_for_long(self) -> None:
+        # Guards against a mesh that waits for a node with a wrong rate in its settings.
+        async def main() -> int:
+            async with trio.open_nursery() as nursery:
+                first = Node("vm-1", nursery, link_mbps=1e-9)
+                second, third = Node("vm-2", nursery), Node("vm-3", nursery)
+                first.link_to(second)
+                first.link_to(third)
+                first.catalog.apply(make_bundle(5), "the store")
+                await trio.sleep(1.5)
+                nursery.cancel_scope.cancel()
+            return min(second.catalog.revision, third.catalog.revision)
+
+        self.assertEqual(trio.run(main, clock=MockClock(autojump_threshold=0)), 5)
+
     def test_failed_fetch_is_retried(self) -> None:
         self.assertEqual(self.run_mesh(failures=4), 5)
         self.assertEqual(self.calls, 5)
