--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -197,7 +197,7 @@
         self._pages = pages
 
     async def call_timed(
-        self, decode: Callable[..., Any], method: str, path: str
+        self, decode: Callable[..., Any], method: str, path: str, on_piece: Any = None
     ) -> tuple[Any, float]:
         self.paths.append(path)
         page = self._pages[min(len(self.paths), len(self._pages)) - 1]
