--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -8,8 +8,12 @@
 
 import msgspec
 
-from marigoldchute.bundle import limits
-from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
+from marigoldchute.bundle.limits import (
+    MAX_ATTEMPTS,
+    MAX_PRIORITY,
+    MAX_TIMEOUT_MS,
+    is_name,
+)
 from marigoldchute.bundle.model import (
     BundleContent,
     CallerLimits,
@@ -24,8 +28,8 @@
 
 # Requests of these kinds may be executed more than once.
 REPEATABLE_ROUTE_KINDS = frozenset(("idempotent", "download"))
-NAME_DIGEST_BYTES = 12
 ROUTE_KINDS = REPEATABLE_ROUTE_KINDS | {"non_idempotent", "upload"}
+NAME_DIGEST_BYTES = 12
 
 
 class _Part(msgspec.Struct, frozen=True):
@@ -103,16 +107,16 @@
         for h in hosts
         for path in h.paths
     )
-    callers = configuration.limits
+    limits = configuration.limits
     return BundleContent(
         services,
         routes,
         (),
         CallerLimits(
-            callers.max_header_bytes,
-            callers.max_body_bytes,
-            callers.header_timeout_ms,
-            callers.idle_timeout_ms,
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
         ),
     )
 
@@ -123,7 +127,7 @@
     The platform identifies a route by host and prefix. Its name may be that of a route
     of another host, or be no name in a bundle.
     """
-    if limits.is_name(path.name) and not is_shared:
+    if is_name(path.name) and not is_shared:
         return path.name
     place = f"{host}{path.path_prefix}".encode()
     digest = hashlib.blake2b(place, digest_size=NAME_DIGEST_BYTES).hexdigest()
--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -362,10 +362,7 @@
             for peer, link in old.links.items():
                 link.is_open = link.reverse.is_open = False
                 if peer not in names:
-                    del self.nodes[peer].links[name]
-                    self.nodes[peer].directory.link_lost(
-                        name, True, trio.current_time()
-                    )
+                    self.nodes[peer].lose_link(name)
             member = dataclasses.replace(
                 old.member, incarnation=old.member.incarnation + 1
             )
--- a/tests/test_hosted/test_narrow_links.py
+++ b/tests/test_hosted/test_narrow_links.py
@@ -27,6 +27,7 @@
 SETTLING_S = 12.0
 # The nodes of a silence count again after this time.
 STABLE_WINDOW_S = 4.0
+PAUSE_S = 1.0
 SILENCE_S = 1.55  # Each link is lost after 1.5 s; the next one works.
 
 
@@ -113,6 +114,39 @@
         self.check(fault=cut_readers)
 
 
+class FaultyNodesTest(_NarrowLinkCase):
+    """Many routes are added while nodes are cut off, slow or paused."""
+
+    def test_region_without_its_links_to_the_other(self) -> None:
+        # Guards against members that all read a large document between two regions.
+        self.check(fault=lambda mesh: mesh.cut(lambda a, b: a.region != b.region))
+
+    def test_third_of_the_nodes_without_links(self) -> None:
+        # Guards against nodes that each receive a large document from the store.
+        def cut_third(mesh: BundleMesh) -> None:
+            names = sorted(mesh.nodes)
+            mesh.cut_off(mesh.rng.sample(names, len(names) // 3))
+
+        self.check(fault=cut_third)
+
+    def test_slow_nodes(self) -> None:
+        # Guards against transfers that wait for nodes short of processor time.
+        def slow_down(mesh: BundleMesh) -> None:
+            names = sorted(mesh.nodes.keys() - set(mesh.readers()))
+            for name in mesh.rng.sample(names, 5):
+                mesh.nodes[name].delay_s = 0.6
+
+        self.check(fault=slow_down)
+
+    def test_nodes_that_were_paused(self) -> None:
+        # Guards against nodes that are back with their links, but not with a bundle.
+        def pause(mesh: BundleMesh) -> None:
+            names = set(mesh.rng.sample(sorted(mesh.nodes), len(mesh.nodes) // 5))
+            mesh.cut(lambda a, b: a.name in names or b.name in names, PAUSE_S)
+
+        self.check(fault=pause)
+
+
 class RenewedNodesTest(unittest.TestCase):
     """Nodes that have lost their links or their bundle, all at the same time."""
 
--- a/tests/test_hosted/test_reader_order.py
+++ b/tests/test_hosted/test_reader_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from marigoldchute.hosted.reader_duty import NUM_READERS
@@ -48,8 +49,10 @@
             self.assertEqual(len({m.data_centre for m in first}), expected)
 
     def test_members_without_a_known_rate_are_alike(self) -> None:
-        members = make_members("abc", link_mbps=0.0)
-        self.assertEqual(len(reader_order(members)), 3)
+        members = make_members("aaabc", link_mbps=0.0)
+        known = [dataclasses.replace(m, link_mbps=5.0) for m in members]
+        names = [m.name for m in reader_order(members)]
+        self.assertEqual(names, [m.name for m in reader_order(known)])
         mixed = members + make_members("a", link_mbps=10.0)
         self.assertEqual(reader_order(mixed)[0].link_mbps, 10.0)
 
