Carry customers, warm-up rates and allowed regions in bundles

The configuration may now hold customers with keys and quotas, public routes, allowed regions and the request rate of cold backend servers. They are decoded into the bundle, of which nodes exchange differences; keys are kept as digests only. The settings give the bounds that go with them, the memory and the descriptors of the process and the region of each data centre. Nothing uses them yet.

--- a/marigoldchute/bundle/model.py
+++ b/marigoldchute/bundle/model.py
@@ -93,6 +93,11 @@
         Names of services of the same bundle that its backend servers call.
     max_connections : int
         Connections that each backend server accepts; 0 for the announced number.
+    warmup_s : float
+        Time for which a backend server is cold after its start, in seconds; 0 when
+        its backend servers need no warm-up.
+    warmup_requests_per_s : float
+        Requests per second that a cold backend server tolerates; 0 for no limit.
     """
 
     name: str
@@ -100,6 +105,8 @@
     internal: bool = False
     depends_on: tuple[str, ...] = ()
     max_connections: int = 0
+    warmup_s: float = 0.0
+    warmup_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,6 +158,10 @@
     unknown_kind : str
         Kind of the route in the platform's configuration if this build does not know
         it; its requests are executed at most once. Empty otherwise.
+    regions : tuple of str
+        Regions in which requests may be served; empty for all.
+    is_public : bool
+        Whether requests need no key although the bundle has customers.
     """
 
     name: str
@@ -166,6 +177,36 @@
     repeatable: bool | None = None
     objective_ms: int = 0
     unknown_kind: str = ""
+    regions: tuple[str, ...] = ()
+    is_public: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Customer:
+    """Customer whose callers identify themselves with keys.
+
+    Parameters
+    ----------
+    name : str
+        Customer name, which backend servers receive.
+    key_digests : tuple of bytes
+        Keyed digests of the customer's keys; the keys themselves are not kept.
+    priority : int or None
+        Admission class of the customer's requests; None for that of the route.
+    rate_per_s : float
+        Requests per second that all nodes together may run; 0 for no limit.
+    burst : float
+        Requests beyond the rate that may run at once.
+    regions : tuple of str
+        Regions in which the customer's requests may be served; empty for all.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,12 +232,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class BundleContent:
-    """Content of a bundle, which an operator signs together with a version number."""
+    """Content of a bundle, which an operator signs together with a version number.
+
+    With at least one customer, requests need a key unless their route is public.
+    """
 
     services: tuple[Service, ...]
     routes: tuple[Route, ...]
     moves: tuple[Move, ...] = ()
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -13,6 +13,7 @@
     Bundle,
     BundleContent,
     CallerLimits,
+    Customer,
     Manifest,
     Route,
     Service,
@@ -33,13 +34,16 @@
 
 _SERVICE = "s/"
 _ROUTE = "r/"
+_CUSTOMER = "c/"
 _LIMITS = "limits"
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODE_SERVICE = msgspec.msgpack.Decoder(Service)
 _DECODE_ROUTE = msgspec.msgpack.Decoder(Route)
+_DECODE_CUSTOMER = msgspec.msgpack.Decoder(Customer)
 _DECODE_LIMITS = msgspec.msgpack.Decoder(CallerLimits)
 
 Items = dict[str, bytes]
+Item = Service | Route | Customer | CallerLimits
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,7 +57,7 @@
     version : int
         Version assigned by the operator.
     items : dict of str to bytes
-        Encoded services, routes and limits by key.
+        Encoded services, routes, customers and limits by key.
     hops : int
         Number of transfers between nodes since it was read from the store.
     age_ms : int
@@ -102,6 +106,8 @@
     items = {_SERVICE + s.name: _ENCODER.encode(s) for s in content.services}
     for route in content.routes:
         items[_ROUTE + route.name] = _ENCODER.encode(route)
+    for customer in content.customers:
+        items[_CUSTOMER + customer.name] = _ENCODER.encode(customer)
     items[_LIMITS] = _ENCODER.encode(content.limits)
     return Snapshot(revision, version, items)
 
@@ -114,9 +120,7 @@
     """
 
     def __init__(self) -> None:
-        self._decoded: dict[
-            str, tuple[bytes, Service | Route | CallerLimits | None]
-        ] = {}
+        self._decoded: dict[str, tuple[bytes, Item | None]] = {}
 
     def decode(self, items: Items) -> BundleContent:
         """Decode the content of a bundle from its items.
@@ -128,8 +132,9 @@
         """
         services: list[Service] = []
         routes: list[Route] = []
+        customers: list[Customer] = []
         limits = CallerLimits()
-        decoded: dict[str, tuple[bytes, Service | Route | CallerLimits | None]] = {}
+        decoded: dict[str, tuple[bytes, Item | None]] = {}
         for key, data in items.items():
             known = self._decoded.get(key)
             if known is not None and known[0] == data:
@@ -141,18 +146,24 @@
                 routes.append(value)
             elif isinstance(value, Service):
                 services.append(value)
+            elif isinstance(value, Customer):
+                customers.append(value)
             elif value is not None:
                 limits = value
         self._decoded = decoded
-        return BundleContent(tuple(services), tuple(routes), (), limits)
+        return BundleContent(
+            tuple(services), tuple(routes), (), limits, tuple(customers)
+        )
 
 
-def _decode_item(key: str, data: bytes) -> Service | Route | CallerLimits | None:
+def _decode_item(key: str, data: bytes) -> Item | None:
     try:
         if key.startswith(_SERVICE):
             return _DECODE_SERVICE.decode(data)
         if key.startswith(_ROUTE):
             return _DECODE_ROUTE.decode(data)
+        if key.startswith(_CUSTOMER):
+            return _DECODE_CUSTOMER.decode(data)
         if key == _LIMITS:
             return _DECODE_LIMITS.decode(data)
     except (msgspec.DecodeError, RecursionError) as exc:
--- a/marigoldchute/hosted/settings.py
+++ b/marigoldchute/hosted/settings.py
@@ -25,12 +25,28 @@
         Additional retries that all nodes together may make in a window.
     retry_window_s : float
         Length of the retry window.
+    warmup_overshoot, warmup_slack : float
+        A cold backend server may get ``warmup_overshoot`` times its tolerated rate
+        and ``warmup_slack`` requests in any second.
+    evacuation_s : float
+        Time in which an evacuated data centre must stop getting requests; 0 when data
+        centres cannot be evacuated.
+    quota_window_s : float
+        Length of the windows in which customers' requests are limited.
+    quota_overshoot, quota_slack : float
+        Ratio and number of requests by which a window may exceed a customer's quota.
     """
 
     grace_s: float = 6.0
     retry_share: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    warmup_overshoot: float = 1.0
+    warmup_slack: float = 0.0
+    evacuation_s: float = 0.0
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +89,12 @@
         Limits that the mesh guarantees.
     link_mbps : float
         Rate of the VM's connection to the network in megabits a second; 0 if unknown.
+    memory_mb : float
+        Memory that the process may use in megabytes; 0 if unknown.
+    max_descriptors : int
+        File descriptors that the process may open; 0 if unknown.
+    region_by_data_centre : dict of str to str
+        Region of each data centre.
     """
 
     name: str
@@ -90,6 +112,9 @@
     report_interval_ms: int
     bounds: Bounds = Bounds()
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    region_by_data_centre: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def parse_endpoint(field: str, text: object) -> Endpoint:
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marigoldchute.bundle.customer_keys import digest_key
 from marigoldchute.bundle.limits import (
     MAX_ATTEMPTS,
     MAX_PRIORITY,
@@ -17,6 +18,7 @@
 from marigoldchute.bundle.model import (
     BundleContent,
     CallerLimits,
+    Customer,
     Route,
     RoutePart,
     Service,
@@ -48,6 +50,8 @@
     target_latency_ms: float = 0.0
     service: str = ""
     weighted_services: list[_Part] = []
+    allowed_regions: list[str] = []
+    public: bool = False
 
 
 class _Host(msgspec.Struct, frozen=True):
@@ -59,6 +63,17 @@
     name: str
     # Limit of each backend server, for all callers together.
     max_connections: int = 0
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class _Customer(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -73,6 +88,7 @@
     services: list[_Service]
     virtual_hosts: list[_Host]
     limits: _Limits
+    tenants: list[_Customer] = []
 
 
 class PlatformBundleApi:
@@ -97,7 +113,13 @@
 
 def _to_content(configuration: _Configuration) -> BundleContent:
     services = tuple(
-        Service(s.name, "", max_connections=s.max_connections)
+        Service(
+            s.name,
+            "",
+            max_connections=s.max_connections,
+            warmup_s=max(0.0, s.warmup_s),
+            warmup_requests_per_s=max(0.0, s.warmup_per_s),
+        )
         for s in configuration.services
     )
     hosts = configuration.virtual_hosts
@@ -118,6 +140,19 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        tuple(_to_customer(customer) for customer in configuration.tenants),
+    )
+
+
+def _to_customer(customer: _Customer) -> Customer:
+    priority = customer.priority
+    return Customer(
+        customer.name,
+        tuple(digest_key(key.encode()) for key in customer.api_keys),
+        None if priority is None else _clamp(priority, 0, MAX_PRIORITY),
+        max(0.0, customer.rate_per_s),
+        max(0.0, customer.burst),
+        tuple(customer.allowed_regions),
     )
 
 
@@ -157,6 +192,8 @@
         path.route_kind in REPEATABLE_ROUTE_KINDS,
         _clamp(int(path.target_latency_ms), 0, MAX_TIMEOUT_MS),
         "" if path.route_kind in ROUTE_KINDS else path.route_kind,
+        tuple(path.allowed_regions),
+        path.public,
     )
 
 
--- a/marigoldchute/platform/settings.py
+++ b/marigoldchute/platform/settings.py
@@ -26,6 +26,9 @@
     echoes_request_id=True,
     expected_server=b"expected-instance",
     caller_service=b"caller-service",
+    customer=b"tenant-id",
+    authorization=b"authorization",
+    warmup=b"warmup-ms",
     forwards_given_id=True,
     accepts_unframed=True,
     misdirected_status=421,
@@ -50,7 +53,9 @@
     app_addr: str
     service: str
     platform: _Store
-    limits: Any = None  # Not needed to start, so not checked here.
+    # Not needed to start, so not checked here.
+    limits: Any = None
+    zones: Any = None
 
 
 def settings_path() -> str:
@@ -135,13 +140,23 @@
         ),
         decoded.heartbeat_ms,
         _parse_bounds(decoded.bounds, source),
-        _parse_rate(decoded.limits),
+        _parse_limit(decoded.limits, "link_mbps"),
+        _parse_limit(decoded.limits, "memory_mb"),
+        int(_parse_limit(decoded.limits, "max_fds")),
+        _parse_regions(decoded.zones),
     )
 
 
-def _parse_rate(limits: object) -> float:
-    """Return the rate of the VM's connection, 0 for none or one that is no number."""
-    value = limits.get("link_mbps") if isinstance(limits, dict) else None
+def _parse_regions(regions: object) -> dict[str, str]:
+    """Return the region of each data centre; entries of other types are left out."""
+    if not isinstance(regions, dict):
+        return {}
+    return {k: v for k, v in regions.items() if isinstance(v, str)}
+
+
+def _parse_limit(limits: object, name: str) -> float:
+    """Return a limit of the VM, 0 for a missing one or one that is no number."""
+    value = limits.get(name) if isinstance(limits, dict) else None
     if isinstance(value, int | float) and math.isfinite(value):
         return max(0.0, float(value))
     return 0.0
@@ -161,4 +176,10 @@
         values.get("retry_ratio", defaults.retry_share),
         values.get("retry_slack", defaults.retry_slack),
         values.get("budget_window_s", defaults.retry_window_s),
+        values.get("warmup_overshoot", defaults.warmup_overshoot),
+        values.get("warmup_slack", defaults.warmup_slack),
+        values.get("evacuate_ms", 0.0) / 1000,
+        values.get("quota_window_s", defaults.quota_window_s),
+        values.get("quota_overshoot", defaults.quota_overshoot),
+        values.get("quota_slack", defaults.quota_slack),
     )
--- a/marigoldchute/routing/dialect.py
+++ b/marigoldchute/routing/dialect.py
@@ -36,6 +36,14 @@
     nested_id_separator : str
         Text between the id of a request and the rest of the id of a call that its
         backend server makes for it; empty when the ids of calls are unrelated.
+    customer : bytes
+        Header with the name of the customer; set by the entry node only, in bundles
+        with customers.
+    authorization : bytes
+        Header with a caller's key, which is not forwarded in bundles with customers.
+    warmup : bytes
+        Header of health responses with the milliseconds that a backend server stays
+        cold.
     """
 
     deadline: bytes = b"marigoldchute-deadline-ms"
@@ -48,6 +56,9 @@
     accepts_unframed: bool = False
     misdirected_status: int = 0
     nested_id_separator: str = ""
+    customer: bytes = b""
+    authorization: bytes = b""
+    warmup: bytes = b""
 
     @property
     def mesh_request_headers(self) -> frozenset[bytes]:
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -38,6 +38,10 @@
         Time left until the latency objective of the route; 0 when it has none.
     is_nested : bool
         Whether a request that runs on the entry node's backend server makes this one.
+    customer : str
+        Customer whose key the request has; empty without one.
+    regions : tuple of str
+        Regions in which the request may be served; empty for all.
     """
 
     request_id: str
@@ -56,6 +60,8 @@
     caller_service: str = ""
     objective_ms: int = 0
     is_nested: bool = False
+    customer: str = ""
+    regions: tuple[str, ...] = ()
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -7,12 +7,13 @@
 import unittest
 from typing import Any
 
+from marigoldchute.bundle.customer_keys import digest_key
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.errors import BundleError, MoveError, SettingsError
 from marigoldchute.events import MemoryEventLog
-from marigoldchute.hosted.catalog import Catalog, make_snapshot
+from marigoldchute.hosted.catalog import Catalog, decode_content, make_snapshot
 from marigoldchute.objectstore.documents import Document
 from marigoldchute.orders.model import OrderStage
 from marigoldchute.platform.bundle import PlatformBundleApi
@@ -68,6 +69,20 @@
                 cfg = parse_settings(make_settings(limits=limits), "f")
                 self.assertEqual(cfg.link_mbps, expected)
 
+    def test_bounds_and_limits_of_access_are_decoded(self) -> None:
+        bounds = ["evacuate_ms=5000", "warmup_overshoot=1.5", "quota_slack=20"]
+        limits = {"memory_mb": 200, "max_fds": 4100}
+        zones = {"a": "r", "b": 5}
+        cfg = parse_settings(
+            make_settings(bounds=bounds, limits=limits, zones=zones), "f"
+        )
+        self.assertEqual(cfg.bounds.evacuation_s, 5.0)
+        self.assertEqual(cfg.bounds.warmup_overshoot, 1.5)
+        self.assertEqual(cfg.bounds.quota_slack, 20.0)
+        self.assertEqual((cfg.memory_mb, cfg.max_descriptors), (200.0, 4100))
+        self.assertEqual(cfg.region_by_data_centre, {"a": "r"})
+        self.assertEqual(parse_settings(make_settings(), "f").bounds.evacuation_s, 0.0)
+
     def test_invalid_settings_raise_an_error_with_its_code(self) -> None:
         cases = [b"{", make_settings(app_addr="nowhere"), make_settings(listen={})]
         cases += [make_settings(internal_port_range=[1]), make_settings(node=5)]
@@ -197,6 +212,35 @@
             (MAX_PRIORITY, MAX_ATTEMPTS, MAX_TIMEOUT_MS, 0),
         )
 
+    def test_access_and_warmup_are_decoded(self) -> None:
+        # Guards against a node that serves a customer without its limits, or that
+        # keeps a key.
+        configuration = make_configuration()
+        configuration["services"][0] |= {"warmup_s": 3.0, "warmup_per_s": 8.0}
+        path = configuration["virtual_hosts"][0]["paths"][0]
+        path |= {"allowed_regions": ["east"], "public": True}
+        configuration["tenants"] = [
+            {
+                "name": "shop",
+                "api_keys": ["secret-key"],
+                "priority": 2,
+                "rate_per_s": 316,
+                "burst": 20,
+            },
+            {"name": "free"},
+        ]
+        content = self.decode(configuration)[1]
+        self.assertEqual(content.services[0].warmup_requests_per_s, 8.0)
+        self.assertEqual(content.routes[0].regions, ("east",))
+        self.assertTrue(content.routes[0].is_public)
+        shop, free = content.customers
+        self.assertEqual(shop.key_digests, (digest_key(b"secret-key"),))
+        self.assertNotIn("secret", repr(shop))
+        self.assertEqual((shop.priority, shop.rate_per_s, shop.burst), (2, 316, 20))
+        self.assertEqual((free.priority, free.rate_per_s, free.regions), (None, 0, ()))
+        snapshot = make_snapshot(1, 1, content)
+        self.assertEqual(decode_content(snapshot.items), content)
+
     def test_route_without_a_service_is_malformed(self) -> None:
         value = make_configuration()
         del value["virtual_hosts"][0]["paths"][0]["service"]
