Let simulated meshes take the same course in each run

test_nodes_that_were_paused failed once beside other load and passed afterwards. Trio runs the tasks that are ready at the same time in a random order without a public seed, and the order of sets of strings differs between processes, so each run of a simulated mesh took another course. The simulated time itself does not read the clock.

Simulated meshes now seed the order of tasks, and test processes get a hash seed.

--- a/tests/support/bundle_mesh.py
+++ b/tests/support/bundle_mesh.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING, Any
 
 import trio
-from trio.testing import MockClock
 
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.model import BundleContent, Route, Service
@@ -31,6 +30,7 @@
 from marigoldchute.overlay.flooding import Flooding
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.settings import STORE_TIMEOUT_MS
+from tests.support.simulation import run_simulated
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -258,6 +258,7 @@
         seed: int,
         link_mbps: Callable[[int], float] = lambda index: 0.0,
     ) -> None:
+        self._seed = seed
         self.rng = random.Random(seed)
         self.revision = 1
         self.contents = {self.revision: CONTENT}
@@ -311,7 +312,7 @@
                 await scenario(self)
                 nursery.cancel_scope.cancel()
 
-        trio.run(main, clock=MockClock(autojump_threshold=0))
+        run_simulated(main, self._seed)
 
     def latency_s(self, node: Node, to: Node) -> float:
         same = node.member.region == to.member.region
@@ -355,7 +356,7 @@
 
     def restart(self, names: Iterable[str]) -> None:
         """End the processes of nodes; new ones start at once, without a bundle."""
-        names = set(names)
+        names = dict.fromkeys(names)  # In their order, unlike a set.
         for name in names:
             old = self.nodes[name]
             old.scope.cancel()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+SEED_VARIABLE = "MARIGOLDCHUTE_SEED"
 TEST_DIRECTORY = "tests"
 MESH_SUPPORT_MODULES = (
     "tests.support.meshes",
@@ -88,6 +89,9 @@
             text=True,
             errors="replace",
             start_new_session=True,
+            # Otherwise the order of sets, and so the course of a simulation, differs
+            # between two runs.
+            env={**os.environ, "PYTHONHASHSEED": os.environ.get(SEED_VARIABLE, "1")},
         )
         process_error = ""
         try:
