Evacuate data centres by an object in the store

An operator needs to take the backend servers of a data centre out of service without touching its nodes. Readers follow the object kind evacuations as one more topic, first in the order of a start, and write each evacuation and its end to replicated records, ranked by the position of the store. Entries leave the servers there out of their candidates, owners there refuse new and waiting requests as not run (514), and a new process sends nothing before it knows the evacuations.

--- a/marigoldchute/admin/metrics.py
+++ b/marigoldchute/admin/metrics.py
@@ -40,6 +40,8 @@
         Number of requests whose connection ended without a complete response, by cause.
     drain_s : float
         Seconds since the start of the drain; 0 when there is none.
+    gauges : mapping of str to float
+        Additional present values by name, such as ``evacuated_data_centres``.
     """
 
     store_calls: int
@@ -47,6 +49,7 @@
     counters: Mapping[str, int] = dataclasses.field(default_factory=dict)
     cut_requests: Mapping[str, int] = dataclasses.field(default_factory=dict)
     drain_s: float = 0.0
+    gauges: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,6 +108,8 @@
         yield from _resource_metrics(snapshot.stats, snapshot.counts.store_calls)
         for name, count in sorted(snapshot.counts.counters.items()):
             yield _counter(name, f"Number of {name.replace('_', ' ')}.", count)
+        for name, value in sorted(snapshot.counts.gauges.items()):
+            yield _gauge(name, f"Number of {name.replace('_', ' ')}.", value)
         if snapshot.counts.cut_requests:
             yield from _drain_metrics(snapshot.counts)
         if snapshot.counts.latencies:
--- a/marigoldchute/errors.py
+++ b/marigoldchute/errors.py
@@ -18,6 +18,7 @@
     SETTINGS_INVALID = 101
     SETTINGS_UNREADABLE = 102
     ARGUMENT_INVALID = 103
+    EVACUATION_INVALID = 104
     BUNDLE_MALFORMED = 201
     BUNDLE_REFERENCE_MISSING = 202
     BUNDLE_REFERENCE_CYCLE = 203
@@ -64,6 +65,7 @@
     REQUEST_OUTCOME_UNKNOWN_DEADLINE = 511
     REQUEST_CANCELLED = 512
     REQUEST_NOT_RUN_FENCED = 513
+    REQUEST_NOT_RUN_EVACUATED = 514
     REQUEST_MALFORMED = 520
     REQUEST_TOO_LARGE = 521
     REQUEST_SENDER_TIMEOUT = 522
@@ -121,6 +123,12 @@
     code = ResultCode.BUNDLE_MALFORMED
 
 
+class EvacuationError(MarigoldchuteError):
+    """An evacuation in the store is invalid and changes nothing."""
+
+    code = ResultCode.EVACUATION_INVALID
+
+
 class PlatformError(MarigoldchuteError):
     """A call to the platform's object API failed."""
 
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -13,6 +13,7 @@
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.discovery import Discovery
 from marigoldchute.hosted.drain import DrainStage, NodeDrain
+from marigoldchute.hosted.evacuation import EvacuationBook, EvacuationTopic
 from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import StoreReader
 from marigoldchute.hosted.reader_duty import ReaderDuty
@@ -50,6 +51,7 @@
     from marigoldchute.bundle.model import Bundle
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.bundle_topic import BundleApi
+    from marigoldchute.hosted.evacuation import EvacuationApi
     from marigoldchute.hosted.node_entry import Leave
     from marigoldchute.hosted.reader import Topic
     from marigoldchute.hosted.settings import HostedSettings
@@ -104,6 +106,10 @@
     def orders(self) -> OrderApi:
         """Access to the orders in the store."""
 
+    @property
+    def evacuations(self) -> EvacuationApi:
+        """Access to the evacuations in the store."""
+
     @property
     def store(self) -> DocumentStore:
         """The platform's store."""
@@ -225,6 +231,15 @@
         bundles = BundleTopic(adapter.bundles, self._catalog, self._rejections, log)
         # Without the orders a bundle does not tell which release to serve.
         topics: list[Topic] = [self._driver, bundles]
+        self._evacuations = EvacuationBook(table, log, cfg.bounds.evacuation_s > 0)
+        if cfg.bounds.evacuation_s > 0:
+            # A node that has just started must know them before it sends requests.
+            topics.insert(
+                0,
+                EvacuationTopic(
+                    adapter.evacuations, self._evacuations, self._rejections, log
+                ),
+            )
         self._reader = StoreReader(
             adapter.store, topics, self._reader_duty, self._overlay, handlers, log, rng
         )
@@ -258,7 +273,9 @@
                 lambda: len(self.directory.reachable()),
             ),
             lambda: self._current_settings().service,
+            self._evacuations,
         )
+        self._evacuations.on_change.append(self._apply_evacuations)
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
             self._registry,
@@ -283,7 +300,11 @@
 
     def is_ready(self) -> bool:
         """Return whether this node is ready for requests of callers."""
-        return self._in_force.bundle is not None and not self._draining
+        return (
+            self._in_force.bundle is not None
+            and not self._draining
+            and self._evacuations.is_known
+        )
 
     def _current_settings(self) -> HostedSettings:
         self.refresh_settings()
@@ -399,6 +420,8 @@
             await trio.sleep_until(due_at)
             now = trio.current_time()
             self._registry.expire(now, now - due_at)
+            if self._in_force.bundle is not None:
+                self._evacuations.check_overdue(now)
 
     def _metrics_snapshot(self) -> NodeSnapshot:
         from marigoldchute.admin.metrics import MoveShare, NodeCounts, NodeSnapshot
@@ -433,9 +456,13 @@
                         self.entry.refused_while_draining
                         + self._owner.refused_while_draining
                     ),
+                    "requests_refused_while_evacuated": (
+                        self._owner.refused_while_evacuated
+                    ),
                 },
                 {cause.value: callers.cut_counts[cause] for cause in CutCause},
                 drain_s,
+                {"evacuated_data_centres": len(self._evacuations.evacuated)},
             ),
         )
 
@@ -449,6 +476,11 @@
         )
         self._registry.refresh_limits()
 
+    def _apply_evacuations(self) -> None:
+        data_centre = self._cfg.data_centre
+        self._owner.set_evacuated(self._evacuations.is_evacuated(data_centre))
+        self.entry.handle_evacuations_change()
+
     def _max_connections(self, service: str) -> int:
         bundle = self._in_force.bundle
         if bundle is None:
--- a/marigoldchute/hosted/record_checks.py
+++ b/marigoldchute/hosted/record_checks.py
@@ -9,6 +9,12 @@
 
 from marigoldchute.bundle.limits import MAX_WALL_CLOCK_MS
 from marigoldchute.errors import MarigoldchuteError
+from marigoldchute.hosted.evacuation import (
+    LIST_KEY,
+    MAX_NAME_LENGTH,
+    decode_evacuation,
+    decode_list,
+)
 from marigoldchute.hosted.registry import decode_leave, decode_server
 from marigoldchute.hosted.settings import MAX_PORT
 from marigoldchute.membership.claims import decode_member
@@ -22,6 +28,7 @@
     from marigoldchute.membership.model import BackendServer
     from marigoldchute.overlay.records import Record, RecordTable
 
+MAX_POSITION = 2**63 - 1  # Of the store; a record above it could not be replaced.
 DECODE_ERRORS = (
     msgspec.DecodeError,
     ValueError,
@@ -38,6 +45,8 @@
         RecordKind.LEAVING: _is_leave_valid,
         RecordKind.VM_SERVER: _is_vm_server_valid,
         RecordKind.ORDER: _is_order_valid,
+        RecordKind.EVACUATION: _is_evacuation_valid,
+        RecordKind.EVACUATION_LIST: _is_evacuation_list_valid,
     }
     for kind, check in checks.items():
         table.register_validator(kind, _guard(check))
@@ -90,3 +99,21 @@
         and 0.0 <= state.share <= 1.0
         and state.duration_s > 0.0
     )
+
+
+def _is_evacuation_valid(record: Record) -> bool:
+    is_active = decode_evacuation(record)
+    return (
+        0 < len(record.key) <= MAX_NAME_LENGTH
+        and 0 <= record.rank[0] <= MAX_POSITION
+        and record.rank[1] == int(is_active)
+    )
+
+
+def _is_evacuation_list_valid(record: Record) -> bool:
+    names = decode_list(record)
+    return (
+        record.key == LIST_KEY
+        and 0 <= record.rank[0] <= MAX_POSITION
+        and all(0 < len(name) <= MAX_NAME_LENGTH for name in names)
+    )
--- a/marigoldchute/overlay/records.py
+++ b/marigoldchute/overlay/records.py
@@ -33,6 +33,8 @@
     ORDER = 7
     ORDER_FAULT = 8
     VM_SERVER = 9
+    EVACUATION = 10
+    EVACUATION_LIST = 11
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/platform/adapter.py
+++ b/marigoldchute/platform/adapter.py
@@ -6,6 +6,7 @@
 
 from marigoldchute.platform.bundle import PlatformBundleApi
 from marigoldchute.platform.control import ControlApi
+from marigoldchute.platform.evacuations import PlatformEvacuationApi
 from marigoldchute.platform.orders import PlatformOrderApi
 from marigoldchute.platform.settings import DIALECT
 from marigoldchute.platform.store import PlatformDocumentStore
@@ -43,6 +44,10 @@
         self.store = PlatformDocumentStore(cfg.store, rng, cfg.address, log)
         self.bundles = PlatformBundleApi()
         self.orders = PlatformOrderApi(self.store)
+        data_centres = cfg.region_by_data_centre.keys()
+        self.evacuations = PlatformEvacuationApi(
+            {*data_centres, cfg.data_centre} if data_centres else ()
+        )
 
     def control_handlers(
         self,
--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -137,9 +137,13 @@
     def drain(self) -> None:
         """Refuse new and waiting requests, so that they are retried elsewhere."""
         self.draining = True
+        self.refuse_waiting(ResultCode.REQUEST_NOT_RUN_DRAINING)
+
+    def refuse_waiting(self, code: ResultCode) -> None:
+        """Refuse the waiting requests."""
         for queue in self._queues:
             while queue:
-                self._refuse(queue.pop(0), ResultCode.REQUEST_NOT_RUN_DRAINING)
+                self._refuse(queue.pop(0), code)
 
     def try_acquire_slot(self) -> bool:
         """Acquire a slot if one is free and no request waits; return whether it did.
--- a/marigoldchute/routing/candidates.py
+++ b/marigoldchute/routing/candidates.py
@@ -5,10 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from marigoldchute.routing.evacuation import NO_EVACUATIONS
 from marigoldchute.routing.target import ServiceLoad, Target
 
 if TYPE_CHECKING:
     from marigoldchute.membership.model import Member, Members
+    from marigoldchute.routing.evacuation import Evacuations
 
 REBUILD_INTERVAL_S = 0.1
 
@@ -47,10 +49,16 @@
     ----------
     members : Members
         Members of the mesh.
+    evacuations : Evacuations
+        Data centres whose backend servers are no candidates.
     """
 
-    def __init__(self, members: Members) -> None:
+    def __init__(
+        self, members: Members, evacuations: Evacuations = NO_EVACUATIONS
+    ) -> None:
         self._members = members
+        self._evacuations = evacuations
+        self._evacuated: set[tuple[str, str]] = set()
         self._tables: dict[tuple[str, str], Candidates] = {}
         self._targets: dict[tuple[str, int, str, str], Target] = {}
         self._loads: dict[tuple[str, str], ServiceLoad] = {}
@@ -79,6 +87,10 @@
             matches = self._tables.get((service, release))
         return matches or NO_CANDIDATES
 
+    def is_evacuated(self, service: str, release: str) -> bool:
+        """Return whether an evacuated data centre has backend servers of a release."""
+        return (service, release) in self._evacuated
+
     def _load_of(self, release_key: tuple[str, str]) -> ServiceLoad:
         load = self._loads.get(release_key)
         if load is None:
@@ -90,12 +102,17 @@
         self._built_at = now
         targets: dict[tuple[str, int, str, str], Target] = {}
         by_release: dict[tuple[str, str], list[Target]] = {}
+        self._evacuated = set()
         for member in self._members.all():
             if not member.accepts_requests:
                 continue
+            is_evacuated = self._evacuations.is_evacuated(member.data_centre)
             for server in member.servers:
                 if server.draining:
                     continue
+                if is_evacuated:
+                    self._evacuated.add((server.service, server.release))
+                    continue
                 key = (
                     member.name,
                     member.incarnation,
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -35,6 +35,14 @@
 
 OPEN_LINK_TIMEOUT_S = 1.0
 UNREACHABLE_BACKOFF_S = 1.0
+# Refusals that last until the node learns of their cause, which takes less than the
+# pause of a target that cannot be reached.
+LASTING_CODES = frozenset(
+    {
+        ResultCode.REQUEST_NOT_RUN_DRAINING,
+        ResultCode.REQUEST_NOT_RUN_EVACUATED,
+    }
+)
 
 
 class Dispatcher:
@@ -213,7 +221,7 @@
 
 
 def _handle_refusal(target: Target, exc: NotRunError) -> None:
-    if exc.code in SHED_CODES:
-        target.back_off(trio.current_time())
-    elif exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+    if exc.code in LASTING_CODES:
         target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+    elif exc.code in SHED_CODES:
+        target.back_off(trio.current_time())
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -16,11 +16,12 @@
 )
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
-from marigoldchute.routing.candidates import CandidateTables
+from marigoldchute.routing.candidates import NO_CANDIDATES, CandidateTables
 from marigoldchute.routing.choice import PickInfo
 from marigoldchute.routing.cut import CutCause, cause_of_partial
 from marigoldchute.routing.dialect import DEFAULT_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
+from marigoldchute.routing.evacuation import NO_EVACUATIONS
 from marigoldchute.routing.failure import error_to_report, outcome_of
 from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import encode_request_headers, parse_deadline_ms
@@ -49,6 +50,7 @@
     from marigoldchute.routing.choice import Chooser
     from marigoldchute.routing.cut import Cut
     from marigoldchute.routing.dialect import Dialect
+    from marigoldchute.routing.evacuation import Evacuations
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.outcomes import OutcomeSink
     from marigoldchute.routing.owner import Owner
@@ -65,6 +67,8 @@
 MIN_REMAINING_TIME_RATIO = 0.15
 # Each refusal costs one hop, and a fourth attempt rarely finds a slot in time.
 MAX_REFUSED_ATTEMPTS = 3
+# An evacuation lasts for longer than any wait that callers are told.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 def _no_service() -> str:
@@ -105,6 +109,8 @@
     caller_service : callable
         Returns the service on this VM, which is sent to backend servers as the
         caller's service.
+    evacuations : Evacuations
+        Data centres whose backend servers get no requests.
 
     Attributes
     ----------
@@ -130,15 +136,17 @@
         policy: PathPolicy = STREAMING_POLICY,
         retry_budget: RetryLimit | None = None,
         caller_service: Callable[[], str] = _no_service,
+        evacuations: Evacuations = NO_EVACUATIONS,
     ) -> None:
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
         self.refused_while_draining = 0
-        self.candidate_tables = CandidateTables(members)
+        self.candidate_tables = CandidateTables(members, evacuations)
         self.retry_budget: RetryLimit = retry_budget or RetryBudget(
             RETRY_RATIO, MIN_RETRIES_PER_S, RETRY_BURST
         )
         self._routes: RouteTable | None = None
+        self._evacuations = evacuations
         self._splits = splits
         self._members = members
         self._chooser = chooser
@@ -158,7 +166,14 @@
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
-        self._first_bundle.on_bundle()
+        if self._evacuations.is_known:
+            self._first_bundle.on_bundle()
+
+    def handle_evacuations_change(self) -> None:
+        """Apply a change of the evacuated data centres to the next attempts."""
+        self.candidate_tables.mark_stale()
+        if self._routes is not None and self._evacuations.is_known:
+            self._first_bundle.on_bundle()
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
         """Handle a request from a caller outside the mesh."""
@@ -180,7 +195,7 @@
         call = None
         outcome = Outcome.OK
         try:
-            if self._routes is None:
+            if self._routes is None or not self._evacuations.is_known:
                 await self._first_bundle.wait(req, received_at)
             call = self._make_call(req, responder, internal, received_at)
             await self._execute_call(call)
@@ -280,6 +295,10 @@
             raise NotRunError(
                 "no bundle in force", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
             )
+        if not self._evacuations.is_known:
+            raise NotRunError(
+                "evacuations are not known yet", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
+            )
         entry = self._routes.find(req.target, req.header(b"host") or b"")
         if entry is None:
             raise NotRunError(
@@ -387,11 +406,22 @@
             target = self._chooser.choose(
                 candidates, call.attempted, now, now_ms, pick_info
             )
+        if target is None and self._is_evacuated(call, candidates):
+            raise NotRunError(
+                f"data centres with {service!r} {call.release!r} are evacuated",
+                ResultCode.REQUEST_NOT_RUN_EVACUATED,
+                EVACUATED_RETRY_AFTER_S,
+            )
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.attempted.add(target)
         return target, candidates
 
+    def _is_evacuated(self, call: Call, candidates: Candidates) -> bool:
+        return candidates is NO_CANDIDATES and self.candidate_tables.is_evacuated(
+            call.service.name, call.release
+        )
+
     def _fall_back_to_old_release(self, call: Call, now_ms: int) -> bool:
         """Switch to the old release if the new one has no backend server at all.
 
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -90,6 +90,8 @@
         Number of requests of other nodes that wait or run here.
     refused_while_draining : int
         Number of requests that were refused because of a drain.
+    refused_while_evacuated : int
+        Number of requests that were refused because the data centre is evacuated.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -117,7 +119,9 @@
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
+        self.refused_while_evacuated = 0
         self.stop_cause: CutCause | None = None
+        self._is_evacuated = False
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -160,6 +164,16 @@
         for owned in self._owned.values():
             owned.gate.drain()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Refuse new and waiting requests while the data centre is evacuated.
+
+        Requests that run end as usual.
+        """
+        self._is_evacuated = is_evacuated
+        if is_evacuated:
+            for owned in self._owned.values():
+                owned.gate.refuse_waiting(ResultCode.REQUEST_NOT_RUN_EVACUATED)
+
     async def wait_idle(self) -> None:
         """Wait until no request runs on a backend server of this VM."""
         while self.running:
@@ -243,6 +257,7 @@
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
         self._check_stop_window(head.remaining_ms / 1000, trio.current_time())
+        self._check_evacuation()
         owned = self._find(head.server_id)
         if owned is None:
             raise NotRunError("backend server is not on this VM")
@@ -261,6 +276,12 @@
             if is_cancelled(exc):
                 self._log_abandoned(head, exchange, "connection")
             raise
+        try:
+            self._check_evacuation()  # It may have begun during the waits.
+        except NotRunError:
+            owned.pool.release(conn, trio.current_time())
+            gate.release_slot()
+            raise
         attempt = BackendAttempt(
             head,
             exchange,
@@ -311,6 +332,8 @@
         except NotRunError as exc:
             if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
                 self.refused_while_draining += 1
+            elif exc.code is ResultCode.REQUEST_NOT_RUN_EVACUATED:
+                self.refused_while_evacuated += 1
             raise
         except trio.Cancelled:
             self._log_abandoned(head, exchange, "slot")
@@ -327,6 +350,14 @@
             self.refused_while_draining += 1
             raise
 
+    def _check_evacuation(self) -> None:
+        if self._is_evacuated:
+            self.refused_while_evacuated += 1
+            raise NotRunError(
+                "data centre of the backend server is evacuated",
+                ResultCode.REQUEST_NOT_RUN_EVACUATED,
+            )
+
     def _release_failed(
         self, owned: OwnedServer, attempt: BackendAttempt, cancelled: bool
     ) -> None:
--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -95,6 +95,12 @@
         self._append_event(kind, stored, False)
         return self._revision
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove a document as an operator does."""
+        stored = self._kinds[kind].pop(name)
+        self._revision += 1
+        self._append_event(kind, stored, True)
+
     def status_of(self, kind: str, name: str) -> Any:
         """Return the status of a document, None without a document or status."""
         stored = self._kinds.get(kind, {}).get(name)
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -228,6 +228,7 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
+        self.more_bounds: list[str] = []
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -254,7 +255,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 15],
             "heartbeat_ms": REPORT_INTERVAL_MS,
-            "bounds": [f"grace_s={grace_s:g}"],
+            "bounds": [f"grace_s={grace_s:g}", *self.more_bounds],
             "app_addr": f"{address}:{BACKEND_PORT}",
             "service": service,
             "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
@@ -387,10 +388,12 @@
     *services: str,
     backend_type: type[Backend] = Backend,
     more_paths: tuple[dict[str, Any], ...] = (),
+    more_bounds: tuple[str, ...] = (),
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
     mesh = HostedMesh(list(services))
     mesh.more_paths.extend(more_paths)
+    mesh.more_bounds.extend(more_bounds)
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
--- a/tests/test_hosted/test_record_checks.py
+++ b/tests/test_hosted/test_record_checks.py
@@ -49,6 +49,8 @@
         Record(RecordKind.VM_SERVER, "vm-1", (9, 0), encode(SERVER)),
         Record(RecordKind.ORDER, "turnos", (7, 1), encode(STATE)),
         Record(RecordKind.ORDER_FAULT, "turnos/v2/7", (7, 0), b"slow"),
+        Record(RecordKind.EVACUATION, "norte", (7, 1), encode([True])),
+        Record(RecordKind.EVACUATION_LIST, "all", (7, 0), encode(["norte"])),
     ]
 
 
@@ -141,6 +143,20 @@
                 self.assertEqual(stored, [False])
                 self.assertIsNone(node.directory.get("vm-9"))
 
+    def test_evacuation_that_no_later_one_could_replace_is_not_stored(self) -> None:
+        """Guards against a data centre that a peer closes for good."""
+        encode = msgspec.msgpack.encode
+        for record in (
+            Record(RecordKind.EVACUATION, "norte", (2**63, 1), encode([True])),
+            Record(RecordKind.EVACUATION, "norte", (-1, 1), encode([True])),
+            Record(RecordKind.EVACUATION, "norte", (7, 9), encode([True])),
+            Record(RecordKind.EVACUATION, "", (7, 1), encode([True])),
+            Record(RecordKind.EVACUATION_LIST, "more", (7, 0), encode(["norte"])),
+            Record(RecordKind.EVACUATION_LIST, "all", (7, 0), encode([""])),
+        ):
+            with self.subTest(record=record):
+                self.assertEqual(self.apply(record)[1], [False])
+
     @settings(derandomize=True, max_examples=600, deadline=None)
     @given(st.data())
     def test_damaged_record_is_stored_only_if_every_reader_can_read_it(
--- a/tests/test_routing/test_choice.py
+++ b/tests/test_routing/test_choice.py
@@ -8,7 +8,7 @@
 
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.routing.admission import AdmissionGate
-from marigoldchute.routing.candidates import Candidates, CandidateTables
+from marigoldchute.routing.candidates import NO_CANDIDATES, Candidates, CandidateTables
 from marigoldchute.routing.choice import NearestLeastLoaded
 from marigoldchute.routing.target import Target
 
@@ -227,6 +227,32 @@
         self.tables.mark_stale()
         self.assertEqual(len(self.tables.find("s0", "r2", 0.01).own), 1)
 
+    def test_servers_of_an_evacuated_data_centre_are_no_candidates(self) -> None:
+        """Guards against requests to a data centre that must get none."""
+
+        class FakeEvacuations:
+            is_known = True
+            evacuated: tuple[str, ...] = ()
+
+            def is_evacuated(self, data_centre: str) -> bool:
+                return data_centre in self.evacuated
+
+        evacuations = FakeEvacuations()
+        tables = CandidateTables(self.members, evacuations)
+        tables.find("s0", "r1", 0.0)
+        self.assertFalse(tables.is_evacuated("s0", "r1"))
+        evacuations.evacuated = ("dc0",)
+        tables.mark_stale()
+        candidates = tables.find("s0", "r1", 1.0)
+        self.assertEqual(candidates.data_centre, ())
+        targets = (*candidates.region, *candidates.remote)
+        self.assertNotIn("dc0", {t.member.data_centre for t in targets})
+        self.assertGreater(len(targets), 0)
+        self.assertTrue(tables.is_evacuated("s0", "r1"))
+        evacuations.evacuated = tuple(f"dc{i}" for i in range(7))
+        tables.mark_stale()
+        self.assertIs(tables.find("s0", "r1", 2.0), NO_CANDIDATES)
+
     def test_statistics_are_kept_over_rebuild_but_not_over_restart(self) -> None:
         target = self.tables.find("s0", "r1", 0.0).data_centre[0]
         self.tables.mark_stale()
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -160,6 +160,68 @@
         trio.run(main)
 
 
+class EvacuationTest(OwnerTestCase):
+    """The data centre of the VM is evacuated."""
+
+    slots = 1
+
+    def test_new_and_waiting_requests_are_refused_and_running_ones_end(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await trio.sleep(0.2)
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            running = CollectingExchange()
+            codes: list[ResultCode] = []
+
+            async def send_refused() -> None:
+                with self.assertRaises(NotRunError) as caught:
+                    await owner.execute(make_head(), CollectingExchange())
+                codes.append(caught.exception.code)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.execute, make_head(), running)
+                await trio.sleep(0.05)
+                nursery.start_soon(send_refused)
+                await trio.sleep(0.05)
+                owner.set_evacuated(True)
+                await send_refused()
+            self.assertEqual(codes, [ResultCode.REQUEST_NOT_RUN_EVACUATED] * 2)
+            self.assertEqual(owner.refused_while_evacuated, 2)
+            self.assertTrue(running.finished)
+            owner.set_evacuated(False)
+            await owner.execute(make_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
+    def test_request_that_opens_a_connection_is_refused(self) -> None:
+        """Guards against a request that is sent after a long wait to connect."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_request(stream)
+            self.fail("the backend server got a request")
+
+        async def body(owner: Owner) -> None:
+            gate = owner.gate("vm/1")
+            assert gate is not None
+
+            async def evacuate() -> None:
+                while not gate.running:
+                    await trio.lowlevel.checkpoint()
+                owner.set_evacuated(True)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(evacuate)
+                with self.assertRaises(NotRunError) as caught:
+                    await owner.execute(make_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_EVACUATED)
+            self.assertEqual(owner.running, 0)
+
+        self.run_owner(serve, body)
+
+
 class UnknownOutcomeTest(OwnerTestCase):
     def test_written_request_without_response_is_unknown(self) -> None:
         async def close(stream: trio.SocketStream) -> None:
