Limit the requests that a cold backend server gets

A cold backend server crashes at a rate well above the one it tolerates, and nothing kept requests from it. The owner, the only sender, now keeps a log of send times and sends at most warmup_per_s in a second, never above the bound of the settings, while the latest report says that the server is cold or while that is in doubt: after the start of the process, after one report interval without a request, and after a refused connection. Nodes announce a server that becomes cold again, and entries choose cold servers at their part of the rate. Off without warmup_per_s.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -41,6 +41,7 @@
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.policy import PathPolicy
 from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.routing.warmup import make_rate
 from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
     from marigoldchute.orders.driver import OrderApi
     from marigoldchute.routing.dialect import Dialect
     from marigoldchute.routing.http_server import RequestHandler
+    from marigoldchute.routing.warmup import WarmupRate
 
 # Only nodes share the network of a hosted mesh. The fixed secret only tells it apart
 # from a mesh with a configured secret.
@@ -209,6 +211,7 @@
             awaits_leaves=True,
         )
         self._registry.max_connections = self._max_connections
+        self._warmup_rates: dict[str, WarmupRate] = {}
         self._rejections = Rejections()
         self._catalog = Catalog(self._in_force, log)
         self._relay = BundleRelay(
@@ -250,8 +253,16 @@
         entry = self._discovery.entry
         entry.on_loaded = self._registry.restore_leaves
         self._owner = Owner(
-            self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
+            self.directory,
+            cfg.address,
+            adapter.dialect,
+            POLICY,
+            RequestLog(log),
+            cfg.report_interval_ms / 1000,
+            self._warmup_rate,
         )
+        self._registry.on_report = self._owner.record_report
+        self._registry.limits_warmup = self._warmup_rates.__contains__
         bounds = cfg.bounds
         self.entry = Entry(
             self._in_force,
@@ -459,10 +470,14 @@
                     "requests_refused_while_evacuated": (
                         self._owner.refused_while_evacuated
                     ),
+                    "requests_refused_while_cold": self._owner.refused_while_cold,
                 },
                 {cause.value: callers.cut_counts[cause] for cause in CutCause},
                 drain_s,
-                {"evacuated_data_centres": len(self._evacuations.evacuated)},
+                {
+                    "evacuated_data_centres": len(self._evacuations.evacuated),
+                    "limited_cold_servers": self._count_limited(),
+                },
             ),
         )
 
@@ -475,6 +490,29 @@
             bundle.content.limits, trio.current_time()
         )
         self._registry.refresh_limits()
+        bounds = self._cfg.bounds
+        self._warmup_rates.clear()
+        for service in bundle.content.services:
+            if service.warmup_requests_per_s > 0.0:
+                self._warmup_rates[service.name] = make_rate(
+                    service.warmup_requests_per_s,
+                    bounds.warmup_overshoot,
+                    bounds.warmup_slack,
+                )
+
+    def _warmup_rate(self, service: str, requests_per_s: float) -> WarmupRate | None:
+        """Return the limit of cold servers, by the entry's rate before a bundle."""
+        if self._in_force.bundle is not None:
+            return self._warmup_rates.get(service)
+        if requests_per_s <= 0.0:
+            return None
+        bounds = self._cfg.bounds
+        return make_rate(requests_per_s, bounds.warmup_overshoot, bounds.warmup_slack)
+
+    def _count_limited(self) -> int:
+        if not self._warmup_rates:
+            return 0
+        return self._owner.count_limited(trio.current_time())
 
     def _apply_evacuations(self) -> None:
         data_centre = self._cfg.data_centre
--- a/marigoldchute/hosted/registry.py
+++ b/marigoldchute/hosted/registry.py
@@ -21,6 +21,9 @@
 MAX_MISSED_REPORTS = 4
 DEFAULT_MAX_CONNECTIONS = 1_000  # Used when the bundle sets no limit for the service.
 ADOPTED_SEQUENCE = -1  # Lower than the sequence of every report.
+# Reports of one cold start differ by their delays; a change of the announcement is sent
+# to all nodes.
+WARM_AT_TOLERANCE_MS = 500
 # Two reports that are this part of the expiry time apart, half of their interval, show
 # that a server goes on reporting; reports that are late arrive together.
 CONFIRMING_SPAN = 0.125
@@ -79,6 +82,14 @@
     return _SERVER.decode(record.body)
 
 
+def _ignore_report(server_id: str, warmup_left_s: float, now: float) -> None:
+    pass
+
+
+def _is_not_limited(service: str) -> bool:
+    return False
+
+
 class LocalRegistry:
     """Tracks the backend server on this VM from reports in any order.
 
@@ -105,6 +116,15 @@
         Time without a report after which a backend server is considered gone.
     awaits_leaves : bool
         Whether ``restore_leaves`` will be called.
+
+    Attributes
+    ----------
+    on_report : callable
+        Called with the id of the server, the seconds for which it stays cold and the
+        monotonic time of each report that was applied.
+    limits_warmup : callable
+        Returns whether cold servers of a service are limited, so that other nodes have
+        to know when a server becomes cold again.
     """
 
     def __init__(
@@ -129,6 +149,8 @@
         self._goes_on_reporting = False
         self._published: tuple[BackendServer, ...] = ()
         self.max_connections: Callable[[str], int] = lambda service: 0
+        self.on_report: Callable[[str, float, float], None] = _ignore_report
+        self.limits_warmup: Callable[[str], bool] = _is_not_limited
         table.subscribe(RecordKind.LEAVING, self._handle_leave_record)
         table.subscribe(RecordKind.VM_SERVER, self._adopt_server)
 
@@ -187,6 +209,8 @@
                 release=report.release,
                 slots=report.slots,
             )
+        elif self.limits_warmup(report.service):
+            self._update_warmup(report, now_ms)
         is_leaving = report.draining or self._has_left(report.instance, report.born_ms)
         if same_incarnation and current is not None and current.draining:
             is_leaving = True
@@ -197,8 +221,27 @@
         self._publish_changes()
         if not same_incarnation:
             self._replicate_server()
+        self.on_report(_server_id(report), report.warmup_left_ms / 1000, now)
         return self._reported_leave(report)
 
+    def _update_warmup(self, report: StateReport, now_ms: int) -> None:
+        """Apply the warm-up of a server that was seen before."""
+        is_cold = report.warmup_left_ms > 0
+        warm_at_ms = now_ms + report.warmup_left_ms
+        if not is_cold and self._warm_at_ms <= now_ms + WARM_AT_TOLERANCE_MS:
+            return
+        if abs(warm_at_ms - self._warm_at_ms) <= WARM_AT_TOLERANCE_MS:
+            return
+        self._warm_at_ms = warm_at_ms
+        self._log.emit(
+            "registry",
+            "server_cold" if is_cold else "server_warm",
+            f"{report.instance} is {'cold' if is_cold else 'warm'}.",
+            instance=report.instance,
+            warmup_left_ms=report.warmup_left_ms,
+            sequence=report.sequence,
+        )
+
     def _reported_leave(self, report: StateReport) -> Leave | None:
         if report.draining or self._has_left(report.instance, report.born_ms):
             return Leave(report.instance, report.born_ms)
@@ -348,7 +391,7 @@
     def _describe(self, report: StateReport) -> BackendServer:
         connections = self.max_connections(report.service) or DEFAULT_MAX_CONNECTIONS
         return BackendServer(
-            f"{report.instance}@{report.born_ms}",
+            _server_id(report),
             report.service,
             report.release,
             report.port,
@@ -360,6 +403,10 @@
         )
 
 
+def _server_id(report: StateReport) -> str:
+    return f"{report.instance}@{report.born_ms}"
+
+
 def _incarnation(report: StateReport) -> tuple[str, int]:
     return report.instance, report.born_ms
 
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -139,6 +139,8 @@
             self.caller_service,
             max(0, int((self.objective - now) * 1000)),
             self.is_nested,
+            # As an integer, 0 takes one byte instead of nine.
+            warmup_requests_per_s=self.service.warmup_requests_per_s or 0,
         )
 
     def pop_complete_body(self) -> bytes | None:
--- a/marigoldchute/routing/candidates.py
+++ b/marigoldchute/routing/candidates.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldchute.routing.evacuation import NO_EVACUATIONS
-from marigoldchute.routing.target import ServiceLoad, Target
+from marigoldchute.routing.target import PRESUMED_COLD_S, ServiceLoad, Target
 
 if TYPE_CHECKING:
     from marigoldchute.membership.model import Member, Members
@@ -64,6 +64,7 @@
         self._loads: dict[tuple[str, str], ServiceLoad] = {}
         self._is_stale = True
         self._built_at = float("-inf")
+        self._first_built_at: float | None = None
 
     def mark_stale(self) -> None:
         """Mark the tables as stale after a change of a member."""
@@ -100,6 +101,8 @@
     def _rebuild(self, now: float) -> None:
         self._is_stale = False
         self._built_at = now
+        if self._first_built_at is None:
+            self._first_built_at = now
         targets: dict[tuple[str, int, str, str], Target] = {}
         by_release: dict[tuple[str, str], list[Target]] = {}
         self._evacuated = set()
@@ -120,9 +123,10 @@
                     server.release,
                 )
                 release_key = (server.service, server.release)
-                target = self._targets.get(key) or Target(
-                    member, server, self._load_of(release_key)
-                )
+                target = self._targets.get(key)
+                if target is None:
+                    target = Target(member, server, self._load_of(release_key))
+                    self._presume_cold(target, now)
                 target.member = member
                 target.server = server
                 targets[key] = target
@@ -135,6 +139,13 @@
             for key, matches in by_release.items()
         }
 
+    def _presume_cold(self, target: Target, now: float) -> None:
+        # The first members that this node learns of are not new.
+        if self._first_built_at is not None and (
+            now - self._first_built_at >= PRESUMED_COLD_S
+        ):
+            target.presume_cold(now)
+
 
 def _split_by_distance(local: Member, targets: list[Target]) -> Candidates:
     own, data_centre, region, remote = [], [], [], []
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -19,6 +19,7 @@
 from marigoldchute.routing.failure import SHED_CODES, outcome_of
 from marigoldchute.routing.messages import ENCODER
 from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.target import BUSY_BACKOFF_S
 
 if TYPE_CHECKING:
     from marigoldchute.link.link import Link
@@ -223,5 +224,9 @@
 def _handle_refusal(target: Target, exc: NotRunError) -> None:
     if exc.code in LASTING_CODES:
         target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+    elif exc.code is ResultCode.REQUEST_NOT_RUN_WARMING_UP:
+        now = trio.current_time()
+        target.presume_cold(now)
+        target.pause(now + max(BUSY_BACKOFF_S, exc.retry_after_s))
     elif exc.code in SHED_CODES:
         target.back_off(trio.current_time())
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -33,6 +33,7 @@
 from marigoldchute.routing.release_choice import ReleaseChoice
 from marigoldchute.routing.request_log import RequestLog, cut_fields
 from marigoldchute.routing.route_table import RouteTable
+from marigoldchute.routing.warmup import WarmupPacer
 
 if TYPE_CHECKING:
     import random
@@ -160,6 +161,7 @@
         self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
         self._release_choice = ReleaseChoice(rng, policy.boost_rare_routes)
+        self._pacer = WarmupPacer(rng, lambda: len(members.all()))
         self._request_log = RequestLog(log)
         self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
         in_force.add_swap_listener(self._on_bundle)
@@ -397,12 +399,12 @@
         pick_info = PickInfo(
             call.route_entry.route.name, max(0.0, call.objective - now)
         )
-        candidates = self.candidate_tables.find(service, call.release, now)
+        candidates = self._find_candidates(call, now, now_ms)
         target = self._chooser.choose(
             candidates, call.attempted, now, now_ms, pick_info
         )
         if target is None and self._fall_back_to_old_release(call, now_ms):
-            candidates = self.candidate_tables.find(service, call.release, now)
+            candidates = self._find_candidates(call, now, now_ms)
             target = self._chooser.choose(
                 candidates, call.attempted, now, now_ms, pick_info
             )
@@ -415,8 +417,19 @@
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.attempted.add(target)
+        if target.is_paced:
+            self._pacer.record_choice(
+                target, call.service.warmup_requests_per_s, now, now_ms
+            )
         return target, candidates
 
+    def _find_candidates(self, call: Call, now: float, now_ms: int) -> Candidates:
+        service = call.service
+        candidates = self.candidate_tables.find(service.name, call.release, now)
+        if service.warmup_requests_per_s:
+            self._pacer.prepare(candidates, service.warmup_requests_per_s, now, now_ms)
+        return candidates
+
     def _is_evacuated(self, call: Call, candidates: Candidates) -> bool:
         return candidates is NO_CANDIDATES and self.candidate_tables.is_evacuated(
             call.service.name, call.release
--- a/marigoldchute/routing/failure.py
+++ b/marigoldchute/routing/failure.py
@@ -16,6 +16,7 @@
 SHED_CODES = frozenset(
     {
         ResultCode.REQUEST_NOT_RUN_EVACUATED,
+        ResultCode.REQUEST_NOT_RUN_WARMING_UP,
         ResultCode.REQUEST_NOT_RUN_OVERLOADED,
         ResultCode.REQUEST_NOT_RUN_DEADLINE,
         ResultCode.REQUEST_NOT_RUN_REFUSED,
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -42,6 +42,9 @@
         Customer whose key the request has; empty without one.
     regions : tuple of str
         Regions in which the request may be served; empty for all.
+    warmup_requests_per_s : float
+        Requests per second that a cold backend server of the service tolerates; 0 for
+        no limit. An owner without a bundle of its own uses it.
     """
 
     request_id: str
@@ -62,6 +65,7 @@
     is_nested: bool = False
     customer: str = ""
     regions: tuple[str, ...] = ()
+    warmup_requests_per_s: float = 0
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -24,8 +24,18 @@
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
+from marigoldchute.routing.warmup import (
+    DEFAULT_REPORT_INTERVAL_S,
+    SendLog,
+    WarmupGuard,
+    is_urgent,
+    make_rate,
+    max_wait_s,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.link.stream import Stream
     from marigoldchute.membership.model import BackendServer, Member
     from marigoldchute.routing.backend_conn import BackendConn
@@ -33,6 +43,7 @@
     from marigoldchute.routing.messages import RequestHead
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
+    from marigoldchute.routing.warmup import WarmupRate
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -50,11 +61,18 @@
         """Whether requests must be refused."""
 
 
+def _no_rate(service: str, requests_per_s: float) -> WarmupRate | None:
+    return make_rate(requests_per_s) if requests_per_s > 0.0 else None
+
+
 class OwnedServer:
-    """Backend server of this VM with its admission gate and connection pool."""
+    """Backend server of this VM with its gate, connection pool and warm-up."""
 
-    def __init__(self, server: BackendServer, address: str, adaptive: bool) -> None:
+    def __init__(
+        self, server: BackendServer, address: str, adaptive: bool, guard: WarmupGuard
+    ) -> None:
         self.server = server
+        self.guard = guard
         self.gate = AdmissionGate(server, adaptive)
         self.pool = BackendConnPool(address, server.port)
 
@@ -83,6 +101,11 @@
         Options of the request path.
     log : RequestLog, optional
         Log for failed requests of other nodes and for abandoned requests.
+    report_interval_s : float
+        Typical time between two status reports of a backend server in seconds.
+    warmup_rate : callable
+        Returns the limit of cold backend servers of a service, None without one; the
+        arguments are the service and the rate that the entry node has for it.
 
     Attributes
     ----------
@@ -92,6 +115,8 @@
         Number of requests that were refused because of a drain.
     refused_while_evacuated : int
         Number of requests that were refused because the data centre is evacuated.
+    refused_while_cold : int
+        Number of requests that were refused because a backend server is or may be cold.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -105,7 +130,12 @@
         dialect: Dialect = DEFAULT_DIALECT,
         policy: PathPolicy = STREAMING_POLICY,
         log: RequestLog | None = None,
+        report_interval_s: float = DEFAULT_REPORT_INTERVAL_S,
+        warmup_rate: Callable[[str, float], WarmupRate | None] = _no_rate,
     ) -> None:
+        self._report_interval_s = report_interval_s
+        self._warmup_rate = warmup_rate
+        self._sends: dict[int, SendLog] = {}  # By port.
         self.stop_window: StopWindow | None = None
         self._log = log
         self._servers = servers
@@ -120,6 +150,7 @@
         self.remote_requests = 0
         self.refused_while_draining = 0
         self.refused_while_evacuated = 0
+        self.refused_while_cold = 0
         self.stop_cause: CutCause | None = None
         self._is_evacuated = False
 
@@ -158,6 +189,26 @@
         owned = self._find(server_id)
         return None if owned is None else owned.gate
 
+    def record_report(self, server_id: str, warmup_left_s: float, now: float) -> None:
+        """Record a status report of a backend server of this VM.
+
+        Parameters
+        ----------
+        server_id : str
+            Id under which the server is announced.
+        warmup_left_s : float
+            Time for which it stays cold in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        owned = self._find(server_id)
+        if owned is not None:
+            owned.guard.record_report(warmup_left_s, now)
+
+    def count_limited(self, now: float) -> int:
+        """Return the number of backend servers that are or may be cold."""
+        return sum(owned.guard.is_limited(now) for owned in self._owned.values())
+
     def drain(self) -> None:
         """Refuse new and waiting requests for all backend servers of this VM."""
         self._draining = True
@@ -265,7 +316,7 @@
         if server.service != head.service or server.release != head.release:
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
-        remaining_ms = await self._acquire_slot(head, exchange, gate)
+        remaining_ms = await self._acquire_slot_and_room(head, exchange, owned)
         running = gate.running
         try:
             conn = await owned.pool.acquire(
@@ -275,6 +326,8 @@
             gate.release_slot()
             if is_cancelled(exc):
                 self._log_abandoned(head, exchange, "connection")
+            elif isinstance(exc.__cause__, ConnectionRefusedError):
+                owned.guard.record_refused_connection(trio.current_time())
             raise
         try:
             self._check_evacuation()  # It may have begun during the waits.
@@ -314,6 +367,38 @@
             owned.pool.discard(conn)
         gate.release_slot()
 
+    async def _acquire_slot_and_room(
+        self, head: RequestHead, exchange: Exchange, owned: OwnedServer
+    ) -> int:
+        """Wait for a slot and until the server may get one more request.
+
+        Returns the milliseconds until the caller's deadline.
+        """
+        gate, guard = owned.gate, owned.guard
+        rate = self._warmup_rate(head.service, head.warmup_requests_per_s)
+        if rate is None:
+            remaining_ms = await self._acquire_slot(head, exchange, gate)
+            guard.record_send(trio.current_time())
+            return remaining_ms
+        started = trio.current_time()
+        urgent, wait_s = is_urgent(head), max_wait_s(head)
+        try:
+            with guard.waiting(rate, urgent, wait_s, started):
+                await self._acquire_slot(head, exchange, gate)
+                try:
+                    await guard.send(rate, urgent, started + wait_s)
+                except BaseException as exc:
+                    gate.release_slot()
+                    if is_cancelled(exc):
+                        self._log_abandoned(head, exchange, "warm-up")
+                    raise
+        except NotRunError as exc:
+            if exc.code is ResultCode.REQUEST_NOT_RUN_WARMING_UP:
+                self.refused_while_cold += 1
+            raise
+        waited_ms = int((trio.current_time() - started) * 1000)
+        return max(1, head.remaining_ms - waited_ms)
+
     async def _acquire_slot(
         self, head: RequestHead, exchange: Exchange, gate: AdmissionGate
     ) -> int:
@@ -400,13 +485,21 @@
             owned = self._owned.get(server_id)
             if owned is None:
                 adaptive = self._policy.adaptive_limit
-                owned = OwnedServer(server, self._address, adaptive)
+                guard = self._make_guard(server.port, trio.current_time())
+                owned = OwnedServer(server, self._address, adaptive, guard)
                 self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
             if self._draining:
                 owned.gate.drain()
 
+    def _make_guard(self, port: int, now: float) -> WarmupGuard:
+        """Return the guard of a new server, which may reuse the port of another one."""
+        sends = self._sends.get(port)
+        if sends is None:
+            sends = self._sends[port] = SendLog(now)
+        return WarmupGuard(sends, self._report_interval_s, now)
+
     def _remove(self, server_id: str) -> None:
         owned = self._owned[server_id]
         # Differs from the next announcement, so that a server that returns while its
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -11,6 +11,9 @@
 LATENCY_EWMA_WEIGHT = 0.1
 ERROR_EWMA_WEIGHT = 0.1
 BUSY_BACKOFF_S = 0.2
+# A server whose node has just started, or that got no requests, may be cold without
+# having said so. Its next report and the news of it take about this long.
+PRESUMED_COLD_S = 2.5
 SLOW_START_MS = 5000
 COLD_WEIGHT = 0.05
 LOAD_REPORT_DECAY_S = 0.4  # In twice a typical run time most requests have changed.
@@ -70,6 +73,8 @@
         Attempts of this node that were in progress when the report arrived.
     reported_at : float
         Monotonic time of the latest report.
+    is_paced : bool
+        Whether a ``WarmupPacer`` spaces the choices of this target.
     """
 
     __slots__ = (
@@ -81,8 +86,10 @@
         "error_rate",
         "in_flight",
         "in_flight_at_report",
+        "is_paced",
         "latency_ms",
         "member",
+        "presumed_cold_until",
         "reported_at",
         "reported_load",
         "server",
@@ -111,6 +118,8 @@
         self.busy_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
+        self.is_paced = False
+        self.presumed_cold_until = float("-inf")
         self._consecutive_failures = 0
         self._samples = 0
 
@@ -130,6 +139,23 @@
         """Return whether the backend server is in its cold start."""
         return now_ms < self.server.warm_at_ms
 
+    def is_limited(self, now: float, now_ms: int) -> bool:
+        """Return whether the backend server is cold or may be."""
+        return now < self.presumed_cold_until or self.is_cold(now_ms)
+
+    def limited_until(self, now: float, now_ms: int) -> float:
+        """Return the monotonic time until which the server is or may be cold."""
+        warm_at = now + (self.server.warm_at_ms - now_ms) / 1000
+        return max(warm_at, self.presumed_cold_until)
+
+    def presume_cold(self, now: float) -> None:
+        """Plan for a cold server for ``PRESUMED_COLD_S``."""
+        self.presumed_cold_until = now + PRESUMED_COLD_S
+
+    def pause(self, until: float) -> None:
+        """Make the target unavailable until a time, or for longer if it is already."""
+        self.busy_until = max(self.busy_until, until)
+
     def available(self, now: float) -> bool:
         """Return whether neither an ejection nor a recent refusal is in effect."""
         return now >= self.ejected_until and now >= self.busy_until
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -93,6 +93,8 @@
         Executions in the order of their arrival.
     reports : bool
         Whether it reports its state periodically.
+    warm_at : float
+        Monotonic time until which it reports that it is cold.
     """
 
     def __init__(self, name: str, service: str, address: str, release: str) -> None:
@@ -105,6 +107,7 @@
         self.sequence = 0
         self.acknowledged_sequence = 0
         self.reports = True
+        self.warm_at = float("-inf")  # Monotonic time.
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
         self.run_time: Callable[[bytes], float] | None = None
@@ -136,7 +139,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self.sequence,
-                "warmup_left_ms": 0,
+                "warmup_left_ms": max(0.0, self.warm_at - trio.current_time()) * 1000,
             },
             "born": self.born,
         }
@@ -229,6 +232,7 @@
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
         self.more_bounds: list[str] = []
+        self.more_of_services: dict[str, Any] = {}
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -298,7 +302,10 @@
             "main",
             {
                 "version": f"{self.version:08x}",
-                "services": [{"name": n, "max_connections": 100} for n in services],
+                "services": [
+                    {"name": n, "max_connections": 100, **self.more_of_services}
+                    for n in services
+                ],
                 "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
             },
@@ -389,11 +396,13 @@
     backend_type: type[Backend] = Backend,
     more_paths: tuple[dict[str, Any], ...] = (),
     more_bounds: tuple[str, ...] = (),
+    more_of_services: dict[str, Any] | None = None,
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
     mesh = HostedMesh(list(services))
     mesh.more_paths.extend(more_paths)
     mesh.more_bounds.extend(more_bounds)
+    mesh.more_of_services.update(more_of_services or {})
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
--- a/tests/test_hosted/test_registry.py
+++ b/tests/test_hosted/test_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import unittest
 from typing import TYPE_CHECKING
@@ -270,3 +271,38 @@
         self.assertEqual(self.registry.handle_deregistration("i-1", 5_000), leave)
         unknown = self.registry.handle_deregistration("i-2", 5_000, 4_000)
         self.assertEqual(unknown, Leave("i-2", 4_000))
+
+
+class WarmupTest(RegistryTestCase):
+    """A server that becomes cold again while it runs."""
+
+    def apply(self, sequence: int, warmup_left_ms: int, now_ms: int) -> int:
+        """Apply a report; return when the announced server is warm."""
+        report = dataclasses.replace(
+            make_report(sequence), warmup_left_ms=warmup_left_ms
+        )
+        self.registry.handle_report(report, now_ms / 1000, now_ms)
+        return self.servers[0].warm_at_ms
+
+    def test_server_that_becomes_cold_again_is_announced(self) -> None:
+        """Guards against entries that send full load to a cold server."""
+        self.registry.limits_warmup = lambda service: service == "turnos"
+        self.assertEqual(self.apply(1, 3_000, 1_000), 4_000)
+        self.assertEqual(self.apply(2, 0, 5_000), 4_000)
+        self.assertEqual(self.apply(3, 2_500, 9_000), 11_500)
+        # Reports of the same cold start do not change the announcement.
+        self.assertEqual(self.apply(4, 1_100, 10_500), 11_500)
+        self.assertEqual(self.apply(5, 0, 10_600), 10_600)
+
+    def test_servers_of_other_services_are_announced_once(self) -> None:
+        """Guards against messages in meshes without a warm-up limit."""
+        self.assertEqual(self.apply(1, 3_000, 1_000), 4_000)
+        self.assertEqual(self.apply(2, 2_500, 9_000), 4_000)
+
+    def test_each_report_is_passed_on(self) -> None:
+        reports: list[tuple[str, float, float]] = []
+        self.registry.on_report = lambda *values: reports.append(values)
+        self.apply(1, 3_000, 1_000)
+        self.apply(2, 0, 5_000)
+        self.apply(1, 3_000, 6_000)  # It is late.
+        self.assertEqual(reports, [("i-1@1000", 3.0, 1.0), ("i-1@1000", 0.0, 5.0)])
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -199,22 +199,22 @@
         """Guards against a request that is sent after a long wait to connect."""
 
         async def serve(stream: trio.SocketStream) -> None:
-            await read_request(stream)
-            self.fail("the backend server got a request")
+            if await read_request(stream):
+                self.fail("the backend server got a request")
 
         async def body(owner: Owner) -> None:
-            gate = owner.gate("vm/1")
-            assert gate is not None
+            self.assertIsNotNone(owner.gate("vm/1"))
+            pool: Any = owner._owned["vm/1"].pool
+            acquire = pool.acquire
 
-            async def evacuate() -> None:
-                while not gate.running:
-                    await trio.lowlevel.checkpoint()
+            async def acquire_late(*args: Any) -> Any:
+                conn = await acquire(*args)
                 owner.set_evacuated(True)
+                return conn
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(evacuate)
-                with self.assertRaises(NotRunError) as caught:
-                    await owner.execute(make_head(), CollectingExchange())
+            pool.acquire = acquire_late
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(make_head(), CollectingExchange())
             code = caught.exception.code
             self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_EVACUATED)
             self.assertEqual(owner.running, 0)
@@ -222,6 +222,69 @@
         self.run_owner(serve, body)
 
 
+class ColdServerTest(OwnerTestCase):
+    """The backend server is cold, and its service has a warm-up rate."""
+
+    slots = 1
+
+    def make_cold_head(self) -> RequestHead:
+        return msgspec.structs.replace(make_head(), warmup_requests_per_s=8.0)
+
+    def test_request_without_room_is_refused_and_its_slot_is_free(self) -> None:
+        """Guards against a slot that a refused request keeps."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_WARMING_UP)
+            self.assertEqual((owner.running, owner.refused_while_cold), (0, 1))
+            await trio.sleep(1.0)  # The window begins full.
+            for _ in range(6):
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            with self.assertRaises(NotRunError):
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            self.assertEqual((owner.running, owner.refused_while_cold), (0, 2))
+
+        self.run_owner(serve, body)
+
+    def test_cancelled_wait_for_room_leaks_nothing(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            if await read_request(stream):
+                self.fail("the backend server got a request")
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            head = msgspec.structs.replace(
+                self.make_cold_head(), remaining_ms=5000, is_nested=True
+            )
+            with trio.move_on_after(0.1) as scope:
+                await owner.execute(head, CollectingExchange())
+            self.assertTrue(scope.cancelled_caught)
+            self.assertEqual(owner.running, 0)
+
+        self.run_owner(serve, body)
+
+    def test_service_without_a_rate_is_not_limited(self) -> None:
+        """Guards against waits in meshes that have no warm-up rate."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            for _ in range(30):
+                await owner.execute(make_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
+
 class UnknownOutcomeTest(OwnerTestCase):
     def test_written_request_without_response_is_unknown(self) -> None:
         async def close(stream: trio.SocketStream) -> None:
