--- a/marigoldchute/routing/candidates.py
+++ b/marigoldchute/routing/candidates.py
@@ -5,10 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from marigoldchute.routing.target import ServiceLoad, Target
+from marigoldchute.routing.evacuation import NO_EVACUATIONS
+from marigoldchute.routing.target import PRESUMED_COLD_S, ServiceLoad, Target
 
 if TYPE_CHECKING:
     from marigoldchute.membership.model import Member, Members
+    from marigoldchute.routing.evacuation import Evacuations
 
 REBUILD_INTERVAL_S = 0.1
 
@@ -47,15 +49,22 @@
     ----------
     members : Members
         Members of the mesh.
+    evacuations : Evacuations
+        Data centres whose backend servers are no candidates.
     """
 
-    def __init__(self, members: Members) -> None:
+    def __init__(
+        self, members: Members, evacuations: Evacuations = NO_EVACUATIONS
+    ) -> None:
         self._members = members
+        self._evacuations = evacuations
+        self._evacuated: set[tuple[str, str]] = set()
         self._tables: dict[tuple[str, str], Candidates] = {}
         self._targets: dict[tuple[str, int, str, str], Target] = {}
         self._loads: dict[tuple[str, str], ServiceLoad] = {}
         self._is_stale = True
         self._built_at = float("-inf")
+        self._first_built_at: float | None = None
 
     def mark_stale(self) -> None:
         """Mark the tables as stale after a change of a member."""
@@ -79,6 +88,10 @@
             matches = self._tables.get((service, release))
         return matches or NO_CANDIDATES
 
+    def is_evacuated(self, service: str, release: str) -> bool:
+        """Return whether an evacuated data centre has backend servers of a release."""
+        return (service, release) in self._evacuated
+
     def _load_of(self, release_key: tuple[str, str]) -> ServiceLoad:
         load = self._loads.get(release_key)
         if load is None:
@@ -88,14 +101,21 @@
     def _rebuild(self, now: float) -> None:
         self._is_stale = False
         self._built_at = now
+        if self._first_built_at is None:
+            self._first_built_at = now
         targets: dict[tuple[str, int, str, str], Target] = {}
         by_release: dict[tuple[str, str], list[Target]] = {}
+        self._evacuated = set()
         for member in self._members.all():
             if not member.accepts_requests:
                 continue
+            is_evacuated = self._evacuations.is_evacuated(member.data_centre)
             for server in member.servers:
                 if server.draining:
                     continue
+                if is_evacuated:
+                    self._evacuated.add((server.service, server.release))
+                    continue
                 key = (
                     member.name,
                     member.incarnation,
@@ -103,9 +123,10 @@
                     server.release,
                 )
                 release_key = (server.service, server.release)
-                target = self._targets.get(key) or Target(
-                    member, server, self._load_of(release_key)
-                )
+                target = self._targets.get(key)
+                if target is None:
+                    target = Target(member, server, self._load_of(release_key))
+                    self._presume_cold(target, now)
                 target.member = member
                 target.server = server
                 targets[key] = target
@@ -118,6 +139,13 @@
             for key, matches in by_release.items()
         }
 
+    def _presume_cold(self, target: Target, now: float) -> None:
+        # The first members that this node learns of are not new.
+        if self._first_built_at is not None and (
+            now - self._first_built_at >= PRESUMED_COLD_S
+        ):
+            target.presume_cold(now)
+
 
 def _split_by_distance(local: Member, targets: list[Target]) -> Candidates:
     own, data_centre, region, remote = [], [], [], []
