Serve requests only in the allowed regions of route and customer

A route or a customer may have allowed regions, which bundles carried but nothing applied.

Owners check the head and their own bundle on arrival, with the slot and with the connection. A node outside the allowed regions logs only the id, the route and what was decided.

tests.test_routing.test_request_log: its stand-in for a call gets the new attribute is_foreign; no assertion changed.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -427,6 +427,8 @@
                     "refused_retries": budget.refused_retries,
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "rejected_documents": self._rejections.count,
+                    "requests_refused_by_region": self.entry.refused_by_region,
+                    "owner_refusals_by_region": self._owner.refused_by_region,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -18,6 +18,7 @@
     from marigoldchute.link.stream import Stream
     from marigoldchute.moves.model import Split
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+    from marigoldchute.routing.regions import AllowedRegions
     from marigoldchute.routing.route_table import RouteEntry
     from marigoldchute.routing.target import Target
 
@@ -52,8 +53,21 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
+    customer : str
+        Customer whose key the request has; empty without one.
+    regions : tuple of str or None
+        Regions in which the request may be served; None for all.
+    regions_version : int
+        Bundle version that ``regions`` comes from.
+    is_foreign : bool
+        Whether this node is or was outside the allowed regions. Only the id, the
+        route's name and what was decided are then logged.
     """
 
+    customer = ""
+    regions: AllowedRegions = None
+    is_foreign = False
+
     retains_errors = False
 
     def __init__(
@@ -85,6 +99,7 @@
         self.caller_service = caller_service
         self.started_at = started_at
         self.bundle_version = bundle_version
+        self.regions_version = bundle_version
         self.is_nested = is_nested
         self.attempt_log: list[str] = []
         self.idempotent = entry.is_idempotent(req.method)
@@ -139,6 +154,7 @@
             self.caller_service,
             max(0, int((self.objective - now) * 1000)),
             self.is_nested,
+            regions=self.regions or (),
         )
 
     def pop_complete_body(self) -> bytes | None:
--- a/marigoldchute/routing/candidates.py
+++ b/marigoldchute/routing/candidates.py
@@ -5,12 +5,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from marigoldchute.routing.regions import is_allowed
 from marigoldchute.routing.target import ServiceLoad, Target
 
 if TYPE_CHECKING:
     from marigoldchute.membership.model import Member, Members
+    from marigoldchute.routing.regions import AllowedRegions
 
 REBUILD_INTERVAL_S = 0.1
+# More combinations of a release with allowed regions than a rebuild usually leaves.
+MAX_FILTERED_TABLES = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +56,7 @@
     def __init__(self, members: Members) -> None:
         self._members = members
         self._tables: dict[tuple[str, str], Candidates] = {}
+        self._filtered: dict[tuple[str, str, tuple[str, ...]], Candidates] = {}
         self._targets: dict[tuple[str, int, str, str], Target] = {}
         self._loads: dict[tuple[str, str], ServiceLoad] = {}
         self._is_stale = True
@@ -61,7 +66,9 @@
         """Mark the tables as stale after a change of a member."""
         self._is_stale = True
 
-    def find(self, service: str, release: str, now: float) -> Candidates:
+    def find(
+        self, service: str, release: str, now: float, regions: AllowedRegions = None
+    ) -> Candidates:
         """Return the candidates of a release.
 
         Parameters
@@ -70,6 +77,8 @@
             Service and release to look up.
         now : float
             Monotonic time in seconds.
+        regions : tuple of str, optional
+            Regions whose targets are returned; None for all.
         """
         if self._is_stale and now - self._built_at >= REBUILD_INTERVAL_S:
             self._rebuild(now)
@@ -77,7 +86,17 @@
         if matches is None and self._is_stale:
             self._rebuild(now)
             matches = self._tables.get((service, release))
-        return matches or NO_CANDIDATES
+        if matches is None:
+            return NO_CANDIDATES
+        if regions is None:
+            return matches
+        key = (service, release, regions)
+        filtered = self._filtered.get(key)
+        if filtered is None:
+            if len(self._filtered) >= MAX_FILTERED_TABLES:
+                self._filtered.clear()
+            filtered = self._filtered[key] = _filter_by_region(matches, regions)
+        return filtered
 
     def _load_of(self, release_key: tuple[str, str]) -> ServiceLoad:
         load = self._loads.get(release_key)
@@ -111,6 +130,7 @@
                 targets[key] = target
                 by_release.setdefault(release_key, []).append(target)
         self._targets = targets
+        self._filtered.clear()
         self._loads = {key: self._load_of(key) for key in by_release}
         local = self._members.local
         self._tables = {
@@ -119,6 +139,21 @@
         }
 
 
+def _filter_by_region(candidates: Candidates, regions: tuple[str, ...]) -> Candidates:
+    tiers = (
+        candidates.own,
+        candidates.data_centre,
+        candidates.region,
+        candidates.remote,
+    )
+    return Candidates(
+        *(
+            tuple(t for t in tier if is_allowed(t.member.region, regions))
+            for tier in tiers
+        )
+    )
+
+
 def _split_by_distance(local: Member, targets: list[Target]) -> Candidates:
     own, data_centre, region, remote = [], [], [], []
     for target in targets:
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -21,6 +21,8 @@
 from marigoldchute.routing.outcomes import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
@@ -35,6 +37,9 @@
 
 OPEN_LINK_TIMEOUT_S = 1.0
 UNREACHABLE_BACKOFF_S = 1.0
+# Longer than the attempts of one request need to time out at several targets, so that
+# the next requests for the same regions are refused without waiting.
+UNREACHABLE_MEMORY_S = 3.0
 
 
 class Dispatcher:
@@ -54,6 +59,8 @@
         Receives the outcome of every attempt.
     clock : Clock
         Wall clock of the process.
+    check_target : callable
+        Raises ``NotRunError`` if a request may no longer be sent to a target.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         chooser: Chooser,
         sink: OutcomeSink,
         clock: Clock,
+        check_target: Callable[[Call, Target], None],
     ) -> None:
         self._members = members
         self._traffic = traffic
@@ -71,6 +79,7 @@
         self._chooser = chooser
         self._sink = sink
         self._clock = clock
+        self._check_target = check_target
 
     async def attempt(self, call: Call, target: Target, candidates: Candidates) -> None:
         """Run a request at a target and forward its response.
@@ -130,6 +139,8 @@
         link = self._traffic.find_open(target.member.name)
         if link is None:
             link = await self._open_link(target)
+            target.unreachable_until = 0.0
+            self._check_target(call, target)
         body = call.body.pop_complete_body()
         encoded = ENCODER.encode(head)
         try:
@@ -209,6 +220,7 @@
 def _unreachable_error(target: Target) -> NotRunError:
     """Pause the target and return the error of the attempt."""
     target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+    target.unreachable_until = trio.current_time() + UNREACHABLE_MEMORY_S
     return NotRunError(f"{target.member.name} cannot be reached")
 
 
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -29,6 +29,7 @@
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.policy import STREAMING_POLICY
 from marigoldchute.routing.refusal import CALLER_ERROR_CODES, send_error_response
+from marigoldchute.routing.regions import NO_REGION_RULES, RegionRules, is_allowed
 from marigoldchute.routing.release_choice import ReleaseChoice
 from marigoldchute.routing.request_log import RequestLog, cut_fields
 from marigoldchute.routing.route_table import RouteTable
@@ -112,6 +113,8 @@
         Which requests are still taken; None unless the node was told to stop.
     refused_while_draining : int
         Number of requests that were refused because they may outlast the node.
+    refused_by_region : int
+        Number of requests refused because no allowed region has a reachable server.
     """
 
     def __init__(
@@ -134,11 +137,13 @@
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
         self.refused_while_draining = 0
+        self.refused_by_region = 0
         self.candidate_tables = CandidateTables(members)
         self.retry_budget: RetryLimit = retry_budget or RetryBudget(
             RETRY_RATIO, MIN_RETRIES_PER_S, RETRY_BURST
         )
         self._routes: RouteTable | None = None
+        self._region_rules = NO_REGION_RULES
         self._splits = splits
         self._members = members
         self._chooser = chooser
@@ -153,11 +158,14 @@
         self._caller_service = caller_service
         self._release_choice = ReleaseChoice(rng, policy.boost_rare_routes)
         self._request_log = RequestLog(log)
-        self._dispatcher = Dispatcher(members, traffic, owner, chooser, sink, clock)
+        self._dispatcher = Dispatcher(
+            members, traffic, owner, chooser, sink, clock, self._check_region
+        )
         in_force.add_swap_listener(self._on_bundle)
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
+        self._region_rules = self._owner.region_rules = RegionRules(bundle.content)
         self._first_bundle.on_bundle()
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
@@ -170,7 +178,8 @@
 
     def log_cut(self, cut: Cut) -> None:
         """Log a request whose connection ended without a complete response."""
-        self._request_log.emit_cut(cut, self._dialect.request_id)
+        is_foreign = self._may_be_foreign(cut.req)
+        self._request_log.emit_cut(cut, self._dialect.request_id, is_foreign)
 
     async def _handle(
         self, req: HttpRequest, responder: HttpResponder, internal: bool
@@ -185,6 +194,7 @@
             call = self._make_call(req, responder, internal, received_at)
             await self._execute_call(call)
             if call.response_head is not None:
+                self._update_regions(call)
                 now = trio.current_time()
                 self._request_log.emit_response(call, call.response_head.status, now)
         except CallerDisconnectedError:
@@ -212,8 +222,15 @@
     ) -> None:
         given_id = req.header(self._dialect.request_id) or b""
         request_id = call.request_id if call is not None else given_id.decode("latin-1")
+        if exc.code is ResultCode.REQUEST_NOT_RUN_REGION:
+            self.refused_by_region += 1
+        if call is not None:
+            self._update_regions(call)
+        is_foreign = call.is_foreign if call is not None else self._may_be_foreign(req)
         now = trio.current_time()
-        self._request_log.emit_failed(req, call, request_id, outcome, exc, now)
+        self._request_log.emit_failed(
+            req, call, request_id, outcome, exc, now, is_foreign
+        )
 
     def _make_call(
         self,
@@ -246,7 +263,7 @@
             deadline = self._limit_deadline(
                 self.stop_window, deadline, received_at, internal or is_nested
             )
-        return Call(
+        call = Call(
             req,
             responder,
             entry,
@@ -262,6 +279,52 @@
             self._routes.version if self._routes is not None else 0,
             is_nested,
         )
+        if self._region_rules.restricts:
+            self._apply_regions(call)
+        return call
+
+    def _apply_regions(self, call: Call) -> None:
+        route = call.route_entry.route.name
+        call.regions = self._region_rules.allowed(route, call.customer)
+        if not is_allowed(self._members.local.region, call.regions):
+            call.is_foreign = True
+
+    def _update_regions(self, call: Call) -> None:
+        """Apply the regions of the bundle in force if it changed since the last check.
+
+        A request whose route the new bundle lacks keeps the regions that it had.
+        """
+        routes = self._routes
+        if routes is None or routes.version == call.regions_version:
+            return
+        call.regions_version = routes.version
+        entry = routes.find(call.req.target, call.req.header(b"host") or b"")
+        if entry is None:
+            return
+        regions = self._region_rules.allowed(entry.route.name, call.customer)
+        call.regions = regions
+        if not is_allowed(self._members.local.region, regions):
+            call.is_foreign = True
+
+    def _check_region(self, call: Call, target: Target) -> None:
+        """Refuse an attempt in a region that the bundle in force excludes."""
+        self._update_regions(call)
+        if not is_allowed(target.member.region, call.regions):
+            raise _region_error(call)
+
+    def _may_be_foreign(self, req: HttpRequest) -> bool:
+        """Return whether this node may be outside the regions of a request.
+
+        Without a bundle, or without a customer that was found, this is not known.
+        """
+        routes = self._routes
+        if routes is None:
+            return True
+        if not self._region_rules.restricts:
+            return False
+        entry = routes.find(req.target, req.header(b"host") or b"")
+        route = entry.route.name if entry is not None else ""
+        return self._region_rules.may_exclude(route, self._members.local.region)
 
     def _has_stopped(self, now: float) -> bool:
         return self.stop_window is not None and now >= self.stop_window.ends_at
@@ -372,26 +435,41 @@
         await call.send_complete(head, body)
 
     def _choose(self, call: Call) -> tuple[Target, Candidates]:
+        self._update_regions(call)
         now = trio.current_time()
         now_ms = self._clock.now_ms()
         service = call.service.name
         pick_info = PickInfo(
             call.route_entry.route.name, max(0.0, call.objective - now)
         )
-        candidates = self.candidate_tables.find(service, call.release, now)
+        candidates = self._candidates(call, now)
         target = self._chooser.choose(
             candidates, call.attempted, now, now_ms, pick_info
         )
         if target is None and self._fall_back_to_old_release(call, now_ms):
-            candidates = self.candidate_tables.find(service, call.release, now)
+            candidates = self._candidates(call, now)
             target = self._chooser.choose(
                 candidates, call.attempted, now, now_ms, pick_info
             )
+        if call.regions is not None:
+            if target is not None and target.unreachable_until > now:
+                # Waiting for each of them in turn would delay the refusal.
+                excluded = call.attempted | _unreachable_targets(candidates, now)
+                target = self._chooser.choose(
+                    candidates, excluded, now, now_ms, pick_info
+                )
+            if target is None:
+                raise _region_error(call)
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.attempted.add(target)
         return target, candidates
 
+    def _candidates(self, call: Call, now: float) -> Candidates:
+        return self.candidate_tables.find(
+            call.service.name, call.release, now, call.regions
+        )
+
     def _fall_back_to_old_release(self, call: Call, now_ms: int) -> bool:
         """Switch to the old release if the new one has no backend server at all.
 
@@ -400,17 +478,19 @@
         split = call.split
         if call.attempted or split.share >= 1.0 or call.release == split.old_release:
             return False
-        self._sink.record(
-            call.route_entry.route.name,
-            call.service.name,
-            call.release,
-            split.move_id,
-            Outcome.NOT_RUN,
-            0.0,
-            0,
-            False,
-            now_ms,
-        )
+        if call.regions is None:
+            # A release that runs elsewhere is no failure of the release.
+            self._sink.record(
+                call.route_entry.route.name,
+                call.service.name,
+                call.release,
+                split.move_id,
+                Outcome.NOT_RUN,
+                0.0,
+                0,
+                False,
+                now_ms,
+            )
         call.release = split.old_release
         return True
 
@@ -448,3 +528,16 @@
             ):
                 outcome = Outcome.ERROR
         self.metrics.record(call.route_entry.route.name, outcome.value, total_us)
+
+
+def _unreachable_targets(candidates: Candidates, now: float) -> set[Target]:
+    tiers = (candidates.data_centre, candidates.region, candidates.remote)
+    return {t for tier in tiers for t in tier if t.unreachable_until > now}
+
+
+def _region_error(call: Call) -> NotRunError:
+    regions = ", ".join(call.regions or ()) or "none"
+    return NotRunError(
+        f"no reachable server of {call.service.name!r} in allowed regions: {regions}",
+        ResultCode.REQUEST_NOT_RUN_REGION,
+    )
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -24,6 +24,7 @@
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
+from marigoldchute.routing.regions import NO_REGION_RULES, is_allowed
 
 if TYPE_CHECKING:
     from marigoldchute.link.stream import Stream
@@ -31,6 +32,7 @@
     from marigoldchute.routing.backend_conn import BackendConn
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.regions import RegionRules
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
 
@@ -94,6 +96,10 @@
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
+    region_rules : RegionRules
+        Restrictions of the bundle in force on this node.
+    refused_by_region : int
+        Number of requests refused because this region is not allowed.
     """
 
     def __init__(
@@ -105,6 +111,8 @@
         log: RequestLog | None = None,
     ) -> None:
         self.stop_window: StopWindow | None = None
+        self.region_rules: RegionRules = NO_REGION_RULES
+        self.refused_by_region = 0
         self._log = log
         self._servers = servers
         self._address = address
@@ -242,6 +250,7 @@
                 "node is fenced: too few members are reachable",
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
+        self._check_region(head)
         self._check_stop_window(head.remaining_ms / 1000, trio.current_time())
         owned = self._find(head.server_id)
         if owned is None:
@@ -253,6 +262,7 @@
         remaining_ms = await self._acquire_slot(head, exchange, gate)
         running = gate.running
         try:
+            self._check_region(head)
             conn = await owned.pool.acquire(
                 head.idempotent, server.connections, head.request_id
             )
@@ -261,6 +271,12 @@
             if is_cancelled(exc):
                 self._log_abandoned(head, exchange, "connection")
             raise
+        try:
+            self._check_region(head)  # The bundle may have changed meanwhile.
+        except NotRunError:
+            owned.pool.release(conn, trio.current_time())
+            gate.release_slot()
+            raise
         attempt = BackendAttempt(
             head,
             exchange,
@@ -318,6 +334,25 @@
         waited_ms = int((trio.current_time() - queued_at) * 1000)
         return max(1, head.remaining_ms - waited_ms)
 
+    def _check_region(self, head: RequestHead) -> None:
+        """Refuse a request that the entry or this node excludes from this region.
+
+        Until both have the same bundle, the stricter restriction applies.
+        """
+        rules = self.region_rules
+        if not head.regions and not rules.restricts:
+            return
+        region = self._servers.local.region
+        if is_allowed(region, head.regions or None) and is_allowed(
+            region, rules.allowed(head.route, head.customer)
+        ):
+            return
+        self.refused_by_region += 1
+        raise NotRunError(
+            f"region {region!r} is not allowed for route {head.route!r}",
+            ResultCode.REQUEST_NOT_RUN_REGION,
+        )
+
     def _check_stop_window(self, remaining_s: float, now: float) -> None:
         if self.stop_window is None:
             return
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -5,6 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from marigoldchute.errors import ResultCode
 from marigoldchute.routing.budget import TokenBucket
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS
 from marigoldchute.routing.cut import CutCause
@@ -34,7 +35,8 @@
     Requests that failed or were refused, that got a server error from a backend server
     or that needed more than one attempt are logged up to a rate; of the others, one in
     ``SAMPLE_EVERY`` is logged. The number of dropped lines of each kind is logged every
-    ``DROPPED_REPORT_INTERVAL_S`` at most.
+    ``DROPPED_REPORT_INTERVAL_S`` at most. Of a request whose regions do not or may not
+    include that of this node, the target and the properties of the body are left out.
 
     Parameters
     ----------
@@ -63,6 +65,7 @@
         outcome: Outcome,
         exc: MarigoldchuteError,
         now: float,
+        is_foreign: bool = False,
     ) -> None:
         """Log a request that got no response from a backend server.
 
@@ -80,17 +83,20 @@
             Cause of the failure.
         now : float
             Monotonic time in seconds.
+        is_foreign : bool
+            Whether the request's regions may exclude this node.
         """
         if not self._admit("failed", now):
             return
+        body_fields = {} if is_foreign else _body_fields(req)
+        reason = _foreign_reason(exc) if is_foreign else exc.message
         self._log.emit(
             "routing",
             outcome.value,
-            f"{req.target.decode('latin-1')} failed: {exc.message}.",
+            f"{_name(req, is_foreign)} failed: {reason}.",
             code=exc.code.value,
             request=request_id,
-            body=_framing(req),
-            body_complete=req.complete,
+            **body_fields,
             **_call_fields(call, now),
         )
 
@@ -112,7 +118,7 @@
         self._log.emit(
             "routing",
             event,
-            f"{call.req.target.decode('latin-1')} got status {status}.",
+            f"{_name(call.req, call.is_foreign)} got status {status}.",
             request=call.request_id,
             status=status,
             sample_of=SAMPLE_EVERY if event == "sampled" else 1,
@@ -138,7 +144,7 @@
             remaining_ms=head.remaining_ms,
         )
 
-    def emit_cut(self, cut: Cut, id_header: bytes) -> None:
+    def emit_cut(self, cut: Cut, id_header: bytes, is_foreign: bool = False) -> None:
         """Log a request whose connection ended without a complete response.
 
         Parameters
@@ -147,6 +153,8 @@
             The request and the cause.
         id_header : bytes
             Lower-case name of the header with the request's id.
+        is_foreign : bool
+            Whether the request's regions may exclude this node.
         """
         if not self._admit("cut", cut.at):
             return
@@ -164,17 +172,19 @@
             return
         fields: dict[str, object] = {"request": _text(req.header(id_header))}
         fields |= req.call_fields or {"tries": 0}
+        if is_foreign:
+            fields.pop("body_bytes", None)
+        else:
+            fields |= _body_fields(req)
+            fields["response_bytes"] = responder.sent_bytes if responder else 0
         self._log.emit(
             "routing",
             "cut",
-            f"{req.target.decode('latin-1')} was cut: {cut.cause.value}.",
+            f"{_name(req, is_foreign)} was cut: {cut.cause.value}.",
             cause=cut.cause.value,
             seen=cut.seen,
             waits_for=_waits_for(cut),
-            response_bytes=responder.sent_bytes if responder is not None else 0,
             response_complete=responder is not None and responder.finished,
-            body=_framing(req),
-            body_complete=req.complete,
             **_cut_times(cut),
             **fields,
         )
@@ -280,6 +290,21 @@
     return "chunked" if req.header(b"content-length") is None else "length"
 
 
+def _body_fields(req: HttpRequest) -> dict[str, object]:
+    return {"body": _framing(req), "body_complete": req.complete}
+
+
+def _name(req: HttpRequest, is_foreign: bool) -> str:
+    return "Request" if is_foreign else req.target.decode("latin-1")
+
+
+def _foreign_reason(exc: MarigoldchuteError) -> str:
+    """Return a reason without anything that the request contains."""
+    if exc.code is ResultCode.REQUEST_NOT_RUN_REGION:
+        return exc.message
+    return exc.code.name
+
+
 def _text(value: bytes | None) -> str:
     return (value or b"").decode("latin-1")
 
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -70,6 +70,8 @@
         Attempts of this node that were in progress when the report arrived.
     reported_at : float
         Monotonic time of the latest report.
+    unreachable_until : float
+        Monotonic time until which its node counts as not reachable.
     """
 
     __slots__ = (
@@ -88,6 +90,7 @@
         "server",
         "service_load",
         "slowness",
+        "unreachable_until",
         "usual_load",
     )
 
@@ -109,6 +112,7 @@
         self.reported_at = float("-inf")
         self.error_rate = 0.0
         self.busy_until = 0.0
+        self.unreachable_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
         self._consecutive_failures = 0
--- a/tests/test_routing/test_request_log.py
+++ b/tests/test_routing/test_request_log.py
@@ -34,6 +34,7 @@
         service=types.SimpleNamespace(name="reservas"),
         release="r1",
         bundle_version=4,
+        is_foreign=False,
         started_at=0.0,
     )
     return cast("Call", cast("Any", call))
