--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -24,6 +24,7 @@
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
+from marigoldchute.routing.regions import NO_REGION_RULES, is_allowed
 from marigoldchute.routing.warmup import (
     DEFAULT_REPORT_INTERVAL_S,
     SendLog,
@@ -41,6 +42,7 @@
     from marigoldchute.routing.backend_conn import BackendConn
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.regions import RegionRules
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
     from marigoldchute.routing.warmup import WarmupRate
@@ -121,6 +123,10 @@
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
+    region_rules : RegionRules
+        Restrictions of the bundle in force on this node.
+    refused_by_region : int
+        Number of requests refused because this region is not allowed.
     """
 
     def __init__(
@@ -137,6 +143,8 @@
         self._warmup_rate = warmup_rate
         self._sends: dict[int, SendLog] = {}  # By port.
         self.stop_window: StopWindow | None = None
+        self.region_rules: RegionRules = NO_REGION_RULES
+        self.refused_by_region = 0
         self._log = log
         self._servers = servers
         self._address = address
@@ -307,6 +315,7 @@
                 "node is fenced: too few members are reachable",
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
+        self._check_region(head)
         self._check_stop_window(head.remaining_ms / 1000, trio.current_time())
         self._check_evacuation()
         owned = self._find(head.server_id)
@@ -319,6 +328,7 @@
         remaining_ms = await self._acquire_slot_and_room(head, exchange, owned)
         running = gate.running
         try:
+            self._check_region(head)
             conn = await owned.pool.acquire(
                 head.idempotent, server.connections, head.request_id
             )
@@ -330,7 +340,9 @@
                 owned.guard.record_refused_connection(trio.current_time())
             raise
         try:
-            self._check_evacuation()  # It may have begun during the waits.
+            # An evacuation or another bundle may have come during the waits.
+            self._check_evacuation()
+            self._check_region(head)
         except NotRunError:
             owned.pool.release(conn, trio.current_time())
             gate.release_slot()
@@ -426,6 +438,25 @@
         waited_ms = int((trio.current_time() - queued_at) * 1000)
         return max(1, head.remaining_ms - waited_ms)
 
+    def _check_region(self, head: RequestHead) -> None:
+        """Refuse a request that the entry or this node excludes from this region.
+
+        Until both have the same bundle, the stricter restriction applies.
+        """
+        rules = self.region_rules
+        if not head.regions and not rules.restricts:
+            return
+        region = self._servers.local.region
+        if is_allowed(region, head.regions or None) and is_allowed(
+            region, rules.allowed(head.route, head.customer)
+        ):
+            return
+        self.refused_by_region += 1
+        raise NotRunError(
+            f"region {region!r} is not allowed for route {head.route!r}",
+            ResultCode.REQUEST_NOT_RUN_REGION,
+        )
+
     def _check_stop_window(self, remaining_s: float, now: float) -> None:
         if self.stop_window is None:
             return
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -75,6 +75,8 @@
         Monotonic time of the latest report.
     is_paced : bool
         Whether a ``WarmupPacer`` spaces the choices of this target.
+    unreachable_until : float
+        Monotonic time until which its node counts as not reachable.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "server",
         "service_load",
         "slowness",
+        "unreachable_until",
         "usual_load",
     )
 
@@ -116,6 +119,7 @@
         self.reported_at = float("-inf")
         self.error_rate = 0.0
         self.busy_until = 0.0
+        self.unreachable_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
         self.is_paced = False
