Identify customers by their keys and reject requests without one

A bundle with customers had no effect. Now the entry looks up the customer of each request by the digest of its key. Requests without a valid key get 401 (code 530) unless their route is public; nested calls from this VM run under the customer of the request that makes them. Backend servers get the customer's name in place of the key, and a customer's priority takes precedence over the route's. A request is identified again before each attempt if the customers changed. Two customers of one name refuse a bundle; a key of two customers identifies neither and is logged with code 220.

Changed test: the fake call of tests/test_routing/test_request_log.py has an identity, which the lines of a request read now.

--- a/marigoldchute/bundle/limits.py
+++ b/marigoldchute/bundle/limits.py
@@ -9,6 +9,9 @@
 MAX_SERVICES = 1000
 MAX_ROUTES = 10_000
 MAX_MOVES = 200
+MAX_CUSTOMERS = 100_000
+MAX_CUSTOMER_NAME_LENGTH = 255
+MAX_QUOTA = 1e9  # Requests, or requests per second.
 MAX_STEPS = 50
 MAX_DEPENDENCIES = 100
 MAX_METHODS = 20
@@ -55,6 +58,17 @@
         )
 
 
+def check_customer_name(path: str, name: str) -> None:
+    """Raise an error for a customer name that cannot be the value of a header."""
+    is_value = name.isprintable() and name == name.strip() and name != ""
+    if not is_value or len(name) > MAX_CUSTOMER_NAME_LENGTH:
+        raise _out_of_range(
+            path,
+            f"{name[:80]!r} is not a name of 1 to {MAX_CUSTOMER_NAME_LENGTH} printable "
+            "characters without spaces at its ends",
+        )
+
+
 def check_token(path: str, text: str) -> None:
     """Raise an error unless a method or header name is an HTTP token."""
     if _TOKEN.fullmatch(text) is None:
--- a/marigoldchute/bundle/validation.py
+++ b/marigoldchute/bundle/validation.py
@@ -13,6 +13,7 @@
 
     from marigoldchute.bundle.model import (
         BundleContent,
+        Customer,
         Move,
         Route,
         Service,
@@ -37,8 +38,8 @@
     names_releases : bool
         Whether each service must name the release that receives its traffic.
     checked : BundleContent, optional
-        Content that was validated before. The values of routes that are the same
-        objects there are not checked again; names and references are.
+        Content that was validated before. The values of routes and customers that are
+        the same objects there are not checked again; names and references are.
 
     Raises
     ------
@@ -51,12 +52,17 @@
     limits.check_count("$.services", len(content.services), limits.MAX_SERVICES)
     limits.check_count("$.routes", len(content.routes), limits.MAX_ROUTES)
     limits.check_count("$.moves", len(content.moves), limits.MAX_MOVES)
+    limits.check_count("$.customers", len(content.customers), limits.MAX_CUSTOMERS)
     for index, service in enumerate(content.services):
         _check_service(f"$.services[{index}]", service, names_releases)
     checked_ids = {id(r) for r in checked.routes} if checked is not None else set()
     for index, route in enumerate(content.routes):
         if id(route) not in checked_ids:
             _check_route(f"$.routes[{index}]", route)
+    checked_ids = {id(c) for c in checked.customers} if checked is not None else set()
+    for index, customer in enumerate(content.customers):
+        if id(customer) not in checked_ids:
+            _check_customer(f"$.customers[{index}]", customer)
     for index, move in enumerate(content.moves):
         _check_move(f"$.moves[{index}]", move)
     _check_duplicates(content)
@@ -98,6 +104,17 @@
         limits.check_token(f"{path}.sticky_header", route.sticky_header)
 
 
+def _check_customer(path: str, customer: Customer) -> None:
+    limits.check_customer_name(f"{path}.name", customer.name)
+    if customer.priority is not None:
+        limits.check_range(
+            f"{path}.priority", customer.priority, 0, limits.MAX_PRIORITY
+        )
+    for name in ("rate_per_s", "burst"):
+        value = getattr(customer, name)
+        limits.check_range(f"{path}.{name}", value, 0.0, limits.MAX_QUOTA)
+
+
 def _check_move(path: str, move: Move) -> None:
     limits.check_name(f"{path}.move_id", move.move_id)
     limits.check_name(f"{path}.old_release", move.old_release)
@@ -150,6 +167,7 @@
     _check_unique("$.routes", "name", (r.name for r in content.routes))
     prefixes = (route.host + route.path_prefix for route in content.routes)
     _check_unique("$.routes", "path_prefix", prefixes)
+    _check_unique("$.customers", "name", (c.name for c in content.customers))
     _check_unique("$.moves", "move_id", (m.move_id for m in content.moves))
     first_move_indexes: dict[str, int] = {}
     for index, move in enumerate(content.moves):
--- a/marigoldchute/errors.py
+++ b/marigoldchute/errors.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @enum.unique
@@ -33,6 +37,7 @@
     BUNDLE_VALUE_OUT_OF_RANGE = 213
     BUNDLE_PREDECESSOR_UNKNOWN = 214
     BUNDLE_KIND_UNKNOWN = 215
+    BUNDLE_CUSTOMER_KEY_SHARED = 220
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
     STORE_NOT_FOUND = 303
@@ -68,6 +73,8 @@
     REQUEST_TOO_LARGE = 521
     REQUEST_SENDER_TIMEOUT = 522
     REQUEST_BODY_TOO_LARGE = 523
+    REQUEST_NOT_RUN_UNAUTHORIZED = 530
+    REQUEST_NOT_RUN_QUOTA = 531
     MOVE_INVALID = 601
     MOVE_DEADLINE_TOO_SHORT = 602
     MOVE_CAPACITY_TOO_SMALL = 603
@@ -174,15 +181,22 @@
         Numbered code.
     retry_after_s : float
         Seconds after which capacity may be available; 0 when unknown.
+    fields : mapping of str to object, optional
+        Inputs of the decision, for the log.
     """
 
     code = ResultCode.REQUEST_NOT_RUN_NO_BACKEND
 
     def __init__(
-        self, message: str, code: ResultCode | None = None, retry_after_s: float = 0.0
+        self,
+        message: str,
+        code: ResultCode | None = None,
+        retry_after_s: float = 0.0,
+        fields: Mapping[str, object] | None = None,
     ) -> None:
         super().__init__(message, code)
         self.retry_after_s = retry_after_s
+        self.fields = fields or {}
 
 
 class MoveError(MarigoldchuteError):
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -32,6 +32,7 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.routing.access import AccessControl, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.entry import Entry
@@ -66,6 +67,7 @@
 MAX_BUFFERED_RESPONSE_BYTES = 262_144
 EXPIRY_CHECK_INTERVAL_S = 0.25
 LEAVE_PROPAGATION_S = 0.05
+LOOPBACK_ADDRESS = "127.0.0.1"
 PEERS_TIMEOUT_S = 1.5
 # A few round trips between regions: opening a link, comparison and difference.
 PEERS_SYNC_S = 0.4
@@ -258,6 +260,7 @@
                 lambda: len(self.directory.reachable()),
             ),
             lambda: self._current_settings().service,
+            AccessControl(adapter.dialect, log, self._is_own_address),
         )
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
@@ -425,6 +428,12 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    **{
+                        f"requests_refused_key_{fault.value}": (
+                            self.entry.access.fault_counts[fault]
+                        )
+                        for fault in KeyFault
+                    },
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "rejected_documents": self._rejections.count,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
@@ -449,6 +458,12 @@
         )
         self._registry.refresh_limits()
 
+    def _is_own_address(self, address: str) -> bool:
+        """Return whether connections from an IP address originate on this VM."""
+        cfg = self._cfg
+        own = (cfg.address, cfg.backend.address, cfg.callers.address, LOOPBACK_ADDRESS)
+        return address in own
+
     def _max_connections(self, service: str) -> int:
         bundle = self._in_force.bundle
         if bundle is None:
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -4,7 +4,8 @@
 
 import collections
 import hashlib
-from typing import TYPE_CHECKING
+import re
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -23,7 +24,7 @@
     RoutePart,
     Service,
 )
-from marigoldchute.errors import BundleError
+from marigoldchute.errors import BundleError, ResultCode
 
 if TYPE_CHECKING:
     from marigoldchute.objectstore.documents import Document
@@ -32,6 +33,7 @@
 REPEATABLE_ROUTE_KINDS = frozenset(("idempotent", "download"))
 ROUTE_KINDS = REPEATABLE_ROUTE_KINDS | {"non_idempotent", "upload"}
 NAME_DIGEST_BYTES = 12
+_KEY = re.compile("[!-~]+")
 
 
 class _Part(msgspec.Struct, frozen=True):
@@ -69,7 +71,7 @@
 
 class _Customer(msgspec.Struct, frozen=True):
     name: str
-    api_keys: list[str] = []
+    api_keys: list[Any] = []
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -112,6 +114,7 @@
 
 
 def _to_content(configuration: _Configuration) -> BundleContent:
+    _check_customer_names(configuration.tenants)
     services = tuple(
         Service(
             s.name,
@@ -148,7 +151,7 @@
     priority = customer.priority
     return Customer(
         customer.name,
-        tuple(digest_key(key.encode()) for key in customer.api_keys),
+        _digest_keys(customer.api_keys),
         None if priority is None else _clamp(priority, 0, MAX_PRIORITY),
         max(0.0, customer.rate_per_s),
         max(0.0, customer.burst),
@@ -156,6 +159,30 @@
     )
 
 
+def _digest_keys(keys: list[Any]) -> tuple[bytes, ...]:
+    """Return the digests of keys, each once.
+
+    A value that no request can carry as a key is left out; it does not make the whole
+    configuration malformed, because other customers depend on it.
+    """
+    sendable = (key for key in keys if isinstance(key, str) and _KEY.fullmatch(key))
+    return tuple(dict.fromkeys(digest_key(key.encode()) for key in sendable))
+
+
+def _check_customer_names(customers: list[_Customer]) -> None:
+    """Raise an error for a name that is used twice.
+
+    Of two such customers only one would be left among the items of a snapshot.
+    """
+    counts = collections.Counter(customer.name for customer in customers)
+    for name, count in counts.items():
+        if count > 1:
+            raise BundleError(
+                f"$.tenants: the name {name[:80]!r} is used {count} times",
+                ResultCode.BUNDLE_DUPLICATE_NAME,
+            )
+
+
 def _route_name(host: str, path: _Path, is_shared: bool) -> str:
     """Return the name of a route, unique within the bundle.
 
--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -139,6 +139,8 @@
         if dialect.caller_service and head.caller_service:
             service = head.caller_service.encode("latin-1")
             mesh_headers += b"%s: %s\r\n" % (dialect.caller_service, service)
+        if dialect.customer and head.customer:
+            mesh_headers += b"%s: %s\r\n" % (dialect.customer, head.customer.encode())
         return b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
             head.method,
             head.target,
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -8,7 +8,9 @@
 import trio
 
 from marigoldchute.errors import NotRunError, PeerError, ResultCode
+from marigoldchute.routing.access import ANONYMOUS
 from marigoldchute.routing.cut import CutCause
+from marigoldchute.routing.headers import encode_request_headers
 from marigoldchute.routing.http_request import CallerDisconnectedError
 from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
 from marigoldchute.routing.request_body import RequestBody
@@ -17,6 +19,8 @@
     from marigoldchute.bundle.model import Service
     from marigoldchute.link.stream import Stream
     from marigoldchute.moves.model import Split
+    from marigoldchute.routing.access import Identity
+    from marigoldchute.routing.customer_table import CustomerTable
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.route_table import RouteEntry
     from marigoldchute.routing.target import Target
@@ -52,9 +56,19 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
+    identity : Identity
+        Customer of the request.
+    parent_customer : str or None
+        Customer of the request on this VM that makes this one, see
+        ``Owner.parent_customer``.
+    customer_table : CustomerTable or None
+        Table from which ``identity`` was determined.
     """
 
     retains_errors = False
+    identity: Identity = ANONYMOUS
+    parent_customer: str | None = None
+    customer_table: CustomerTable | None = None
 
     def __init__(
         self,
@@ -107,6 +121,12 @@
         max_attempts = self.route_entry.route.max_attempts
         return self.idempotent and self.delivered_attempts + 1 < max_attempts
 
+    @property
+    def priority(self) -> int:
+        """Admission class; that of the customer takes precedence over the route's."""
+        priority = self.identity.priority
+        return self.route_entry.route.priority if priority is None else priority
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the bodies of the request and of its response."""
@@ -132,15 +152,20 @@
             req.target,
             self._header_block,
             max(1, int((self.deadline - now) * 1000)),
-            route.priority,
+            self.priority,
             self.idempotent,
             req.has_body,
             self._chunked,
             self.caller_service,
             max(0, int((self.objective - now) * 1000)),
             self.is_nested,
+            self.identity.customer,
         )
 
+    def encode_headers(self, own_headers: frozenset[bytes]) -> None:
+        """Encode the headers to forward again, without those named."""
+        self._header_block = encode_request_headers(self.req.headers, own_headers)
+
     def pop_complete_body(self) -> bytes | None:
         """Return the complete body if all of it has arrived, else None."""
         return self.body.pop_complete_body()
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -14,6 +14,7 @@
     RequestError,
     ResultCode,
 )
+from marigoldchute.routing.access import ANONYMOUS, AccessControl
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
 from marigoldchute.routing.candidates import CandidateTables
@@ -44,6 +45,7 @@
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
     from marigoldchute.moves.model import SplitSource
+    from marigoldchute.routing.access import Identity
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
@@ -105,9 +107,14 @@
     caller_service : callable
         Returns the service on this VM, which is sent to backend servers as the
         caller's service.
+    access : AccessControl, optional
+        Identifies the customers of requests; by default one that accepts requests
+        without a key from no address.
 
     Attributes
     ----------
+    access : AccessControl
+        Identifies the customers of requests.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
     refused_while_draining : int
@@ -130,6 +137,7 @@
         policy: PathPolicy = STREAMING_POLICY,
         retry_budget: RetryLimit | None = None,
         caller_service: Callable[[], str] = _no_service,
+        access: AccessControl | None = None,
     ) -> None:
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
@@ -147,7 +155,7 @@
         self._clock = clock
         self._rng = rng
         self._dialect = dialect
-        self._own_request_headers = dialect.mesh_request_headers
+        self.access = access or AccessControl(dialect, log)
         self._policy = policy
         self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
@@ -158,6 +166,7 @@
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
+        self.access.on_bundle(bundle)
         self._first_bundle.on_bundle()
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
@@ -228,6 +237,12 @@
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
         entry = self._find_route(req, internal)
+        request_id = self._request_id(req, internal)
+        is_nested = self._owner.is_nested(request_id)
+        parent_customer = None
+        if is_nested and self.access.table:
+            parent_customer = self._owner.parent_customer(request_id)
+        identity = self._identify(req, responder, entry, parent_customer)
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
         timeout_ms = entry.route.timeout_ms
@@ -240,13 +255,11 @@
             )
         deadline = received_at + timeout_ms / 1000
         objective_ms = entry.route.objective_ms
-        request_id = self._request_id(req, internal)
-        is_nested = self._owner.is_nested(request_id)
         if self.stop_window is not None:
             deadline = self._limit_deadline(
                 self.stop_window, deadline, received_at, internal or is_nested
             )
-        return Call(
+        call = Call(
             req,
             responder,
             entry,
@@ -254,7 +267,7 @@
             split,
             self._release_choice.pick_release(req, entry, service, split),
             request_id,
-            encode_request_headers(req.headers, self._own_request_headers),
+            encode_request_headers(req.headers, self.access.own_headers),
             deadline,
             received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
@@ -262,6 +275,10 @@
             self._routes.version if self._routes is not None else 0,
             is_nested,
         )
+        call.identity = identity
+        call.parent_customer = parent_customer
+        call.customer_table = self.access.table
+        return call
 
     def _has_stopped(self, now: float) -> bool:
         return self.stop_window is not None and now >= self.stop_window.ends_at
@@ -332,6 +349,15 @@
             await call.req.wait_for_turn()
         self.retry_budget.record_request(trio.current_time(), service)
         while True:
+            try:
+                self._renew_identity(call)
+            except NotRunError as exc:
+                if call.retained_error is not None:
+                    await self._forward_retained_error(call)
+                    return
+                if call.may_have_run:
+                    raise error_to_report(call, exc) from exc
+                raise
             call.attempts += 1
             call.retains_errors = self._may_retain_error(call)
             try:
@@ -357,6 +383,36 @@
                     return
             call.body.rewind()
 
+    def _identify(
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        entry: RouteEntry,
+        parent_customer: str | None,
+    ) -> Identity:
+        if not self.access.table:
+            return ANONYMOUS
+        return self.access.identify(
+            req.headers, entry.route, responder.peer_address, parent_customer
+        )
+
+    def _renew_identity(self, call: Call) -> None:
+        """Identify the customer again if the customers in force have changed.
+
+        Raises
+        ------
+        NotRunError
+            The key of the request was withdrawn.
+        """
+        table = self.access.table
+        if call.customer_table is table:
+            return
+        call.identity = self._identify(
+            call.req, call.responder, call.route_entry, call.parent_customer
+        )
+        call.customer_table = table
+        call.encode_headers(self.access.own_headers)
+
     def _may_retain_error(self, call: Call) -> bool:
         return (
             self._policy.retry_errors
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -114,6 +114,7 @@
         self._member: Member | None = None
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
+        self._running_customers: dict[str, str] = {}  # By the id of the request.
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -149,6 +150,14 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
+    def parent_customer(self, request_id: str) -> str:
+        """Return the customer of the running request that makes a nested request.
+
+        It is empty when that customer is not known.
+        """
+        parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
+        return self._running_customers.get(parent_id, "")
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -272,6 +281,8 @@
             self._policy,
         )
         self._running_ids[head.request_id] += 1
+        if head.customer:
+            self._running_customers[head.request_id] = head.customer
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -284,6 +295,7 @@
             self._running_ids[head.request_id] -= 1
             if not self._running_ids[head.request_id]:
                 del self._running_ids[head.request_id]
+                self._running_customers.pop(head.request_id, None)
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
--- a/marigoldchute/routing/refusal.py
+++ b/marigoldchute/routing/refusal.py
@@ -13,6 +13,9 @@
 
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 502
+STATUS_UNAUTHORIZED = 401
+STATUS_OVER_QUOTA = 429
+_RETRIABLE_STATUSES = frozenset((STATUS_NOT_RUN, STATUS_OVER_QUOTA))
 _STATUSES = {
     ResultCode.REQUEST_NOT_RUN_NO_ROUTE: 404,
     ResultCode.REQUEST_NOT_RUN_INTERNAL_ONLY: 403,
@@ -21,6 +24,8 @@
     ResultCode.REQUEST_SENDER_TIMEOUT: 408,
     ResultCode.REQUEST_TOO_LARGE: 431,
     ResultCode.REQUEST_BODY_TOO_LARGE: 413,
+    ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED: STATUS_UNAUTHORIZED,
+    ResultCode.REQUEST_NOT_RUN_QUOTA: STATUS_OVER_QUOTA,
 }
 CALLER_ERROR_CODES = frozenset(
     {
@@ -56,12 +61,14 @@
     if exc.code in CALLER_ERROR_CODES:
         responder.keep_alive = False
     body = f"{exc}\n".encode()
-    retry_after = b""
-    if status == STATUS_NOT_RUN and isinstance(exc, NotRunError):
+    extra = b""
+    if status in _RETRIABLE_STATUSES and isinstance(exc, NotRunError):
         wait_s = exc.retry_after_s or DEFAULT_RETRY_AFTER_S
         wait_s = min(MAX_RETRY_AFTER_S, wait_s * (1.0 + jitter))
-        retry_after = b"retry-after: %.2f\r\n" % wait_s
-    block = retry_after + (
+        extra = b"retry-after: %.2f\r\n" % wait_s
+    elif status == STATUS_UNAUTHORIZED:
+        extra = b"www-authenticate: Bearer\r\n"  # Required by RFC 9110, 15.5.2.
+    block = extra + (
         b"content-type: text/plain\r\ncontent-length: %d\r\n%s: %d\r\n%s: %s\r\n"
         % (
             len(body),
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -5,6 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from marigoldchute.errors import NotRunError, ResultCode
 from marigoldchute.routing.budget import TokenBucket
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS
 from marigoldchute.routing.cut import CutCause
@@ -22,6 +23,12 @@
 FAILED_BURST_LINES = 400.0  # 0.2 MB; a burst of 40 dropped 411 of 1,015 failures.
 RETRIED_LINES_PER_S = 4.0
 OWNER_LINES_PER_S = 10.0
+# Lines of their own budget, so that callers without a key or over their quota do not
+# use up that of failures.
+REJECTED_LINES_PER_S = 10.0
+REJECTED_CODES = frozenset(
+    {ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED, ResultCode.REQUEST_NOT_RUN_QUOTA}
+)
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
@@ -46,6 +53,7 @@
         self._log = log
         self._budgets = {
             "failed": TokenBucket(FAILED_LINES_PER_S, FAILED_BURST_LINES),
+            "rejected": TokenBucket(REJECTED_LINES_PER_S, 4 * REJECTED_LINES_PER_S),
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
             "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
@@ -81,8 +89,12 @@
         now : float
             Monotonic time in seconds.
         """
-        if not self._admit("failed", now):
+        kind = "rejected" if exc.code in REJECTED_CODES else "failed"
+        if not self._admit(kind, now):
             return
+        fields = _call_fields(call, now)
+        if isinstance(exc, NotRunError):
+            fields |= exc.fields
         self._log.emit(
             "routing",
             outcome.value,
@@ -91,7 +103,7 @@
             request=request_id,
             body=_framing(req),
             body_complete=req.complete,
-            **_call_fields(call, now),
+            **fields,
         )
 
     def emit_response(self, call: Call, status: int, now: float) -> None:
@@ -296,7 +308,9 @@
 def _call_fields(call: Call | None, now: float) -> dict[str, object]:
     if call is None:
         return {"tries": 0}
+    customer = call.identity.customer
     return {
+        **({"customer": customer} if customer else {}),
         "tries": call.attempts,
         "trail": call.attempt_log,
         "route": call.route_entry.route.name,
--- a/tests/support/path_in_process.py
+++ b/tests/support/path_in_process.py
@@ -9,7 +9,14 @@
 import trio
 
 from marigoldchute.bundle.inforce import InForce
-from marigoldchute.bundle.model import Bundle, BundleContent, Route, Service
+from marigoldchute.bundle.model import (
+    Bundle,
+    BundleContent,
+    CallerLimits,
+    Customer,
+    Route,
+    Service,
+)
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.node import POLICY
@@ -18,6 +25,7 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.settings import DIALECT
+from marigoldchute.routing.access import AccessControl
 from marigoldchute.routing.entry import Entry
 from marigoldchute.routing.http_server import HttpServer
 from marigoldchute.routing.least_time import LeastExpectedTime
@@ -29,11 +37,18 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
 CALLER_PORT = 9101
+LIMITS = CallerLimits()
 ROUTE = Route("r", "/a/", "turnos", 3_000, max_attempts=2)
 
 
 class LocalPath:
-    """Node with one backend server and no peers; callers connect to ``address``."""
+    """Node with one backend server and no peers; callers connect to ``address``.
+
+    Attributes
+    ----------
+    own_addresses : set of str
+        Source addresses of connections that count as from the backend server.
+    """
 
     def __init__(self, address: str) -> None:
         rng, log, table = random.Random(1), MemoryEventLog(), RecordTable()
@@ -42,7 +57,9 @@
         directory = Directory(local, table, any_log)
         server = BackendServer("i@1", "turnos", "v1", PORT, 16, 100)
         directory.publish_servers((server,))
-        in_force = InForce()
+        self.log = log
+        self.own_addresses = {address, "127.0.0.1"}
+        in_force = self.in_force = InForce()
         book = OrderBook(directory, table, any_log)
         no_links: Any = None
         self.address = address
@@ -60,12 +77,21 @@
             rng,
             DIALECT,
             POLICY,
+            access=AccessControl(DIALECT, any_log, self.own_addresses.__contains__),
         )
         directory.on_view_changed.append(self.entry.candidate_tables.mark_stale)
         self.callers = HttpServer(self.entry.handle_external)
-        content = BundleContent((Service("turnos", "v1"),), (ROUTE,))
-        no_manifest: Any = _Manifest()
-        in_force.swap(Bundle(no_manifest, content))
+        self.put_in_force((ROUTE,))
+
+    def put_in_force(
+        self, routes: tuple[Route, ...], customers: tuple[Customer, ...] = ()
+    ) -> None:
+        """Replace the bundle in force."""
+        content = BundleContent(
+            (Service("turnos", "v1"),), routes, (), LIMITS, customers
+        )
+        version: Any = _Manifest(self.in_force.version + 1)
+        self.in_force.swap(Bundle(version, content))
 
     async def send(self, data: bytes) -> bytes:
         """Send bytes on a new connection; return all that arrives until its end."""
@@ -80,7 +106,8 @@
 
 
 class _Manifest:
-    version = 1
+    def __init__(self, version: int) -> None:
+        self.version = version
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_bundle/test_validation.py
+++ b/tests/test_bundle/test_validation.py
@@ -9,6 +9,7 @@
 
 from marigoldchute.bundle.model import (
     BundleContent,
+    Customer,
     Route,
     Service,
     Step,
@@ -27,6 +28,11 @@
     return BundleContent((Service("turnos", "r1"),), (changed,))
 
 
+def _with_customer(**changes: object) -> BundleContent:
+    changed = dataclasses.replace(Customer("acme"), **changes)  # type: ignore[arg-type]
+    return BundleContent((), (), customers=(changed,))
+
+
 def _with_services(*services: Service) -> BundleContent:
     return BundleContent(services, ())
 
@@ -45,6 +51,17 @@
     def test_valid_content_is_accepted(self, content: BundleContent) -> None:
         validate_content(content)
 
+    def test_customers_of_one_name_are_refused(self) -> None:
+        content = BundleContent((), (), customers=(Customer("a"), Customer("a")))
+        code = ResultCode.BUNDLE_DUPLICATE_NAME
+        self.assert_refused(content, code, "$.customers[1].name")
+
+    def test_key_of_two_customers_does_not_refuse_the_bundle(self) -> None:
+        """Other customers need the bundle; the key itself identifies neither."""
+        digest = bytes(range(16))
+        customers = (Customer("a", (digest,)), Customer("b", (digest,)))
+        validate_content(BundleContent((), (), customers=customers))
+
     def test_values_out_of_range_are_refused(self) -> None:
         cases: list[tuple[BundleContent, str]] = [
             (_with_route(path_prefix="turnos"), "$.routes[0].path_prefix"),
@@ -58,6 +75,14 @@
             (_with_route(timeout_ms=0), "$.routes[0].timeout_ms"),
             (_with_route(timeout_ms=600_001), "$.routes[0].timeout_ms"),
             (_with_route(priority=3), "$.routes[0].priority"),
+            (_with_customer(name=""), "$.customers[0].name"),
+            (_with_customer(name="a\r\nb: c"), "$.customers[0].name"),
+            (_with_customer(name=" a"), "$.customers[0].name"),
+            (_with_customer(name="a" * 256), "$.customers[0].name"),
+            (_with_customer(priority=3), "$.customers[0].priority"),
+            (_with_customer(rate_per_s=-1.0), "$.customers[0].rate_per_s"),
+            (_with_customer(rate_per_s=NAN), "$.customers[0].rate_per_s"),
+            (_with_customer(burst=float("inf")), "$.customers[0].burst"),
             (_with_route(max_attempts=0), "$.routes[0].max_attempts"),
             (
                 _with_route(idempotent_methods=("GET", "A B")),
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -11,7 +11,7 @@
 from marigoldchute.bundle.inforce import InForce
 from marigoldchute.bundle.limits import MAX_ATTEMPTS, MAX_PRIORITY, MAX_TIMEOUT_MS
 from marigoldchute.bundle.validation import validate_content
-from marigoldchute.errors import BundleError, MoveError, SettingsError
+from marigoldchute.errors import BundleError, MoveError, ResultCode, SettingsError
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.catalog import Catalog, decode_content, make_snapshot
 from marigoldchute.objectstore.documents import Document
@@ -241,6 +241,23 @@
         snapshot = make_snapshot(1, 1, content)
         self.assertEqual(decode_content(snapshot.items), content)
 
+    def test_odd_keys_are_left_out(self) -> None:
+        """One of them must not make the configuration of all customers malformed."""
+        value = make_configuration()
+        keys = ["good", "", "a b", "a\tb", "ä", "\ud800", 7, None, ["x"], "good"]
+        value["tenants"] = [{"name": "shop", "api_keys": keys}]
+        (shop,) = self.decode(value)[1].customers
+        self.assertEqual(shop.key_digests, (digest_key(b"good"),))
+
+    def test_customers_of_one_name_are_refused(self) -> None:
+        """Of two items of one name only one would be left in a snapshot."""
+        value = make_configuration()
+        value["tenants"] = [{"name": "shop"}, {"name": "shop"}]
+        with self.assertRaises(BundleError) as caught:
+            self.decode(value)
+        code = ResultCode.BUNDLE_DUPLICATE_NAME
+        self.assertEqual(caught.exception.code, code)
+
     def test_route_without_a_service_is_malformed(self) -> None:
         value = make_configuration()
         del value["virtual_hosts"][0]["paths"][0]["service"]
--- /dev/null
+++ b/tests/test_routing/test_access.py
@@ -0,0 +1,331 @@
+"""Tests of keys: which requests run, under which name, and what is forwarded."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from marigoldchute.bundle.customer_keys import digest_key
+from marigoldchute.bundle.model import Customer, Route
+from marigoldchute.errors import NotRunError, ResultCode
+from marigoldchute.routing.access import KeyFault, parse_key
+from tests.support.path_in_process import ROUTE, LocalPath, local_path
+from tests.support.servers import read_request
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+KEY = b"k-4f1c90ab"
+OTHER_KEY = b"k-77b1d2e3"
+PUBLIC = Route("p", "/p/", "turnos", 3_000, is_public=True)
+ACME = Customer("acme", (digest_key(KEY),))
+BOLT = Customer("bolt", (digest_key(OTHER_KEY),), priority=0)
+NAME = b"authorization"
+
+
+def encode_request(
+    *lines: bytes, target: bytes = b"/a/x", request_id: bytes = b"id", end: bool = True
+) -> bytes:
+    head = [b"GET %s HTTP/1.1" % target, b"Host: h", b"Attempt-Id: " + request_id]
+    head += lines
+    if end:
+        head.append(b"Connection: close")
+    return b"\r\n".join(head) + b"\r\n\r\n"
+
+
+def bearer(key: bytes) -> bytes:
+    return b"Authorization: Bearer " + key
+
+
+def status_of(response: bytes) -> int:
+    return int(response.split(b" ", 2)[1])
+
+
+class AccessTestCase(unittest.TestCase):
+    """Runs a node with two customers; requests that run are kept in ``received``."""
+
+    def run_path(self, body: Callable[[LocalPath], Awaitable[None]]) -> None:
+        self.received: list[bytes] = []
+        self.release = trio.Event()
+        self.release.set()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                self.received.append(request)
+                await self.release.wait()
+                request_id = request.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\nok"
+                    % request_id
+                )
+
+        async def main() -> None:
+            with trio.fail_after(10):
+                async with local_path(serve) as path:
+                    path.put_in_force((ROUTE, PUBLIC), (ACME, BOLT))
+                    await body(path)
+
+        trio.run(main)
+
+    def headers_of(self, index: int = -1) -> list[bytes]:
+        return self.received[index].lower().split(b"\r\n")
+
+
+class KeyFormTest(unittest.TestCase):
+    def test_only_one_bearer_key_is_accepted(self) -> None:
+        cases: list[tuple[list[bytes], bytes | KeyFault]] = [
+            ([b"Bearer abc"], b"abc"),
+            ([b"bEARER abc="], b"abc="),
+            ([], KeyFault.MISSING),
+            ([b"Bearer abc", b"Bearer abc"], KeyFault.REPEATED),
+        ]
+        malformed = [b"", b"Bearer", b"Bearer ", b"Bearer  abc", b"Bearer a b", b"abc"]
+        malformed += [b"Basic abc", b"Bearer\tabc", b"Bearer abc, Bearer abc"]
+        cases += [([value], KeyFault.MALFORMED) for value in malformed]
+        for values, expected in cases:
+            with self.subTest(values):
+                headers = [(NAME, value) for value in values]
+                self.assertEqual(parse_key(headers, NAME), expected)
+
+
+class RejectionTest(AccessTestCase):
+    def test_requests_without_a_valid_key_get_401_and_do_not_run(self) -> None:
+        cases = [
+            ("missing", []),
+            ("unknown", [bearer(b"k-nobody")]),
+            ("repeated", [bearer(KEY), bearer(KEY)]),
+            ("malformed", [b"Authorization: Basic " + KEY]),
+        ]
+
+        async def body(path: LocalPath) -> None:
+            for name, lines in cases:
+                response = await path.send(encode_request(*lines))
+                self.assertEqual(status_of(response), 401, name)
+                self.assertIn(b"marigoldchute-outcome: not-run", response)
+                self.assertIn(b"www-authenticate: Bearer", response)
+            counts = path.entry.access.fault_counts
+            self.assertEqual(
+                {f.value: n for f, n in counts.items()},
+                dict.fromkeys((name for name, _ in cases), 1),
+            )
+            self.assertEqual(self.received, [])
+
+        self.run_path(body)
+
+    def test_keys_appear_in_no_response_and_no_log_line(self) -> None:
+        """A key in a log or an error text can be used by whoever reads it."""
+
+        async def body(path: LocalPath) -> None:
+            for line in (bearer(KEY + b"x"), b"Authorization: Basic " + KEY):
+                self.assertNotIn(KEY, await path.send(encode_request(line)))
+            self.assertNotIn(KEY.decode(), json.dumps(path.log.events, default=repr))
+
+        self.run_path(body)
+
+    def test_without_a_bundle_the_status_is_503(self) -> None:
+        """A caller whose key is valid must not be told that it is not."""
+
+        async def body(path: LocalPath) -> None:
+            path.entry._routes = None
+            path.entry._first_bundle._limit_s = 0.0
+            response = await path.send(encode_request(bearer(KEY)))
+            self.assertEqual(status_of(response), 503)
+
+        self.run_path(body)
+
+
+class ForwardingTest(AccessTestCase):
+    def test_name_replaces_the_key_and_what_the_caller_sent(self) -> None:
+        async def body(path: LocalPath) -> None:
+            line = b"Tenant-Id: bolt"
+            response = await path.send(encode_request(line, bearer(KEY), line))
+            self.assertEqual(status_of(response), 200)
+            lines = self.headers_of()
+            self.assertEqual(lines.count(b"tenant-id: acme"), 1)
+            self.assertEqual(sum(li.startswith(b"tenant-id") for li in lines), 1)
+            self.assertNotIn(KEY, self.received[0])
+
+        self.run_path(body)
+
+    def test_public_route_has_a_name_only_with_a_valid_key(self) -> None:
+        async def body(path: LocalPath) -> None:
+            cases = [([], b""), ([bearer(KEY)], b"acme"), ([bearer(b"no")], b"")]
+            for lines, name in cases:
+                request = encode_request(*lines, b"Tenant-Id: bolt", target=b"/p/x")
+                self.assertEqual(status_of(await path.send(request)), 200)
+                names = [li for li in self.headers_of() if li.startswith(b"tenant-id")]
+                self.assertEqual(names, [b"tenant-id: " + name] if name else [])
+                self.assertNotIn(b"authorization", self.received[-1].lower())
+
+        self.run_path(body)
+
+    def test_pipelined_requests_are_identified_one_by_one(self) -> None:
+        async def body(path: LocalPath) -> None:
+            first = encode_request(bearer(KEY), request_id=b"i1", end=False)
+            second = encode_request(bearer(OTHER_KEY), request_id=b"i2", end=False)
+            third = encode_request(request_id=b"i3")
+            received = await path.send(first + second + third)
+            statuses = [line for line in received.split(b"\r\n") if b"HTTP/1.1" in line]
+            codes = [int(li[li.index(b"HTTP/1.1") :].split(b" ")[1]) for li in statuses]
+            self.assertEqual(codes, [200, 200, 401])
+            names = {
+                i: n
+                for r in self.received
+                for i in (b"i1", b"i2")
+                for n in (b"acme", b"bolt")
+                if b"attempt-id: " + i in r and b"tenant-id: " + n in r
+            }
+            self.assertEqual(names, {b"i1": b"acme", b"i2": b"bolt"})
+
+        self.run_path(body)
+
+    def test_without_customers_both_headers_are_forwarded(self) -> None:
+        """Deployments without customers are served as before."""
+
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE,))
+            request = encode_request(bearer(KEY), b"Tenant-Id: mine")
+            self.assertEqual(status_of(await path.send(request)), 200)
+            self.assertIn(b"tenant-id: mine", self.headers_of())
+            self.assertIn(b"authorization: bearer " + KEY, self.headers_of())
+
+        self.run_path(body)
+
+
+class NestedCallTest(AccessTestCase):
+    """Calls that the backend server makes while it runs a request have no key."""
+
+    async def run_nested(self, path: LocalPath, *lines: bytes) -> tuple[int, bytes]:
+        """Return the status and the name of a nested call of a request of acme."""
+        self.release = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(path.send, encode_request(bearer(KEY)))
+            while not self.received:
+                await trio.sleep(0.01)
+            response = b""
+
+            async def call() -> None:
+                nonlocal response
+                response = await path.send(encode_request(*lines, request_id=b"id.1"))
+
+            async with trio.open_nursery() as calls:
+                calls.start_soon(call)
+                await trio.sleep(0.2)
+                self.release.set()
+        names = [li for li in self.headers_of() if li.startswith(b"tenant-id")]
+        return status_of(response), b",".join(names)
+
+    def test_nested_call_runs_under_the_name_of_its_parent(self) -> None:
+        async def body(path: LocalPath) -> None:
+            result = await self.run_nested(path, b"Tenant-Id: bolt")
+            self.assertEqual(result, (200, b"tenant-id: acme"))
+
+        self.run_path(body)
+
+    def test_id_of_a_nested_call_from_another_machine_needs_a_key(self) -> None:
+        """Whoever knows the id of a running request could otherwise do without one."""
+
+        async def body(path: LocalPath) -> None:
+            path.own_addresses.clear()
+            status, _ = await self.run_nested(path)
+            self.assertEqual(status, 401)
+            self.assertEqual(len(self.received), 1)
+
+        self.run_path(body)
+
+    def test_id_that_extends_no_running_request_needs_a_key(self) -> None:
+        async def body(path: LocalPath) -> None:
+            response = await path.send(encode_request(request_id=b"gone.1"))
+            self.assertEqual(status_of(response), 401)
+
+        self.run_path(body)
+
+    def test_ended_requests_leave_no_customer_behind(self) -> None:
+        async def body(path: LocalPath) -> None:
+            await path.send(encode_request(bearer(KEY)))
+            self.assertEqual(path.owner._running_customers, {})
+
+        self.run_path(body)
+
+
+class ChangeTest(AccessTestCase):
+    def test_keys_change_on_an_open_connection(self) -> None:
+        async def body(path: LocalPath) -> None:
+            stream = await trio.open_tcp_stream(path.address, 9101)
+            routes = (ROUTE, PUBLIC)
+            statuses = []
+            for customers in ((ACME, BOLT), (BOLT,), (ACME,)):
+                path.put_in_force(routes, customers)
+                await stream.send_all(encode_request(bearer(KEY), end=False))
+                data = await stream.receive_some(65_536)
+                while not data.endswith((b"ok", b"\n")):
+                    data += await stream.receive_some(65_536)
+                statuses.append(status_of(data))
+            await stream.aclose()
+            self.assertEqual(statuses, [200, 401, 200])
+
+        self.run_path(body)
+
+    def test_withdrawn_key_is_rejected_at_the_next_attempt(self) -> None:
+        """The first attempt is refused by the server after the key was withdrawn."""
+
+        async def body(path: LocalPath) -> None:
+            execute = path.owner.execute
+
+            async def withdraw(*args: Any) -> None:
+                path.put_in_force((ROUTE, PUBLIC), (BOLT,))
+                path.owner.execute = execute  # type: ignore[method-assign]
+                await refuse()
+
+            path.owner.execute = withdraw  # type: ignore[method-assign]
+            response = await path.send(encode_request(bearer(KEY)))
+            self.assertEqual(status_of(response), 401)
+            self.assertEqual(self.received, [])
+
+        self.run_path(body)
+
+    def test_waiting_request_of_a_customer_that_stays_runs_at_the_next_attempt(
+        self,
+    ) -> None:
+        async def body(path: LocalPath) -> None:
+            calls = 0
+            make = path.entry._renew_identity
+
+            def renew(call: Any) -> None:
+                nonlocal calls
+                calls += 1
+                path.put_in_force((ROUTE, PUBLIC), (BOLT, Customer("new"), ACME))
+                make(call)
+
+            path.entry._renew_identity = renew  # type: ignore[method-assign]
+            response = await path.send(encode_request(bearer(KEY)))
+            self.assertEqual((status_of(response), calls), (200, 1))
+            self.assertIn(b"tenant-id: acme", self.headers_of())
+
+        self.run_path(body)
+
+
+class PriorityTest(AccessTestCase):
+    def test_priority_of_the_customer_takes_precedence(self) -> None:
+        async def body(path: LocalPath) -> None:
+            priorities = []
+            execute = path.owner.execute
+
+            async def record(head: Any, exchange: Any) -> None:
+                priorities.append(head.priority)
+                await execute(head, exchange)
+
+            path.owner.execute = record  # type: ignore[method-assign]
+            for key in (KEY, OTHER_KEY):
+                await path.send(encode_request(bearer(key)))
+            self.assertEqual(priorities, [ROUTE.priority, 0])
+
+        self.run_path(body)
+
+
+async def refuse() -> None:
+    await trio.lowlevel.checkpoint()
+    raise NotRunError("full", ResultCode.REQUEST_NOT_RUN_DRAINING)
--- a/tests/test_routing/test_request_log.py
+++ b/tests/test_routing/test_request_log.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.routing.access import ANONYMOUS
 from marigoldchute.routing.cut import Cut, CutCause
 from marigoldchute.routing.http_request import HttpRequest
 from marigoldchute.routing.request_log import (
@@ -34,6 +35,7 @@
         service=types.SimpleNamespace(name="reservas"),
         release="r1",
         bundle_version=4,
+        identity=ANONYMOUS,
         started_at=0.0,
     )
     return cast("Call", cast("Any", call))
