--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -33,6 +33,7 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.routing.access import AccessControl, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.entry import Entry
@@ -70,6 +71,7 @@
 MAX_BUFFERED_RESPONSE_BYTES = 262_144
 EXPIRY_CHECK_INTERVAL_S = 0.25
 LEAVE_PROPAGATION_S = 0.05
+LOOPBACK_ADDRESS = "127.0.0.1"
 PEERS_TIMEOUT_S = 1.5
 # A few round trips between regions: opening a link, comparison and difference.
 PEERS_SYNC_S = 0.4
@@ -285,6 +287,7 @@
             ),
             lambda: self._current_settings().service,
             self._evacuations,
+            AccessControl(adapter.dialect, log, self._is_own_address),
         )
         self._evacuations.on_change.append(self._apply_evacuations)
         handlers.stream_handler = self._owner.serve
@@ -459,6 +462,12 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    **{
+                        f"requests_refused_key_{fault.value}": (
+                            self.entry.access.fault_counts[fault]
+                        )
+                        for fault in KeyFault
+                    },
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "rejected_documents": self._rejections.count,
                     "requests_refused_by_region": self.entry.refused_by_region,
@@ -521,6 +530,12 @@
         self._owner.set_evacuated(self._evacuations.is_evacuated(data_centre))
         self.entry.handle_evacuations_change()
 
+    def _is_own_address(self, address: str) -> bool:
+        """Return whether connections from an IP address originate on this VM."""
+        cfg = self._cfg
+        own = (cfg.address, cfg.backend.address, cfg.callers.address, LOOPBACK_ADDRESS)
+        return address in own
+
     def _max_connections(self, service: str) -> int:
         bundle = self._in_force.bundle
         if bundle is None:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -14,6 +14,7 @@
     RequestError,
     ResultCode,
 )
+from marigoldchute.routing.access import ANONYMOUS, AccessControl
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
 from marigoldchute.routing.candidates import NO_CANDIDATES, CandidateTables
@@ -47,6 +48,7 @@
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
     from marigoldchute.moves.model import SplitSource
+    from marigoldchute.routing.access import Identity
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
@@ -113,9 +115,14 @@
         caller's service.
     evacuations : Evacuations
         Data centres whose backend servers get no requests.
+    access : AccessControl, optional
+        Identifies the customers of requests; by default one that accepts requests
+        without a key from no address.
 
     Attributes
     ----------
+    access : AccessControl
+        Identifies the customers of requests.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
     refused_while_draining : int
@@ -141,6 +148,7 @@
         retry_budget: RetryLimit | None = None,
         caller_service: Callable[[], str] = _no_service,
         evacuations: Evacuations = NO_EVACUATIONS,
+        access: AccessControl | None = None,
     ) -> None:
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
@@ -161,7 +169,7 @@
         self._clock = clock
         self._rng = rng
         self._dialect = dialect
-        self._own_request_headers = dialect.mesh_request_headers
+        self.access = access or AccessControl(dialect, log)
         self._policy = policy
         self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
@@ -175,6 +183,7 @@
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
+        self.access.on_bundle(bundle)
         self._region_rules = self._owner.region_rules = RegionRules(bundle.content)
         if self._evacuations.is_known:
             self._first_bundle.on_bundle()
@@ -262,6 +271,12 @@
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
         entry = self._find_route(req, internal)
+        request_id = self._request_id(req, internal)
+        is_nested = self._owner.is_nested(request_id)
+        parent_customer = None
+        if is_nested and self.access.table:
+            parent_customer = self._owner.parent_customer(request_id)
+        identity = self._identify(req, responder, entry, parent_customer)
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
         timeout_ms = entry.route.timeout_ms
@@ -274,8 +289,6 @@
             )
         deadline = received_at + timeout_ms / 1000
         objective_ms = entry.route.objective_ms
-        request_id = self._request_id(req, internal)
-        is_nested = self._owner.is_nested(request_id)
         if self.stop_window is not None:
             deadline = self._limit_deadline(
                 self.stop_window, deadline, received_at, internal or is_nested
@@ -288,7 +301,7 @@
             split,
             self._release_choice.pick_release(req, entry, service, split),
             request_id,
-            encode_request_headers(req.headers, self._own_request_headers),
+            encode_request_headers(req.headers, self.access.own_headers),
             deadline,
             received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
@@ -296,6 +309,9 @@
             self._routes.version if self._routes is not None else 0,
             is_nested,
         )
+        call.identity = identity
+        call.parent_customer = parent_customer
+        call.customer_table = self.access.table
         if self._region_rules.restricts:
             self._apply_regions(call)
         return call
@@ -416,6 +432,15 @@
             await call.req.wait_for_turn()
         self.retry_budget.record_request(trio.current_time(), service)
         while True:
+            try:
+                self._renew_identity(call)
+            except NotRunError as exc:
+                if call.retained_error is not None:
+                    await self._forward_retained_error(call)
+                    return
+                if call.may_have_run:
+                    raise error_to_report(call, exc) from exc
+                raise
             call.attempts += 1
             call.retains_errors = self._may_retain_error(call)
             try:
@@ -441,6 +466,36 @@
                     return
             call.body.rewind()
 
+    def _identify(
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        entry: RouteEntry,
+        parent_customer: str | None,
+    ) -> Identity:
+        if not self.access.table:
+            return ANONYMOUS
+        return self.access.identify(
+            req.headers, entry.route, responder.peer_address, parent_customer
+        )
+
+    def _renew_identity(self, call: Call) -> None:
+        """Identify the customer again if the customers in force have changed.
+
+        Raises
+        ------
+        NotRunError
+            The key of the request was withdrawn.
+        """
+        table = self.access.table
+        if call.customer_table is table:
+            return
+        call.identity = self._identify(
+            call.req, call.responder, call.route_entry, call.parent_customer
+        )
+        call.customer_table = table
+        call.encode_headers(self.access.own_headers)
+
     def _may_retain_error(self, call: Call) -> bool:
         return (
             self._policy.retry_errors
