Treat revisions as positions in eras of the store

The store may come back from an older copy: revisions go back and are assigned again, and what was written since the copy is lost.

platform/store.py maps era and revision to one increasing position and answers locally what would be sent with a bare revision of another era. Bundles of two eras are compared by version. Nodes check their entries after a random delay and write lost leaves again. Orders keep their state under a new revision, earlier orders that a copy shows are ignored, and the leader writes lost statuses again. The stand-in of the store can be restored from a copy.

--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -20,6 +20,7 @@
 )
 from marigoldchute.bundle.validation import validate_content
 from marigoldchute.errors import BundleError, PeerError, ResultCode
+from marigoldchute.objectstore.eras import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -53,9 +54,9 @@
     Parameters
     ----------
     revision : int
-        Revision of the store; it alone decides which snapshot is newer.
+        Revision of the store; it decides which snapshot of an era is newer.
     version : int
-        Version assigned by the operator.
+        Version assigned by the operator; it decides between snapshots of two eras.
     items : dict of str to bytes
         Encoded services, routes, customers and limits by key.
     hops : int
@@ -246,14 +247,43 @@
     )
 
 
+def is_newer(
+    revision: int, version: int, present_revision: int, present_version: int
+) -> bool:
+    """Return whether a snapshot replaces the present one.
+
+    Within an era the revision decides. Between eras the version does, because a
+    restored store may hold an older bundle than the mesh; with the same version, the
+    later era is the newer one.
+
+    Parameters
+    ----------
+    revision, version : int
+        Revision and version of the snapshot.
+    present_revision, present_version : int
+        Revision and version of the present snapshot.
+    """
+    if era_of(revision) == era_of(present_revision) or version == present_version:
+        return revision > present_revision
+    return version > present_version
+
+
+def _is_same_in_later_era(snapshot: Snapshot, present: Snapshot) -> bool:
+    return (
+        era_of(snapshot.revision) != era_of(present.revision)
+        and snapshot.version == present.version
+        and snapshot.items == present.items
+    )
+
+
 class Catalog:
     """Holds the newest snapshot and puts it in force.
 
     Parameters
     ----------
     in_force : InForce
-        Holder of the bundle in force, whose revision never decreases within a
-        process.
+        Holder of the bundle in force, whose version never decreases within an era
+        or from one to the next.
     log : EventLog
         Event log of the process.
 
@@ -261,14 +291,18 @@
     ----------
     unknown_kind_count : int
         Routes of the bundle in force whose kind this build does not know.
+    ignored_count : int
+        Number of snapshots that were ignored because a restored store was older.
     """
 
     def __init__(self, in_force: InForce, log: EventLog) -> None:
         self._in_force = in_force
         self._log = log
         self._snapshots: dict[int, Snapshot] = {}
+        self._ignored_revision = 0
         self._decoder = ContentDecoder()
         self.unknown_kind_count = 0
+        self.ignored_count = 0
         self.newest: Snapshot | None = None
         self.on_update: list[Callable[[Snapshot], None]] = []
 
@@ -282,6 +316,20 @@
         """Version of the bundle in force, 0 before the first one."""
         return self.newest.version if self.newest is not None else 0
 
+    def wants(self, revision: int, version: int | None = None) -> bool:
+        """Return whether a snapshot would replace the present one.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the snapshot.
+        version : int, optional
+            Its version; None if it is not known.
+        """
+        if self.newest is None or version is None:
+            return revision > self.revision
+        return is_newer(revision, version, self.revision, self.version)
+
     def get_snapshot(self, revision: int) -> Snapshot | None:
         """Return the recent snapshot of a revision, None when it is no longer kept."""
         return self._snapshots.get(revision)
@@ -305,8 +353,14 @@
         BundleError
             The bundle is invalid; the one in force stays in force.
         """
-        if snapshot.revision <= self.revision:
-            return False
+        newest = self.newest
+        if newest is not None:
+            if not self.wants(snapshot.revision, snapshot.version):
+                self._record_ignored(snapshot, newest, source)
+                return False
+            if _is_same_in_later_era(snapshot, newest):
+                self._move(newest, snapshot.revision)
+                return False
         content = self._decoder.decode(snapshot.items)
         previous = self._in_force.bundle
         validate_content(
@@ -314,11 +368,10 @@
             names_releases=False,
             checked=previous.content if previous is not None else None,
         )
-        manifest = Manifest(snapshot.revision, (), "", "", b"")
-        self.newest = snapshot
-        self._snapshots[snapshot.revision] = snapshot
-        while len(self._snapshots) > MAX_SNAPSHOTS:
-            del self._snapshots[min(self._snapshots)]
+        # The revision is lower if a peer kept a newer version than a restored store.
+        number = max(snapshot.revision, self._in_force.version + 1)
+        manifest = Manifest(number, (), "", "", b"")
+        self._keep(snapshot)
         self._in_force.swap(Bundle(manifest, content))
         self._log.emit(
             "catalog",
@@ -337,6 +390,45 @@
             listener(snapshot)
         return True
 
+    def _keep(self, snapshot: Snapshot) -> None:
+        self.newest = snapshot
+        self._snapshots.pop(snapshot.revision, None)
+        self._snapshots[snapshot.revision] = snapshot
+        while len(self._snapshots) > MAX_SNAPSHOTS:
+            del self._snapshots[next(iter(self._snapshots))]
+
+    def _move(self, newest: Snapshot, revision: int) -> None:
+        """Continue at the position of the same bundle in a later era."""
+        self._keep(dataclasses.replace(newest, revision=revision))
+        self._log.emit(
+            "catalog",
+            "moved",
+            f"Version {newest.version} of the bundle was written again to the store.",
+            version=newest.version,
+            revision=revision,
+            revision_before=newest.revision,
+        )
+
+    def _record_ignored(
+        self, snapshot: Snapshot, newest: Snapshot, source: str
+    ) -> None:
+        if era_of(snapshot.revision) <= era_of(newest.revision):
+            return
+        self.ignored_count += 1
+        if snapshot.revision == self._ignored_revision:
+            return
+        self._ignored_revision = snapshot.revision
+        self._log.emit(
+            "catalog",
+            "older_ignored",
+            f"Version {snapshot.version} of a restored store is older than version "
+            f"{newest.version} in force and is ignored.",
+            version=snapshot.version,
+            in_force=newest.version,
+            revision=snapshot.revision,
+            source=source,
+        )
+
     def _report_unknown_kinds(self, content: BundleContent) -> None:
         routes = [route for route in content.routes if route.unknown_kind]
         self.unknown_kind_count = len(routes)
--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -234,6 +234,7 @@
         )
         entry = self._discovery.entry
         entry.on_loaded = self._registry.restore_leaves
+        adapter.store.on_restored.append(entry.handle_restored)
         self._owner = Owner(
             self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
         )
@@ -426,6 +427,9 @@
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
+                    "store_restorations": self._store.restorations,
+                    "order_statuses_rewritten": self._driver.rewritten_count,
+                    "bundles_ignored_as_older": self._catalog.ignored_count,
                     "rejected_documents": self._rejections.count,
                     "requests_refused_by_region": self.entry.refused_by_region,
                     "owner_refusals_by_region": self._owner.refused_by_region,
--- a/marigoldchute/hosted/node_entry.py
+++ b/marigoldchute/hosted/node_entry.py
@@ -16,6 +16,7 @@
     PlatformError,
     UnknownOutcomeError,
 )
+from marigoldchute.objectstore.eras import era_of
 from marigoldchute.objectstore.settings import Port
 
 if TYPE_CHECKING:
@@ -33,6 +34,10 @@
 # A backend server ignores an acknowledgement that takes longer than a second.
 LEAVE_STORE_TIMEOUT_S = 0.8
 WRITE_RETRY_INTERVAL_S = 0.3
+# After the store came back from an older copy, all nodes together check their entries
+# at this rate, a quarter of the writes that the store accepts.
+REWRITES_PER_S = 300
+MIN_REWRITE_SPREAD_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +118,9 @@
     node, or all nodes, may be killed right after the acknowledgement. The entry is
     read once at each start, which needs no additional call, as it is created there.
 
+    When the store comes back from an older copy, the entry is read again after a random
+    delay, and the leaves that it lacks are written again.
+
     Parameters
     ----------
     store : DocumentStore
@@ -145,24 +153,26 @@
         self._pending: list[Leave] = []
         self._revision = 0
         self._removed = False
-        self._has_pending = trio.Event()
+        self._was_restored = False
+        self._has_work = trio.Event()
         self._changed = trio.Event()
         self.on_loaded: Callable[[tuple[Leave, ...]], None] = _ignore
 
-    async def load(self) -> None:
+    async def load(self, reads_first: bool = False) -> None:
         """Create the entry, or read and correct that of an earlier process.
 
+        Parameters
+        ----------
+        reads_first : bool
+            Whether the entry likely exists.
+
         Raises
         ------
         PlatformError
             The store did not confirm the entry; the call can be repeated.
         """
         name = self._directory.local.name
-        content = self._make_entry(()).to_content()
-        try:
-            document = await self._store.create(MEMBER_KIND, name, content)
-        except ConflictError:
-            document = await self._store.get(MEMBER_KIND, name)
+        document = await (self._get if reads_first else self._create_or_get)(name)
         self._apply(document)
         self.on_loaded(self._stored)
         content = self._make_entry(self._stored).to_content()
@@ -171,14 +181,38 @@
                 await self._store.replace(MEMBER_KIND, name, content, document.revision)
             )
 
+    async def _get(self, name: str) -> Document:
+        try:
+            return await self._store.get(MEMBER_KIND, name)
+        except NotFoundError:
+            return await self._create_or_get(name)
+
+    async def _create_or_get(self, name: str) -> Document:
+        content = self._make_entry(self._stored).to_content()
+        try:
+            return await self._store.create(MEMBER_KIND, name, content)
+        except ConflictError:
+            return await self._store.get(MEMBER_KIND, name)
+
     async def run(self) -> None:
         """Write leaves to the loaded entry until cancelled."""
         while True:
-            await self._has_pending.wait()
-            self._has_pending = trio.Event()
-            while self._pending and not self._removed:
+            await self._has_work.wait()
+            self._has_work = trio.Event()
+            if self._was_restored:
+                with trio.move_on_after(
+                    self._rng.uniform(0.0, self._rewrite_spread_s())
+                ):
+                    while not self._pending:  # A leave is not delayed.
+                        await self._has_work.wait()
+                        self._has_work = trio.Event()
+            while (self._pending or self._was_restored) and not self._removed:
                 try:
-                    await self._write_pending()
+                    if self._was_restored:
+                        self._was_restored = False
+                        await self._check_restored()
+                    if self._pending:
+                        await self._write_pending()
                 except PlatformError as exc:
                     self._log.emit(
                         "node_entry",
@@ -191,6 +225,22 @@
                         WRITE_RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0)
                     )
 
+    def handle_restored(self) -> None:
+        """Check the entry, as the store came back from an older copy."""
+        self._was_restored = True
+        self._has_work.set()
+
+    def _rewrite_spread_s(self) -> float:
+        members = len(self._directory.all())
+        return max(MIN_REWRITE_SPREAD_S, members / REWRITES_PER_S)
+
+    async def _check_restored(self) -> None:
+        try:
+            await self.load(reads_first=True)
+        except PlatformError:
+            self._was_restored = True
+            raise
+
     async def store_leave(self, leave: Leave) -> bool:
         """Store a leave; return whether the store has confirmed it in time.
 
@@ -200,7 +250,7 @@
         if not self._is_stored(leave):
             if leave not in self._pending:
                 self._pending.append(leave)
-            self._has_pending.set()
+            self._has_work.set()
             with trio.move_on_after(LEAVE_STORE_TIMEOUT_S):
                 while not self._is_stored(leave):
                     await self._changed.wait()
@@ -224,6 +274,16 @@
     def _is_stored(self, leave: Leave) -> bool:
         return any(stored.covers(leave) for stored in self._stored)
 
+    def _restore_lost(self, before: tuple[Leave, ...]) -> None:
+        lost = [leave for leave in before if not self._is_stored(leave)]
+        self._pending = list(merge_leaves(lost, self._pending))
+        self._log.emit(
+            "node_entry",
+            "leaves_lost",
+            f"A restored store lacks {len(lost)} leaves, which are written again.",
+            instances=[leave.instance for leave in lost],
+        )
+
     async def _write_pending(self) -> None:
         left = merge_leaves(self._stored, self._pending)
         try:
@@ -241,12 +301,19 @@
         self._apply(document)
 
     def _apply(self, document: Document) -> None:
-        """Take over what the store holds."""
+        """Take over what the store holds.
+
+        Leaves that an older copy lacks were acknowledged and are written again.
+        """
+        before = self._stored
+        is_restored = era_of(document.revision) > era_of(self._revision)
         self._revision = document.revision
         try:
             self._stored = decode_entry(document).left
         except (ValueError, RecursionError):
             self._stored = ()
+        if is_restored and not set(before) <= set(self._stored):
+            self._restore_lost(before)
         for leave in self._pending:
             if self._is_stored(leave):
                 self._log.emit(
@@ -258,5 +325,7 @@
                     revision=document.revision,
                 )
         self._pending = [item for item in self._pending if not self._is_stored(item)]
+        if self._pending:
+            self._has_work.set()
         self._changed.set()
         self._changed = trio.Event()
--- a/marigoldchute/hosted/relay.py
+++ b/marigoldchute/hosted/relay.py
@@ -6,13 +6,18 @@
 import math
 import struct
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from marigoldchute.errors import BundleError, PeerError, ResultCode
-from marigoldchute.hosted.catalog import apply_difference, encode_difference
+from marigoldchute.hosted.catalog import (
+    apply_difference,
+    encode_difference,
+    is_newer,
+)
 from marigoldchute.link.methods import Method
+from marigoldchute.objectstore.eras import era_of
 
 if TYPE_CHECKING:
     import random
@@ -41,18 +46,55 @@
 SEND_SHARE = 0.5  # Of the connection of a VM; the other half is for requests.
 BYTES_PER_MBIT = 125_000
 _REVISION = struct.Struct(">Q")
+_POSITION = struct.Struct(">QQ")  # Revision and version.
+MAX_VERSION = 2**64 - 1
+
+
+class Offer(NamedTuple):
+    """Offer of a bundle.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the bundle.
+    version : int or None
+        Its version; None if the offer does not state it.
+    """
+
+    revision: int
+    version: int | None = None
+
+
+def encode_offer(revision: int, version: int) -> bytes:
+    """Encode an offer, with the version only for a store that has eras."""
+    if not era_of(revision) or version > MAX_VERSION:
+        return _REVISION.pack(revision)
+    return _POSITION.pack(revision, version)
+
+
+def decode_offer(body: bytes) -> Offer:
+    """Decode an offer."""
+    if len(body) == _POSITION.size:
+        return Offer(*_POSITION.unpack(body))
+    return Offer(*_REVISION.unpack(body))
+
+
+def _outranks(snapshot: Snapshot, offer: Offer) -> bool:
+    version = snapshot.version if offer.version is None else offer.version
+    return is_newer(snapshot.revision, snapshot.version, offer.revision, version)
 
 
 class BundleRelay:
     """Offers the newest bundle to neighbours and fetches newer ones from them.
 
-    An offer is a revision. A neighbour with an older one requests the difference from
-    its own revision, so that each node receives each change once, whatever the number
-    of its neighbours. A node sends to few neighbours at a time, so that those it has
-    served pass the bundle on meanwhile. An offer is valid until its revision is in
-    force or its link has closed. The first bundle is fetched once the records of a node
-    that offers one are known, as they tell which release to serve. To make up for lost
-    offers, each node repeats its offer to one neighbour at a time.
+    An offer is a revision, and in a store with eras also a version. A neighbour with an
+    older bundle requests the difference from its own revision, so that each node
+    receives each change once, whatever the number of its neighbours. A node sends to
+    few neighbours at a time, so that those it has served pass the bundle on meanwhile.
+    An offer is valid until its revision is in force or its link has closed. The first
+    bundle is fetched once the records of a node that offers one are known, as they tell
+    which release to serve. To make up for lost offers, each node repeats its offer to
+    one neighbour at a time.
 
     Parameters
     ----------
@@ -86,7 +128,7 @@
         self._overlay = overlay
         self._log = log
         self._rng = rng
-        self._offers: dict[Link, int] = {}
+        self._offers: dict[Link, Offer] = {}
         self._failures: collections.Counter[Link] = collections.Counter()
         self._offer_received = trio.Event()
         self._fetching: set[Link] = set()
@@ -144,11 +186,10 @@
 
     def _idle_offers(self) -> list[Link]:
         """Return the links with an offer from which nothing is fetched now."""
-        current_revision = self._catalog.revision
         self._offers = {
-            link: revision
-            for link, revision in self._offers.items()
-            if link.is_open and revision > current_revision
+            link: offer
+            for link, offer in self._offers.items()
+            if link.is_open and self._catalog.wants(*offer)
         }
         return [link for link in self._offers if link not in self._fetching]
 
@@ -157,12 +198,16 @@
         idle = [link for link in self._idle_offers() if not self._is_busy(link, now)]
         if not idle:
             return None
-        return max(idle, key=lambda link: (-self._failures[link], self._offers[link]))
+        return max(idle, key=self._preference)
+
+    def _preference(self, link: Link) -> tuple[int, int, int]:
+        offer = self._offers[link]
+        return -self._failures[link], offer.version or 0, offer.revision
 
     def _is_busy(self, link: Link, now: float) -> bool:
         return self._busy_until.get(link, 0.0) > now
 
-    async def _fetch_from(self, link: Link, revision: int) -> None:
+    async def _fetch_from(self, link: Link, offer: Offer) -> None:
         base = self._catalog.newest
         base_revision = _REVISION.pack(base.revision if base is not None else 0)
         started_at = trio.current_time()
@@ -174,7 +219,7 @@
         except (PeerError, BundleError) as exc:
             if isinstance(exc, PeerError):
                 # The bundle may still be fetched from this neighbour or another one.
-                self._offers.setdefault(link, revision)
+                self._offers.setdefault(link, offer)
                 if exc.code is ResultCode.PEER_BUSY:
                     now = trio.current_time()
                     self._busy_until[link] = now + BUSY_RETRY_DELAY_S
@@ -183,10 +228,10 @@
             self._log.emit(
                 "relay",
                 "fetch_failed",
-                f"Fetching revision {revision} from {link.peer.name} failed: "
+                f"Fetching revision {offer.revision} from {link.peer.name} failed: "
                 f"{exc.message}.",
                 member=link.peer.name,
-                revision=revision,
+                revision=offer.revision,
                 code=exc.code.value,
                 fetch_ms=round((trio.current_time() - started_at) * 1000),
             )
@@ -207,9 +252,9 @@
         }
 
     async def _handle_offer(self, link: Link, body: bytes) -> bytes:
-        (revision,) = _REVISION.unpack(body)
-        if revision > self._catalog.revision:
-            self._offers[link] = revision
+        offer = decode_offer(body)
+        if self._catalog.wants(*offer):
+            self._offers[link] = offer
             self._offer_received.set()
             if self._awaited_since is None:
                 self._awaited_since = trio.current_time(), time.process_time()
@@ -232,8 +277,9 @@
 
     def _offer_to(self, link: Link) -> None:
         if self._catalog.revision:
+            offer = encode_offer(self._catalog.revision, self._catalog.version)
             try:
-                link.notify(Method.OFFER_BUNDLE, _REVISION.pack(self._catalog.revision))
+                link.notify(Method.OFFER_BUNDLE, offer)
             except PeerError:
                 return  # The link has closed; the offer is sent again on the next one.
 
@@ -243,5 +289,6 @@
         self._failures.clear()
         self._busy_until.clear()
         for link in self._overlay.neighbours():
-            if self._offers.get(link, 0) < snapshot.revision:
+            offer = self._offers.get(link)
+            if offer is None or _outranks(snapshot, offer):
                 self._offer_to(link)
--- a/marigoldchute/objectstore/caller.py
+++ b/marigoldchute/objectstore/caller.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, TypeVar
 
 import httpcore
@@ -65,11 +66,14 @@
         Body.
     transfer_s : float
         Time from the first byte to the last in seconds.
+    headers : sequence of tuple of bytes
+        Names and values of the header fields.
     """
 
     status: int
     content: bytes
     transfer_s: float
+    headers: Sequence[tuple[bytes, bytes]]
 
 
 class StoreCaller:
@@ -92,6 +96,9 @@
         IP address from which connections are opened; any when empty.
     log : EventLog, optional
         Event log of the process, for large and slow responses.
+    on_response : callable, optional
+        Called with the header fields of each response, whatever its status, right
+        before its body is decoded.
     """
 
     def __init__(
@@ -100,8 +107,10 @@
         rng: random.Random,
         local_address: str = "",
         log: EventLog | None = None,
+        on_response: Callable[[Sequence[tuple[bytes, bytes]]], None] | None = None,
     ) -> None:
         self._settings = settings
+        self._on_response = on_response
         self._rng = rng
         self._log = log
         self._pool = httpcore.AsyncConnectionPool(
@@ -203,6 +212,8 @@
             self.min_latency_s = min(
                 self.min_latency_s, trio.current_time() - started_at
             )
+            if self._on_response is not None:
+                self._on_response(response.headers)
             raise_for_status(method, path, response.status, response.content)
             return response
 
@@ -254,7 +265,9 @@
                     started_at = trio.current_time()
                     await self._receive(response, method, content, scope, on_piece)
                     transfer_s = trio.current_time() - started_at
-                    return _Response(response.status, bytes(content), transfer_s)
+                    return _Response(
+                        response.status, bytes(content), transfer_s, response.headers
+                    )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise PlatformError(f"store cannot be reached: {exc}") from exc
         except (
--- a/marigoldchute/objectstore/documents.py
+++ b/marigoldchute/objectstore/documents.py
@@ -72,6 +72,14 @@
     def calls(self) -> int:
         """Number of calls since the start."""
 
+    @property
+    def restorations(self) -> int:
+        """Number of times that the store came back from an older copy."""
+
+    @property
+    def on_restored(self) -> list[Callable[[], None]]:
+        """Listeners that are called when the store came back from an older copy."""
+
     async def list(
         self,
         kind: str,
--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from marigoldchute.moves.model import Split
+from marigoldchute.objectstore.eras import era_of, revision_of
 from marigoldchute.orders.model import OrderStage, OrderState
 from marigoldchute.overlay.records import Record, RecordKind
 
@@ -18,6 +19,9 @@
     from marigoldchute.membership.model import Members
     from marigoldchute.overlay.records import RecordTable
 
+# Earlier orders of a service that a restored store may show again.
+MAX_EARLIER_ORDERS = 8
+
 _STATE = msgspec.msgpack.Decoder(OrderState)
 
 
@@ -32,6 +36,11 @@
     A service without an order stays on the release that it had: another release that
     is announced gets no requests until an order names it.
 
+    A store that came back from an older copy may show an order under another revision,
+    or an order that a later one has replaced. A node that knows neither publishes what
+    it reads, with a higher rank. The nodes that know better then publish the state that
+    they had again, above that rank.
+
     Parameters
     ----------
     members : Members
@@ -50,6 +59,8 @@
         self._faulty_order_ids: set[str] = set()
         self._base_releases: dict[str, str] = {}
         self._splits: dict[str, Split] = {}
+        self._earlier: dict[str, collections.deque[tuple[str, int]]] = {}
+        self._kept_order_ids: set[str] = set()
         self.on_change: list[Callable[[OrderState], None]] = []
         table.subscribe(RecordKind.ORDER, self._handle_order_record)
         table.subscribe(RecordKind.ORDER_FAULT, self._handle_fault_record)
@@ -66,6 +77,27 @@
         """Return whether any node has reported the order's target as faulty."""
         return state.order_id in self._faulty_order_ids
 
+    def is_superseded(self, service: str, target: str, number: int) -> bool:
+        """Return whether a restored store shows an order that a later one replaced.
+
+        Parameters
+        ----------
+        service, target : str
+            Service and target of the order.
+        number : int
+            Number of the order.
+        """
+        known = self._states.get(service)
+        return known is not None and self._is_superseded(known, target, number)
+
+    def predates(self, state: OrderState, revision: int) -> bool:
+        """Return whether an order is of an earlier era of the store than a revision.
+
+        A restored store may lack the status of such an order.
+        """
+        is_kept = state.order_id in self._kept_order_ids
+        return is_kept or era_of(revision) > era_of(state.number)
+
     def publish(self, state: OrderState) -> bool:
         """Publish a state to all nodes; return whether it is the latest."""
         body = msgspec.msgpack.encode(state)
@@ -127,6 +159,13 @@
 
     def _handle_order_record(self, record: Record) -> None:
         state = decode_state(record)
+        previous = self._states.get(state.service)
+        kept = None
+        if previous is not None:
+            kept = self._kept_state(previous, state)
+            if kept is not None:
+                self._kept_order_ids.add(kept.order_id)
+            self._record_earlier(previous, state)
         self._states[state.service] = state
         self.refresh()
         self._log.emit(
@@ -141,6 +180,48 @@
         )
         for listener in self.on_change:
             listener(state)
+        if previous is not None and kept is not None:
+            self._publish_kept(previous, kept)
+
+    def _is_superseded(self, known: OrderState, target: str, number: int) -> bool:
+        if known.target == target or era_of(number) <= era_of(known.number):
+            return False
+        earlier = self._earlier.get(known.service, ())
+        return (target, revision_of(number)) in earlier
+
+    def _record_earlier(self, previous: OrderState, state: OrderState) -> None:
+        if previous.target != state.target:
+            earlier = self._earlier.setdefault(
+                state.service, collections.deque(maxlen=MAX_EARLIER_ORDERS)
+            )
+            earlier.append((previous.target, revision_of(previous.number)))
+
+    def _kept_state(self, previous: OrderState, state: OrderState) -> OrderState | None:
+        """Return the state to publish again in place of that of a restored store."""
+        if era_of(state.number) <= era_of(previous.number):
+            return None
+        if state.target != previous.target:
+            is_behind = self._is_superseded(previous, state.target, state.number)
+        elif previous.is_open:
+            is_behind = state.is_open and state.step < previous.step
+        else:
+            is_behind = state.stage != previous.stage
+        if not is_behind:
+            return None
+        step = max(previous.step, state.step + 1)
+        return msgspec.structs.replace(previous, number=state.number, step=step)
+
+    def _publish_kept(self, previous: OrderState, kept: OrderState) -> None:
+        self._log.emit(
+            "orders",
+            "kept",
+            f"{previous.order_id} keeps its state, as the store was restored.",
+            move=kept.order_id,
+            stage=OrderStage(kept.stage).name,
+        )
+        if self.is_faulty(previous):
+            self.report_fault(kept, "it was faulty before the store was restored")
+        self.publish(kept)
 
     def _handle_fault_record(self, record: Record) -> None:
         self._faulty_order_ids.add(record.key)
--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -9,6 +9,7 @@
 from marigoldchute.errors import (
     ConflictError,
     MoveError,
+    NotFoundError,
     PlatformError,
     ResultCode,
     UnknownOutcomeError,
@@ -40,6 +41,9 @@
 TICK_INTERVAL_S = 0.1
 IDLE_TICK_INTERVAL_S = 0.5
 WRITE_RETRY_DELAY_S = 0.3
+# A status that the store lacks is written again after this time, in which a write of
+# the previous leader becomes visible.
+REWRITE_DELAY_S = 1.0
 
 
 class OrderApi(Protocol):
@@ -94,6 +98,11 @@
         Documents that were rejected.
     log : EventLog
         Event log of the process.
+
+    Attributes
+    ----------
+    rewritten_count : int
+        Number of statuses written again after the store was restored.
     """
 
     def __init__(
@@ -122,6 +131,9 @@
         self._phase_since: dict[str, tuple[tuple[str, int, bool], float]] = {}
         self._evidence: dict[str, OrderEvidence] = {}
         self._advancing: set[str] = set()  # Services.
+        # By service, since when the store lacks its status.
+        self._lacks_status_since: dict[str, float] = {}
+        self.rewritten_count = 0
         self.reader: StoreReader | None = None
         book.on_change.append(self._on_state_change)
         self._reporter = OutcomeReporter(
@@ -142,6 +154,11 @@
 
     def apply_page(self, page: DocumentPage, is_full_list: bool) -> None:
         """Apply documents from the store."""
+        if is_full_list:
+            names = {document.name for document in page.documents}
+            self._documents = {
+                name: order for name, order in self._documents.items() if name in names
+            }
         for document in page.documents:
             if document.deleted:
                 self._documents.pop(document.name, None)
@@ -167,6 +184,7 @@
             )
 
     def _apply_order(self, order: OrderDocument) -> None:
+        before = self._documents.get(order.service)
         self._documents[order.service] = order
         known = self._book.state(order.service)
         if known is not None and known.target == order.target:
@@ -174,6 +192,10 @@
             if order.stage > max(known.stage, OrderStage.RUNNING):
                 self._book.publish(_with_verdict(known, order.stage))
             return
+        if self._book.is_superseded(order.service, order.target, order.number):
+            if before is None or before.revision != order.revision:
+                self._log_superseded(order)
+            return
         rejected = set(order.rejected)
         if known is not None:
             rejected |= set(known.rejected)
@@ -195,9 +217,29 @@
         self._started_at[state.order_id] = trio.current_time() - order.elapsed_ms / 1000
         self._book.publish(state)
 
+    def _log_superseded(self, order: OrderDocument) -> None:
+        self._log.emit(
+            "orders",
+            "superseded",
+            f"A restored store shows the order of {order.target!r} for "
+            f"{order.service!r}, which a later order has replaced.",
+            service=order.service,
+            target=order.target,
+            revision=order.revision,
+        )
+
+    def _find_start(self, state: OrderState, now: float) -> float:
+        """Return when an order began, also if it had another number before."""
+        prefix = f"{state.service}/{state.target}/"
+        if not self._book.predates(state, state.number):
+            return now
+        starts = (at for key, at in self._started_at.items() if key.startswith(prefix))
+        return min(starts, default=now)
+
     def _on_state_change(self, state: OrderState) -> None:
         now = trio.current_time()
-        self._started_at.setdefault(state.order_id, now)
+        if state.order_id not in self._started_at:
+            self._started_at[state.order_id] = self._find_start(state, now)
         phase = phase_of(state)
         previous = self._phase_since.get(state.service)
         if previous is None or previous[0] != phase:
@@ -219,10 +261,54 @@
                     else:
                         self._advancing.add(state.service)
                         nursery.start_soon(self._advance_one, state)
+                lacking = self._next_without_status(trio.current_time())
+                if lacking is not None:
+                    self._advancing.add(lacking.service)
+                    nursery.start_soon(self._rewrite_one, lacking)
                 await trio.sleep(
                     TICK_INTERVAL_S if open_orders else IDLE_TICK_INTERVAL_S
                 )
 
+    def _next_without_status(self, now: float) -> OrderState | None:
+        """Return an order whose status a restored store has lacked for long enough."""
+        lacking = {s.service: s for s in self._book.states() if self._lacks_status(s)}
+        self._lacks_status_since = {
+            service: self._lacks_status_since.get(service, now) for service in lacking
+        }
+        for service, since in self._lacks_status_since.items():
+            if now - since < REWRITE_DELAY_S or service in self._advancing:
+                continue
+            self._lacks_status_since[service] = now
+            assert self.reader is not None
+            if self._duty.is_leader(self.reader.is_reading(now), now):
+                return lacking[service]
+        return None
+
+    def _lacks_status(self, state: OrderState) -> bool:
+        document = self._documents.get(state.service)
+        return (
+            document is not None
+            and document.target == state.target
+            and document.stage != state.stage
+            and state.stage != OrderStage.WAITING
+            and self._book.predates(state, document.revision)
+        )
+
+    async def _rewrite_one(self, state: OrderState) -> None:
+        try:
+            await self._write(state, state)
+            if not self._lacks_status(state):
+                self.rewritten_count += 1
+                self._log.emit(
+                    "orders",
+                    "status_rewritten",
+                    f"The status of {state.order_id} was written again.",
+                    move=state.order_id,
+                    stage=OrderStage(state.stage).name,
+                )
+        finally:
+            self._advancing.discard(state.service)
+
     async def _advance_one(self, state: OrderState) -> None:
         try:
             await self._advance(state)
@@ -295,7 +381,7 @@
             await trio.sleep(WRITE_RETRY_DELAY_S)
             return
         self._documents[state.service] = written
-        if not new_state.is_open:
+        if state.is_open and not new_state.is_open:
             self._log.emit(
                 "orders",
                 "verdict",
@@ -309,6 +395,9 @@
     async def _reread(self, service: str) -> None:
         try:
             self._apply_order(await self._api.read(service))
+        except NotFoundError:
+            # The operator deleted the order, or a restored store lacks it.
+            self._documents.pop(service, None)
         except (PlatformError, MoveError) as exc:
             self._log.emit(
                 "orders",
--- a/marigoldchute/platform/store.py
+++ b/marigoldchute/platform/store.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from marigoldchute.errors import (
+    CompactedError,
+    ConflictError,
     NotFoundError,
     PlatformError,
     ResultCode,
@@ -16,6 +18,12 @@
 )
 from marigoldchute.objectstore.caller import StoreCaller
 from marigoldchute.objectstore.documents import Document, DocumentPage
+from marigoldchute.objectstore.eras import (
+    MAX_ERA,
+    EraTracker,
+    era_of,
+    make_position,
+)
 from marigoldchute.objectstore.messages import decode_response, malformed_error
 from marigoldchute.platform.objects import (
     READ_METHOD,
@@ -28,13 +36,16 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from marigoldchute.events import EventLog
     from marigoldchute.objectstore.settings import StoreSettings
 
 JSON_CONTENT_TYPE = "application/json"
 MAX_LISTED_DOCUMENTS = 100_000
+# Increases by one when the store comes back from an older copy.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 7
 
 _decode_written = functools.partial(decode_response, cls=Object)
 
@@ -42,6 +53,10 @@
 class PlatformDocumentStore:
     """``DocumentStore`` that uses the platform's HTTP protocol.
 
+    Revisions are positions to the rest of the code, see ``objectstore.eras``. A watch
+    from, or a condition on, a position of another era than the newest one known is not
+    sent: its bare revision belongs to another change in this era.
+
     Parameters
     ----------
     settings : StoreSettings
@@ -51,7 +66,12 @@
     local_address : str
         IP address from which connections are opened.
     log : EventLog, optional
-        Event log of the process, for large and slow responses.
+        Event log of the process, for large and slow responses and for new eras.
+
+    Attributes
+    ----------
+    on_restored : list of callable
+        Called when the store has come back from an older copy.
     """
 
     def __init__(
@@ -61,7 +81,13 @@
         local_address: str,
         log: EventLog | None = None,
     ) -> None:
-        self._caller = StoreCaller(settings, rng, local_address, log)
+        self._caller = StoreCaller(
+            settings, rng, local_address, log, self._record_response
+        )
+        self._log = log
+        self._eras = EraTracker()
+        self._response_era = 0
+        self.on_restored: list[Callable[[], None]] = []
 
     @property
     def is_reachable(self) -> bool:
@@ -78,6 +104,65 @@
         """Number of calls since the start."""
         return self._caller.calls
 
+    @property
+    def era(self) -> int:
+        """Newest era of which a response was received, 0 before the first one."""
+        return self._eras.known or 0
+
+    @property
+    def restorations(self) -> int:
+        """Number of times that the store came back from an older copy."""
+        return self._eras.restorations
+
+    def _record_response(self, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        before = self.era
+        self._response_era, is_restored = self._eras.record(_parse_era(headers))
+        if not is_restored:
+            return
+        if self._log is not None:
+            self._log.emit(
+                "store",
+                "restored",
+                f"The store came back from an older copy, in era {self.era}.",
+                era=self.era,
+                era_before=before,
+            )
+        for listener in self.on_restored:
+            listener()
+
+    def _decode_read(
+        self, body: bytes, method: str, decode: Callable[..., Any]
+    ) -> tuple[int, Any]:
+        """Return the era of a response and its decoded body."""
+        if self._response_era < self.era:
+            raise PlatformError("response is of an older era of the store")
+        return self._response_era, decode(body, method=method)
+
+    def _decode_watch(self, body: bytes, method: str, era: int) -> tuple[int, Any]:
+        if self._response_era != era:
+            raise CompactedError("the store came back from an older copy")
+        return era, decode_events(body, method)
+
+    def _decode_write(
+        self,
+        body: bytes,
+        method: str,
+        decode: Callable[..., Any],
+        era: int | None = None,
+    ) -> tuple[int, Any]:
+        """Decode the response to a write, which is conditional if it has an era."""
+        if self._response_era != (self.era if era is None else era):
+            raise UnknownOutcomeError("the store came back from an older copy")
+        if self._response_era < self.era:
+            raise UnknownOutcomeError("the write was made in an older era of the store")
+        return self._response_era, decode(body, method=method)
+
+    def _expected_revision(self, position: int) -> int:
+        revision = self._eras.find_revision(position)
+        if revision is None:
+            raise ConflictError("the document was read in another era of the store")
+        return revision
+
     async def list(
         self,
         kind: str,
@@ -89,16 +174,19 @@
         query = {"allow_stale": "1"} if stale_allowed else {}
         revision = 0
         transfer_s = 0.0
+        decode = functools.partial(self._decode_read, decode=decode_page)
         while True:
-            page, page_s = await self._caller.call_timed(
-                decode_page, "GET", _path(kind, **query), on_piece=on_piece
+            (era, page), page_s = await self._caller.call_timed(
+                decode, "GET", _path(kind, **query), on_piece=on_piece
             )
             transfer_s += page_s
             # Changes between two pages are found by a watch from the first one.
-            revision = revision or page.at
+            revision = revision or make_position(era, page.at)
+            if era_of(revision) != era_of(make_position(era, page.at)):
+                raise PlatformError("the store came back from an older copy")
             count = len(documents)
             for item in page.items:
-                documents[item.metadata.name] = _to_document(kind, item)
+                documents[item.metadata.name] = _to_document(kind, item, era)
             if not page.more or not page.items:
                 return DocumentPage(tuple(documents.values()), revision, transfer_s)
             if len(documents) == count or len(documents) > MAX_LISTED_DOCUMENTS:
@@ -109,9 +197,10 @@
 
     async def get(self, kind: str, name: str) -> Document:
         """Return a document; raise ``NotFoundError`` when it does not exist."""
-        decode = functools.partial(_decode_named, decode=decode_object, name=name)
-        item = await self._caller.call(decode, "GET", _path(kind, name))
-        return _to_document(kind, item)
+        decode_item = functools.partial(_decode_named, decode=decode_object, name=name)
+        decode = functools.partial(self._decode_read, decode=decode_item)
+        era, item = await self._caller.call(decode, "GET", _path(kind, name))
+        return _to_document(kind, item, era)
 
     async def changes(
         self,
@@ -121,14 +210,19 @@
         on_piece: Callable[[], None] | None = None,
     ) -> DocumentPage:
         """Wait for and return the changes of a kind after a revision."""
-        path = _path(kind, watch=str(after_revision), wait_ms=str(wait_ms))
-        page, transfer_s = await self._caller.call_timed(
-            decode_events, "GET", path, wait_ms=wait_ms, on_piece=on_piece
+        bare_revision = self._eras.find_revision(after_revision)
+        if bare_revision is None:
+            raise CompactedError("the position is of another era of the store")
+        path = _path(kind, watch=str(bare_revision), wait_ms=str(wait_ms))
+        decode = functools.partial(self._decode_watch, era=self.era)
+        (era, page), transfer_s = await self._caller.call_timed(
+            decode, "GET", path, wait_ms=wait_ms, on_piece=on_piece
         )
         documents = tuple(
-            _to_document(kind, event.object, event.deleted) for event in page.events
+            _to_document(kind, event.object, era, event.deleted)
+            for event in page.events
         )
-        return DocumentPage(documents, page.at, transfer_s)
+        return DocumentPage(documents, make_position(era, page.at), transfer_s)
 
     async def create(self, kind: str, name: str, content: Any) -> Document:
         """Create a document; raise ``ConflictError`` when it exists."""
@@ -139,39 +233,58 @@
         self, kind: str, name: str, content: Any, expected_revision: int
     ) -> Document:
         """Replace a document's content if its revision is the expected one."""
-        body = {
-            "metadata": {"name": name, "revision": expected_revision},
-            "spec": content,
-        }
-        return await self._write(kind, name, "PUT", _path(kind, name), body)
+        revision = self._expected_revision(expected_revision)
+        body = {"metadata": {"name": name, "revision": revision}, "spec": content}
+        path = _path(kind, name)
+        return await self._write(kind, name, "PUT", path, body, self.era)
 
     async def write_status(
         self, kind: str, name: str, status: Any, expected_revision: int
     ) -> Document:
         """Replace a document's status if its revision is the expected one."""
-        body = {
-            "metadata": {"name": name, "revision": expected_revision},
-            "status": status,
-        }
+        revision = self._expected_revision(expected_revision)
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
         path = _path(kind, name) + "/status"
-        return await self._write(kind, name, "PUT", path, body)
+        return await self._write(kind, name, "PUT", path, body, self.era)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete a document if it exists."""
+        decode = functools.partial(self._decode_write, decode=_ignore_body)
         try:
-            await self._caller.call(_ignore_body, "DELETE", _path(kind, name), b"")
+            await self._caller.call(decode, "DELETE", _path(kind, name), b"")
         except NotFoundError:
             return
 
     async def _write(
-        self, kind: str, name: str, method: str, path: str, body: Any
+        self,
+        kind: str,
+        name: str,
+        method: str,
+        path: str,
+        body: Any,
+        era: int | None = None,
     ) -> Document:
         data = msgspec.json.encode(body)
-        decode = functools.partial(_decode_named, decode=_decode_written, name=name)
-        written = await self._caller.call(
+        decode_item = functools.partial(
+            _decode_named, decode=_decode_written, name=name
+        )
+        decode = functools.partial(self._decode_write, decode=decode_item, era=era)
+        written_era, written = await self._caller.call(
             decode, method, path, data, content_type=JSON_CONTENT_TYPE
         )
-        return _to_document(kind, written)
+        return _to_document(kind, written, written_era)
+
+
+def _parse_era(headers: Sequence[tuple[bytes, bytes]]) -> int | None:
+    """Return the era that a response states; None if it is missing or malformed."""
+    values = {value.strip() for name, value in headers if name.lower() == ERA_HEADER}
+    if len(values) != 1:
+        return None
+    (value,) = values
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    era = int(value)
+    return era if era <= MAX_ERA else None
 
 
 def _decode_named(
@@ -201,12 +314,12 @@
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
 
-def _to_document(kind: str, item: Object, deleted: bool = False) -> Document:
+def _to_document(kind: str, item: Object, era: int, deleted: bool = False) -> Document:
     metadata = item.metadata
     return Document(
         kind,
         metadata.name,
-        metadata.revision,
+        make_position(era, metadata.revision),
         item.spec,
         item.status,
         deleted or metadata.deleting,
--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import dataclasses
 import urllib.parse
 from typing import TYPE_CHECKING, Any
@@ -64,11 +65,14 @@
     ----------
     calls : list of str
         Method and path of each call.
+    era : int
+        Era that responses state; 0 for a store without eras.
     """
 
     def __init__(self) -> None:
         self.faults = DocumentFaults()
         self.calls: list[str] = []
+        self.era = 0
         self._kinds: dict[str, dict[str, _StoredDocument]] = {}
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._revision = 1
@@ -109,6 +113,17 @@
         self._compacted_revision = self._revision
         self._events.clear()
 
+    def take_copy(self) -> Any:
+        """Return a copy of the documents, for ``restore``."""
+        return copy.deepcopy((self._kinds, self._revision))
+
+    def restore(self, stored: Any) -> None:
+        """Come back from a copy; writes after it are lost and a new era begins."""
+        self._kinds, self._revision = copy.deepcopy(stored)
+        self._compacted_revision = self._revision
+        self._events.clear()
+        self.era += 1
+
     async def _handle(self, req: HttpRequest, responder: HttpResponder) -> None:
         body = b""
         while (data := await req.receive()) is not None:
@@ -118,7 +133,7 @@
             await trio.sleep_forever()
         if self.faults.refused_status:
             await _send_response(
-                responder, self.faults.refused_status, {"error": "fault"}
+                responder, self.faults.refused_status, {"error": "fault"}, self.era
             )
             return
         path, _, text = req.target.decode().partition("?")
@@ -132,7 +147,7 @@
                 self.faults.lose_replies -= 1
                 responder.abort()
                 return
-        await _send_response(responder, status, value)
+        await _send_response(responder, status, value, self.era)
 
     async def _read(self, parts: list[str], query: dict[str, str]) -> tuple[int, Any]:
         documents = self._kinds.get(parts[0], {})
@@ -149,7 +164,7 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         after_revision = int(query["watch"])
-        if after_revision < self._compacted_revision:
+        if not self._compacted_revision <= after_revision <= self._revision:
             return 410, {"error": "history is gone"}
         events: list[dict[str, Any]] = []
         with trio.move_on_after(int(query.get("wait_ms", "0")) / 1000):
@@ -198,11 +213,15 @@
         self._events.append((self._revision, kind, deleted, stored.to_wire()))
 
 
-async def _send_response(responder: HttpResponder, status: int, value: Any) -> None:
+async def _send_response(
+    responder: HttpResponder, status: int, value: Any, era: int
+) -> None:
     body = msgspec.json.encode(value)
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
     ]
+    if era:
+        headers.append((b"store-era", str(era).encode()))
     await responder.start(status, headers, body)
     await responder.finish()
