--- a/marigoldchute/hosted/evacuation.py
+++ b/marigoldchute/hosted/evacuation.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldchute.errors import EvacuationError
+from marigoldchute.objectstore.eras import ABSENCE_GRACE_S, era_of
 from marigoldchute.overlay.records import Record, RecordKind
 
 if TYPE_CHECKING:
@@ -18,12 +19,6 @@
     from marigoldchute.objectstore.documents import Document, DocumentPage
     from marigoldchute.overlay.records import RecordTable
 
-# Positions of the store are its era, shifted by this, and the revision in that era.
-ERA_BITS = 40
-# After the store was restored from a copy, operators write what was lost again. An
-# evacuation that is absent from the copy stays for this time. Keeping it for too long
-# costs capacity; ending it too early sends requests where none may arrive.
-RESTORE_GRACE_S = 30.0
 # A node with a bundle that neither a peer nor the store has told of the evacuations
 # serves after this time; with a path to the store it learns them sooner.
 MAX_UNKNOWN_S = 4.0
@@ -49,16 +44,15 @@
     return _LIST_BODY.decode(record.body)
 
 
-def era_of(position: int) -> int:
-    """Return the era of a position of the store, 0 for a store without eras."""
-    return position >> ERA_BITS
-
-
 def accepts_absence(
     evacuated_at: int, listed_at: int, era_seen_at: float, now: float
 ) -> bool:
     """Return whether an evacuation ends because the store no longer lists it.
 
+    After a restoration of the store it does not end for ``ABSENCE_GRACE_S``. Keeping it
+    for too long costs capacity; ending it too early sends requests where none may
+    arrive.
+
     Parameters
     ----------
     evacuated_at : int
@@ -72,7 +66,7 @@
     """
     if era_of(listed_at) <= era_of(evacuated_at):
         return True
-    return now - era_seen_at >= RESTORE_GRACE_S
+    return now - era_seen_at >= ABSENCE_GRACE_S
 
 
 class EvacuationApi(Protocol):
--- a/tests/test_hosted/test_evacuation.py
+++ b/tests/test_hosted/test_evacuation.py
@@ -13,9 +13,7 @@
 from marigoldchute.errors import EvacuationError
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.hosted.evacuation import (
-    ERA_BITS,
     MAX_UNKNOWN_S,
-    RESTORE_GRACE_S,
     EvacuationBook,
     EvacuationTopic,
     accepts_absence,
@@ -24,13 +22,14 @@
 from marigoldchute.hosted.record_checks import register_checks
 from marigoldchute.hosted.rejections import Rejections
 from marigoldchute.objectstore.documents import Document, DocumentPage
+from marigoldchute.objectstore.eras import ABSENCE_GRACE_S, ERA_SHIFT
 from marigoldchute.overlay.records import Record, RecordKind, RecordTable
 from marigoldchute.platform.adapter import PlatformAdapter
 from marigoldchute.platform.evacuations import PlatformEvacuationApi
 from marigoldchute.platform.settings import parse_settings
 from tests.test_platform.test_adapter import make_settings
 
-ERA = 1 << ERA_BITS
+ERA = 1 << ERA_SHIFT
 DATA_CENTRES = ("norte", "sur", "este")
 
 
@@ -225,7 +224,7 @@
         self.assertTrue(accepts_absence(5, 9, 0.0, 0.0))
         self.assertTrue(accepts_absence(ERA + 5, ERA + 9, 0.0, 0.0))
         self.assertFalse(accepts_absence(5, ERA + 2, 100.0, 100.1))
-        self.assertTrue(accepts_absence(5, ERA + 2, 100.0, 100.0 + RESTORE_GRACE_S))
+        self.assertTrue(accepts_absence(5, ERA + 2, 100.0, 100.0 + ABSENCE_GRACE_S))
 
     def test_evacuation_lasts_until_the_operator_had_time_to_write_again(self) -> None:
         """Guards against requests to a data centre whose object the store lost."""
@@ -239,7 +238,7 @@
                 await trio.sleep(1)
                 node.watch(ERA + at)
                 self.assertEqual(node.evacuated(), ["norte"])
-            await trio.sleep(RESTORE_GRACE_S)
+            await trio.sleep(ABSENCE_GRACE_S)
             node.watch(ERA + 30)
             self.assertEqual(node.evacuated(), [])
 
