--- a/tests/test_routing/test_regions.py
+++ b/tests/test_routing/test_regions.py
@@ -24,6 +24,7 @@
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.moves.model import Split
+from marigoldchute.routing.access import Identity
 from marigoldchute.routing.candidates import CandidateTables
 from marigoldchute.routing.choice import NearestLeastLoaded, RandomChooser
 from marigoldchute.routing.cut import Cut, CutCause
@@ -352,7 +353,7 @@
     def _with_customer(self, make_call: Callable[..., Call]) -> Callable[..., Call]:
         def make(*args: Any) -> Call:
             call = make_call(*args)
-            call.customer = "ana"
+            call.identity = Identity("ana")
             self.entry._apply_regions(call)
             return call
 
