--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -122,6 +122,9 @@
             code = exc.code
             if isinstance(exc, NotRunError):
                 _handle_refusal(target, exc)
+            if exc.code is ResultCode.REQUEST_NOT_RUN_EVACUATED:
+                now = trio.current_time()
+                call.attempted |= leave_out_data_centre(target, candidates, now)
             raise
         finally:
             target.in_flight -= 1
@@ -215,6 +218,26 @@
         )
 
 
+def leave_out_data_centre(
+    refused: Target, candidates: Candidates, now: float
+) -> set[Target]:
+    """Pause and return the targets in the data centre of a target that is evacuated.
+
+    Its owner has learned of the evacuation before this node. Without that, the further
+    attempts of a request would be refused there as well.
+    """
+    data_centre = refused.member.data_centre
+    targets = {
+        target
+        for tier in (candidates.data_centre, candidates.region, candidates.remote)
+        for target in tier
+        if target.member.data_centre == data_centre
+    }
+    for target in targets:
+        target.pause(now + UNREACHABLE_BACKOFF_S)
+    return targets
+
+
 def _unreachable_error(target: Target) -> NotRunError:
     """Pause the target and return the error of the attempt."""
     target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
--- a/marigoldchute/routing/warmup.py
+++ b/marigoldchute/routing/warmup.py
@@ -27,8 +27,10 @@
 
 BOUND_WINDOW_S = 1.0  # The bound holds for requests in any one second.
 MAX_REQUESTS = 256  # Of the limit; also the number of send times that are kept.
-# Part of the limit that only priority 0 and nested calls may use.
-URGENT_RATIO = 0.25
+# Part of the limit that is kept for priority 0 and nested calls, as far as some came in
+# the last window. Kept without condition, it is lost under a load without such
+# requests; the rest keeps other requests from starving.
+URGENT_RATIO = 0.75
 # A report that arrives sooner after a doubt may have been sent before it: while the
 # process is paused, reports wait to be read.
 MIN_REPORT_DELAY_S = 0.3
@@ -47,11 +49,10 @@
     max_requests: int
     window_s: float
 
-    def max_for(self, is_urgent: bool) -> int:
-        """Return the number of requests in a window up to which one more is sent."""
-        if is_urgent:
-            return self.max_requests
-        return self.max_requests - int(URGENT_RATIO * self.max_requests)
+    def max_beside(self, urgent_count: int) -> int:
+        """Return the limit of the other requests beside some urgent ones."""
+        kept = min(int(URGENT_RATIO * self.max_requests), urgent_count)
+        return self.max_requests - kept
 
 
 def make_rate(
@@ -103,6 +104,26 @@
             return self._times[-number]
         return self._earlier_at
 
+    def room_at(self, limit: int, window_s: float, now: float, ahead: int) -> float:
+        """Return when one more request keeps to a limit in each window.
+
+        Parameters
+        ----------
+        limit : int
+            Number of requests in any ``window_s``.
+        window_s : float
+            Length of a window in seconds.
+        now : float
+            Monotonic time in seconds.
+        ahead : int
+            Number of requests that are sent before it.
+        """
+        if limit <= 0:
+            return float("inf")
+        windows, place = divmod(ahead, limit)
+        first_at = max(now, self.nth_last(limit - place) + window_s)
+        return first_at + windows * window_s
+
     def count_since(self, since: float) -> int:
         """Return the number of requests after a time, at most ``MAX_REQUESTS``."""
         return sum(at > since for at in self._times)
@@ -129,6 +150,8 @@
 
     def __init__(self, sends: SendLog, idle_s: float, now: float) -> None:
         self._sends = sends
+        self._urgent_arrivals = SendLog(float("-inf"))
+        self._other_sends = SendLog(float("-inf"))  # Those that are not urgent.
         self._idle_s = idle_s
         self._cold_until = float("-inf")
         # Reports from this time on resolve the doubt; None without one.
@@ -156,9 +179,11 @@
         """
         self._raise_doubt(now)
 
-    def record_send(self, now: float) -> None:
+    def record_send(self, now: float, is_urgent: bool = False) -> None:
         """Record a request that is sent to the server now."""
         self._sends.record(now)
+        if not is_urgent:
+            self._other_sends.record(now)
 
     def check_idle(self, now: float) -> None:
         """Doubt that the server is warm if it had no request for a time."""
@@ -183,12 +208,13 @@
         """
         if not self.is_limited(now):
             return now
-        limit = rate.max_for(is_urgent)
-        if limit <= 0:
-            return float("inf")
-        windows, place = divmod(ahead, limit)
-        first_at = max(now, self._sends.nth_last(limit - place) + rate.window_s)
-        return first_at + windows * rate.window_s
+        room_at = self._sends.room_at(rate.max_requests, rate.window_s, now, ahead)
+        if is_urgent:
+            return room_at
+        urgent_count = self._urgent_arrivals.count_since(now - rate.window_s)
+        limit = rate.max_beside(urgent_count)
+        other_room_at = self._other_sends.room_at(limit, rate.window_s, now, ahead)
+        return max(room_at, other_room_at)
 
     @contextlib.contextmanager
     def waiting(
@@ -201,6 +227,8 @@
         NotRunError
             There is no room for it in time.
         """
+        if is_urgent:
+            self._urgent_arrivals.record(now)
         self.check_idle(now)
         ahead = self._waiting_urgent if is_urgent else self._waiting
         self._check_wait(rate, is_urgent, ahead, now + max_wait_s, now)
@@ -225,7 +253,7 @@
             self.check_idle(now)
             room_at = self._check_wait(rate, is_urgent, 0, latest_at, now)
             if room_at <= now:
-                self.record_send(now)
+                self.record_send(now, is_urgent)
                 return
             await trio.sleep_until(room_at)
 
@@ -243,7 +271,7 @@
             sent = self._sends.count_since(now - rate.window_s)
             raise NotRunError(
                 f"backend server is cold or may be: {sent} sent and {ahead} waiting "
-                f"of {rate.max_for(is_urgent)} in {rate.window_s:.2f} s",
+                f"of {rate.max_requests} in {rate.window_s:.2f} s",
                 ResultCode.REQUEST_NOT_RUN_WARMING_UP,
                 wait_s,
             )
