Drop requests of callers that left before they were read

A node that is short of processor time reads a request up to seconds after it was sent. It passed such a request on although its caller had closed the connection long before, and noticed that only with the next poll, 50 ms later. The new test failed for a kept and for a new connection.

While its tasks run late, by 0.1 s or more within the last second, a node asks the connection before it handles a request. Otherwise it does not, so that a caller that only ends its sending direction gets a quick response as before.

--- a/marigoldchute/routing/http_server.py
+++ b/marigoldchute/routing/http_server.py
@@ -37,6 +37,10 @@
 DISCONNECT_POLL_INTERVAL_S = 0.05
 IDLE_POLL_INTERVAL_S = 0.5
 EXPIRY_CHECK_INTERVAL_S = 0.5
+# The tasks of a process that is short of processor time run late by this or more. What
+# it reads then may have been sent long ago, by callers that have left since.
+LATE_TASKS_S = 0.1
+LATE_TASKS_MEMORY_S = 1.0
 MAX_CALLER_CONNECTIONS = 4096
 # Requests of one connection that are handled at the same time; no more are read.
 MAX_REQUESTS_IN_PROGRESS = 8
@@ -221,6 +225,8 @@
         self._stopped_accepting = False
         self._limits: CallerLimits | None = None
         self._request_taken = trio.Event()
+        self._monitor_due_at = float("inf")
+        self._is_late_until = float("-inf")
         self.last_request_at = 0.0
         self.max_connections = 0
 
@@ -531,6 +537,9 @@
         """Run the handler; return whether the connection can serve another request."""
         req, responder = exchange.req, exchange.responder
         try:
+            if self._is_late(trio.current_time()) and conn.tcp.has_peer_closed():
+                exchange.abandon(CutCause.CALLER_LEFT, "poll before the handler")
+                raise CallerDisconnectedError("caller left before its request was read")
             await self._handler(req, responder)
         except RequestError as exc:
             await req.wait_for_turn()
@@ -600,17 +609,26 @@
                 has_begun = True
                 conn.expires_at = trio.current_time() + self._head_timeout_s
 
+    def _is_late(self, now: float) -> bool:
+        """Return whether the tasks of this process ran late within the last second."""
+        if now - self._monitor_due_at >= LATE_TASKS_S:
+            self._is_late_until = now + LATE_TASKS_MEMORY_S
+        return now < self._is_late_until
+
     async def _monitor_connections(self) -> None:
         next_expiry_check = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
         while True:
             if self._stopped_accepting or any(c.in_progress for c in self._conns):
+                self._monitor_due_at = trio.current_time() + DISCONNECT_POLL_INTERVAL_S
                 await trio.sleep(DISCONNECT_POLL_INTERVAL_S)
                 self._poll_busy_connections()
             else:
+                self._monitor_due_at = float("inf")
                 self._request_taken = trio.Event()
                 with trio.move_on_after(IDLE_POLL_INTERVAL_S):
                     await self._request_taken.wait()
             now = trio.current_time()
+            self._is_late(now)  # A request may be read after this task has run.
             if self._stopped_accepting or now >= next_expiry_check:
                 next_expiry_check = now + EXPIRY_CHECK_INTERVAL_S
                 self._close_expired(now)
--- a/marigoldchute/util/tcp.py
+++ b/marigoldchute/util/tcp.py
@@ -8,6 +8,7 @@
 
 import errno
 import os
+import select
 import socket
 import struct
 from typing import TYPE_CHECKING, Any, Protocol
@@ -153,6 +154,12 @@
             return False
         return False
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its direction or the connection."""
+        poller = select.poll()
+        poller.register(self._sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def send_eof(self) -> None:
         """Shut down the sending side, so that the peer reads the end of the data."""
         try:
--- a/tests/test_routing/test_http_server.py
+++ b/tests/test_routing/test_http_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import time
 import unittest
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -23,6 +24,7 @@
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
 
 PORT = 9100
+BLOCKED_S = 0.6  # Time without processor, for all tasks of the server.
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 MALFORMED = {
@@ -69,6 +71,11 @@
     await responder.finish()
 
 
+def block_tasks() -> None:
+    """Run no task for a while, as a process without processor time does."""
+    time.sleep(BLOCKED_S)
+
+
 class ServerTestCase(unittest.TestCase):
     """Runs an HTTP server inside the test process."""
 
@@ -342,6 +349,53 @@
         self.handler = hang
         self.run_server(body)
 
+    def test_request_of_a_caller_that_left_before_it_was_read(self) -> None:
+        """Guards against work for callers that left while the node had no time.
+
+        A node that is short of processor time reads a request up to seconds after it
+        was sent. Passed on then, it takes a slot although nobody waits for it.
+        """
+        handled: list[bytes] = []
+
+        async def record(req: HttpRequest, responder: HttpResponder) -> None:
+            handled.append(req.target)
+            if req.target == b"/slow":
+                await trio.sleep(1.0)
+            await echo(req, responder)
+
+        async def body(address: str) -> None:
+            kept = socket.create_connection((address, PORT))
+            kept.send(b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+            await trio.sleep(0.1)
+            # A request in progress, as there always is one on a node that is busy.
+            slow = await trio.open_tcp_stream(address, PORT)
+            await slow.send_all(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+            await trio.sleep(0.1)
+            # Without a checkpoint the server reads nothing in between.
+            fresh = socket.create_connection((address, PORT))
+            for stream in (fresh, kept):
+                stream.send(b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+                stream.close()
+            block_tasks()
+            await trio.sleep(0.1)
+            self.assertEqual(handled, [b"/first", b"/slow"])
+            causes = [cut.cause for cut in self.cuts]
+            self.assertEqual(causes, [CutCause.CALLER_LEFT] * 2)
+
+        self.handler = record
+        self.run_server(body)
+
+    def test_caller_that_only_ends_its_sending_direction(self) -> None:
+        """Guards against a node with time that drops a caller that still reads."""
+
+        async def body(address: str) -> None:
+            stream = await trio.open_tcp_stream(address, PORT)
+            await stream.send_all(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+            await stream.send_eof()
+            self.assertIn(b" 200 ", await stream.receive_some(65_536))
+
+        self.run_server(body)
+
 
 class StopAcceptingTest(ServerTestCase):
     def test_connection_made_before_the_close_is_served(self) -> None:
