Account for the time for which a request is on its way

Requests reached backend servers more than 0.5 s after their callers had left, each through one of the smallest nodes. So requests and cancellations wait on the narrow connections of these nodes. The owner counted the time that is left from the arrival, so it ran requests whose deadline had passed on the way, and gave the backend server too much time.

Requests now carry the entry's time. The owner estimates for how much longer than the quickest one a request was on its way, reduces its deadline and objective by that, and refuses it as not run when no time is left.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -485,6 +485,9 @@
                     "requests_refused_while_evacuated": (
                         self._owner.refused_while_evacuated
                     ),
+                    "requests_refused_after_transit": (
+                        self._owner.refused_after_transit
+                    ),
                     "requests_refused_while_cold": self._owner.refused_while_cold,
                 },
                 {cause.value: callers.cut_counts[cause] for cause in CutCause},
--- a/marigoldchute/link/link.py
+++ b/marigoldchute/link/link.py
@@ -21,6 +21,7 @@
 from marigoldchute.link.frames import FrameDecoder, FrameKind, encode_frame
 from marigoldchute.link.pending_call import FAILURE_CODE, PendingCall
 from marigoldchute.link.stream import MAX_DATA_BYTES, Stream, encode_complete_stream
+from marigoldchute.link.transit import TransitDelay
 
 if TYPE_CHECKING:
     from marigoldchute.events import HybridClock
@@ -82,6 +83,8 @@
 
     Attributes
     ----------
+    transit : TransitDelay
+        Delay of the requests that the peer sends.
     lost : trio.Event
         Set when the link can no longer be used for anything new.
     closed : trio.Event
@@ -101,6 +104,7 @@
         early_frames: list[tuple[int, int, bytes]],
     ) -> None:
         self.peer = peer
+        self.transit = TransitDelay()
         self.purpose = purpose
         self.is_initiator = is_initiator
         self.lost = trio.Event()
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -14,6 +14,7 @@
 from marigoldchute.routing.http_request import CallerDisconnectedError
 from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
 from marigoldchute.routing.request_body import RequestBody
+from marigoldchute.util.clock import boottime_ms
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import Service
@@ -180,6 +181,7 @@
             self.regions or (),
             # As an integer, 0 takes one byte instead of nine.
             self.service.warmup_requests_per_s or 0,
+            boottime_ms(),
         )
 
     def encode_headers(self, own_headers: frozenset[bytes]) -> None:
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -45,6 +45,8 @@
     warmup_requests_per_s : float
         Requests per second that a cold backend server of the service tolerates; 0 for
         no limit. An owner without a bundle of its own uses it.
+    sent_ms : int
+        Time of ``boottime_ms`` of the entry node; 0 when it is unknown.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     customer: str = ""
     regions: tuple[str, ...] = ()
     warmup_requests_per_s: float = 0
+    sent_ms: int = 0
 
 
 class ResponseHead(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -33,6 +33,7 @@
     make_rate,
     max_wait_s,
 )
+from marigoldchute.util.clock import boottime_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,6 +50,8 @@
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
+# Shorter delays are those of the scheduler, and change no decision.
+MIN_TRANSIT_DELAY_MS = 20
 
 
 class LocalServers(Protocol):
@@ -119,6 +122,9 @@
         Number of requests that were refused because the data centre is evacuated.
     refused_while_cold : int
         Number of requests that were refused because a backend server is or may be cold.
+    refused_after_transit : int
+        Number of requests that were refused because their deadline had passed when
+        they arrived.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -159,6 +165,7 @@
         self.remote_requests = 0
         self.refused_while_draining = 0
         self.refused_while_evacuated = 0
+        self.refused_after_transit = 0
         self.refused_while_cold = 0
         self.stop_cause: CutCause | None = None
         self._is_evacuated = False
@@ -255,10 +262,13 @@
         except msgspec.DecodeError:
             stream.reset(ResultCode.PEER_PROTOCOL)
             return
+        delay_ms = self._transit_delay_ms(stream, head)
+        head = _after_transit(head, delay_ms)
         # The result of a request that may not be repeated cannot be had elsewhere.
         stream.outlasts_silence = not head.idempotent
         self.remote_requests += 1
         try:
+            self._check_arrival(head, delay_ms)
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + head.remaining_ms / 1000
                 exchange.deadline = scope.deadline
@@ -286,6 +296,25 @@
         finally:
             self.remote_requests -= 1
 
+    def _transit_delay_ms(self, stream: Stream, head: RequestHead) -> int:
+        if not head.sent_ms:
+            return 0
+        return stream.link.transit.record(head.sent_ms, boottime_ms())
+
+    def _check_arrival(self, head: RequestHead, delay_ms: int) -> None:
+        """Refuse a request whose deadline has passed on its way to this node.
+
+        Its cancellation, if the caller left, is still on the way as well.
+        """
+        if head.remaining_ms > 0:
+            return
+        self.refused_after_transit += 1
+        raise NotRunError(
+            f"deadline passed on the way to this node, which took {delay_ms} ms longer "
+            "than usual",
+            ResultCode.REQUEST_NOT_RUN_DEADLINE,
+        )
+
     def _log_failed_request(self, head: RequestHead, exc: MarigoldchuteError) -> None:
         if self._log is not None:
             owned = self._find(head.server_id)
@@ -550,3 +579,21 @@
         owned.update(dataclasses.replace(owned.server, draining=True))
         if not owned.gate.running:
             del self._owned[server_id]
+
+
+def _after_transit(head: RequestHead, delay_ms: int) -> RequestHead:
+    """Return the head with the times that are left after a delay on the way.
+
+    The times of a head begin when it is sent. On a narrow connection a request may
+    wait for seconds, after which neither its caller nor its deadline has to be there.
+    """
+    if delay_ms < MIN_TRANSIT_DELAY_MS:
+        return head
+    objective_ms = head.objective_ms
+    if objective_ms:
+        objective_ms = max(1, objective_ms - delay_ms)
+    return msgspec.structs.replace(
+        head,
+        remaining_ms=max(0, head.remaining_ms - delay_ms),
+        objective_ms=objective_ms,
+    )
