--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
@@ -504,7 +505,7 @@
         """Return the limit of cold servers, by the entry's rate before a bundle."""
         if self._in_force.bundle is not None:
             return self._warmup_rates.get(service)
-        if requests_per_s <= 0.0:
+        if not 0.0 < requests_per_s < math.inf:  # Not trusted: it comes from a peer.
             return None
         bounds = self._cfg.bounds
         return make_rate(requests_per_s, bounds.warmup_overshoot, bounds.warmup_slack)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -5,6 +5,7 @@
 import collections
 import contextlib
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -62,7 +63,7 @@
 
 
 def _no_rate(service: str, requests_per_s: float) -> WarmupRate | None:
-    return make_rate(requests_per_s) if requests_per_s > 0.0 else None
+    return make_rate(requests_per_s) if 0.0 < requests_per_s < math.inf else None
 
 
 class OwnedServer:
--- a/marigoldchute/routing/warmup.py
+++ b/marigoldchute/routing/warmup.py
@@ -27,6 +27,7 @@
 
 BOUND_WINDOW_S = 1.0  # The bound holds for requests in any one second.
 MAX_REQUESTS = 256  # Of the limit; also the number of send times that are kept.
+MIN_REQUESTS_PER_S = 0.001  # Keeps all times finite.
 # Part of the limit that is kept for priority 0 and nested calls, as far as some came in
 # the last window. Kept without condition, it is lost under a load without such
 # requests; the rest keeps other requests from starving.
@@ -68,8 +69,10 @@
         In any second the server may get ``overshoot`` times the rate and ``slack``
         requests. The limit is the rate itself unless this bound is lower.
     """
-    bound = max(0, math.floor(requests_per_s * overshoot + slack))
-    max_requests = min(max(1, int(requests_per_s)), bound, MAX_REQUESTS)
+    requests_per_s = min(MAX_REQUESTS, max(MIN_REQUESTS_PER_S, requests_per_s))
+    # A value that is no number gives the highest bound.
+    bound = math.floor(max(0.0, min(MAX_REQUESTS, requests_per_s * overshoot + slack)))
+    max_requests = min(max(1, int(requests_per_s)), bound)
     window_s = max(BOUND_WINDOW_S, max_requests / requests_per_s)
     return WarmupRate(max_requests, window_s)
 
@@ -344,6 +347,8 @@
         now: float,
         now_ms: int,
     ) -> None:
-        interval_s = max(1, self._count_nodes()) / requests_per_s
+        interval_s = max(1, self._count_nodes()) / max(
+            MIN_REQUESTS_PER_S, requests_per_s
+        )
         limited_until = target.limited_until(now, now_ms)
         target.pause(min(now + part * interval_s, limited_until))
--- a/tests/test_routing/test_warmup.py
+++ b/tests/test_routing/test_warmup.py
@@ -62,6 +62,21 @@
                 rate = make_rate(requests_per_s, overshoot, slack)
                 self.assertEqual((rate.max_requests, rate.window_s), (count, window_s))
 
+    def test_extreme_values_give_finite_limits(self) -> None:
+        """Guards against an error when a bundle with an odd rate comes into force."""
+        infinity, no_number = float("inf"), float("nan")
+        for requests_per_s in (5e-324, 1e308):
+            for overshoot, slack in (
+                (1e308, 0.0),
+                (1.0, infinity),
+                (1.0, no_number),
+                (-1e308, -infinity),
+            ):
+                with self.subTest(rate=requests_per_s, slack=slack):
+                    rate = make_rate(requests_per_s, overshoot, slack)
+                    self.assertTrue(0 <= rate.max_requests <= MAX_REQUESTS)
+                    self.assertTrue(1.0 <= rate.window_s <= 1e6)
+
 
 class GuardTest(unittest.TestCase):
     """What the owner concludes from reports, requests and their absence."""
