Reject invalid statuses and responses that are cut by a reset

Cause: the kernel reports a reset once. When a write of an upload took it, the read saw the regular end, and the part of a response without a length that had arrived was forwarded as whole. The HTTP parser accepts any three digits as a status; 000 and 099 passed for interim responses.

Change: TcpConn keeps an error of either direction and fails later reads with it. A status outside 100 to 599 and a version other than 1.0 and 1.1 are malformed responses, 502 at once, with a line that names the server.

--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -17,6 +17,9 @@
 # Limit of the bodies of late responses to earlier requests, which are skipped.
 MAX_SKIPPED_BYTES = 16_000_000
 MIN_ERROR_STATUS = 400
+# Statuses that HTTP has. The parser accepts any three digits.
+VALID_STATUSES = range(100, 600)
+HTTP_VERSIONS = ("1.0", "1.1")
 _NO_LENGTH = -1
 
 
@@ -48,6 +51,7 @@
         "_codings",
         "_dialect",
         "_echoed_id",
+        "_invalid",
         "_is_first",
         "_is_head_response",
         "_lines",
@@ -99,6 +103,7 @@
         self._is_first = is_first
         self._echoed_id: bytes | None = None
         self._skipping = False
+        self._invalid = ""
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -140,12 +145,18 @@
 
     def on_headers_complete(self) -> None:
         """Process the complete head; interim responses are discarded."""
+        if self._invalid:
+            return
         if self.complete:
             self.keep_alive = False  # Bytes after the response belong to no request.
             if self._parser.get_status_code() != self.status:
                 self.is_contradicted = True
             return
         status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if status not in VALID_STATUSES or version not in HTTP_VERSIONS:
+            self._invalid = f"status {status:03} of HTTP {version} is not valid"
+            return
         if status < 200:
             self._clear_head()
             return
@@ -202,6 +213,10 @@
             raise RequestError(
                 f"response of the backend server is malformed: {exc}"
             ) from exc
+        if self._invalid:
+            raise RequestError(
+                f"response of the backend server is malformed: {self._invalid}"
+            )
         body_bytes = self.body_bytes + self._skipped_bytes
         self._overhead_bytes += len(data) - (body_bytes - body_bytes_before)
         if self._overhead_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes:
--- a/marigoldchute/util/tcp.py
+++ b/marigoldchute/util/tcp.py
@@ -42,6 +42,10 @@
 class TcpConn:
     """TCP connection over a non-blocking socket.
 
+    The kernel reports an error of the connection once, to the first call in either
+    direction, and the regular end to later reads. Therefore an error is kept, and later
+    reads fail with it instead of returning the end.
+
     Parameters
     ----------
     sock : socket.socket
@@ -57,12 +61,13 @@
         Size of the data of which a part waits for the peer to read.
     """
 
-    __slots__ = ("_sock", "bytes_written", "closed", "unsent_bytes")
+    __slots__ = ("_errno", "_sock", "bytes_written", "closed", "unsent_bytes")
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
+        self._errno: int | None = None
         self.closed = False
         self.bytes_written = 0
         self.unsent_bytes = 0
@@ -93,10 +98,9 @@
             if self.closed:
                 raise trio.ClosedResourceError("connection was closed at this end")
             await trio.lowlevel.wait_readable(self._sock)
-            try:
-                return self._sock.recv(limit)
-            except BlockingIOError:
-                continue
+            data = self.receive_now(limit)
+            if data is not None:
+                return data
 
     def receive_now(self, limit: int) -> bytes | None:
         """Return received data, empty bytes at the end, or None if there is none yet.
@@ -107,9 +111,15 @@
             The connection failed.
         """
         try:
-            return self._sock.recv(limit)
+            data = self._sock.recv(limit)
         except BlockingIOError:
             return None
+        except OSError as exc:
+            self._errno = exc.errno
+            raise
+        if not data and self._errno is not None:
+            raise OSError(self._errno, os.strerror(self._errno))
+        return data
 
     def send_now(self, data: bytes | bytearray | memoryview) -> int:
         """Write as much as the kernel accepts without waiting; return the byte count.
@@ -123,6 +133,9 @@
             sent = self._sock.send(data)
         except BlockingIOError:
             return 0
+        except OSError as exc:
+            self._errno = exc.errno
+            raise
         self.bytes_written += sent
         return sent
 
@@ -159,7 +172,8 @@
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
+        except OSError as exc:
+            self._errno = exc.errno
             return False
         return False
 
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -80,6 +80,8 @@
     ----------
     service_time_s : float
         Run time of a request unless ``run_time`` is set.
+    status : int
+        Status of the responses.
     run_time : callable or None
         Returns the run time of a request, by its target.
     nested_call : callable or None
@@ -107,6 +109,7 @@
         self.reports = True
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
+        self.status = 200
         self.run_time: Callable[[bytes], float] | None = None
         self.nested_call: Callable[[bytes], Awaitable[bool]] | None = None
         self.response_framing: Callable[[bytes], ResponseFraming] | None = None
@@ -191,7 +194,7 @@
         self, req: HttpRequest, responder: HttpResponder, body_bytes: int
     ) -> None:
         run_s = self.run_time(req.target) if self.run_time else self.service_time_s
-        status = 200
+        status = self.status
         await trio.sleep(run_s / 2 if self.nested_call else run_s)
         if self.nested_call is not None:
             if not await self.nested_call(req.target):
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -435,6 +435,25 @@
         self.run_mesh(scenario)
 
 
+class InvalidStatusTest(ProcessTestCase):
+    # Guards against a status that HTTP does not have, and a fault without its server.
+    def test_invalid_status_gets_502_and_a_line_that_names_the_server(self) -> None:
+        async def scenario(mesh: HostedMesh) -> None:
+            mesh.backends["vm-0"].status = 600
+            for name in ("vm-0", "vm-1"):
+                response = await mesh.send_request(name, request_id=f"bad-{name}")
+                self.assertEqual(response.status, 502)
+            events = mesh.read_events("vm-0")
+            (local,) = (e for e in events if e.get("request") == "bad-vm-0")
+            self.assertIn("i-vm-0", " ".join(local["trail"]))
+            self.assertIn("status 600", local["text"])
+            (remote,) = (e for e in events if e.get("request") == "bad-vm-1")
+            self.assertIn("i-vm-0", remote["text"])
+            self.assertIn("status 600", remote["text"])
+
+        self.run_mesh(scenario, "turnos", "reservas")
+
+
 class LossTest(ProcessTestCase):
     def test_mesh_serves_again_after_all_nodes_were_killed(self) -> None:
         async def scenario(mesh: HostedMesh) -> None:
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -67,7 +67,10 @@
 
 
 def make_head(
-    target: bytes = b"/1", idempotent: bool = False, request_id: str = "id"
+    target: bytes = b"/1",
+    idempotent: bool = False,
+    request_id: str = "id",
+    has_body: bool = False,
 ) -> RequestHead:
     return RequestHead(
         request_id,
@@ -81,8 +84,8 @@
         1000,
         1,
         idempotent,
-        False,
-        False,
+        has_body,
+        has_body,
     )
 
 
