--- a/marigoldchute/admin/metrics.py
+++ b/marigoldchute/admin/metrics.py
@@ -42,6 +42,8 @@
         Seconds since the start of the drain; 0 when there is none.
     gauges : mapping of str to float
         Additional present values by name, such as ``evacuated_data_centres``.
+    caller_bytes, max_caller_bytes : int
+        Memory that callers' connections take, and their budget; 0 without a budget.
     """
 
     store_calls: int
@@ -50,6 +52,8 @@
     cut_requests: Mapping[str, int] = dataclasses.field(default_factory=dict)
     drain_s: float = 0.0
     gauges: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    caller_bytes: int = 0
+    max_caller_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,10 +116,23 @@
             yield _gauge(name, f"Number of {name.replace('_', ' ')}.", value)
         if snapshot.counts.cut_requests:
             yield from _drain_metrics(snapshot.counts)
+        if snapshot.counts.max_caller_bytes:
+            yield from _caller_metrics(snapshot.counts)
         if snapshot.counts.latencies:
             yield _latency_metric(snapshot.counts.latencies)
 
 
+def _caller_metrics(counts: NodeCounts) -> Iterator[Metric]:
+    yield _gauge(
+        "caller_bytes", "Memory that callers' connections take.", counts.caller_bytes
+    )
+    yield _gauge(
+        "caller_bytes_limit",
+        "Budget of the memory of callers' connections.",
+        counts.max_caller_bytes,
+    )
+
+
 def _bundle_metrics(snapshot: NodeSnapshot) -> Iterator[Metric]:
     yield _gauge("bundle_version", "Bundle version in force.", snapshot.version)
     yield _gauge(
--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -12,12 +12,11 @@
 from marigoldchute.routing.customer_table import CustomerTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from marigoldchute.bundle.model import Bundle, Customer, Route
     from marigoldchute.events import EventLog
     from marigoldchute.routing.dialect import Dialect
-    from marigoldchute.routing.messages import HeaderList
 
 SCHEME = b"bearer"
 MAX_LOGGED_NAMES = 5
@@ -62,12 +61,12 @@
 ANONYMOUS = Identity()
 
 
-def parse_key(headers: HeaderList, name: bytes) -> bytes | KeyFault:
+def parse_key(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | KeyFault:
     """Return the key in the headers of a request, or why there is none.
 
     Parameters
     ----------
-    headers : list of (bytes, bytes)
+    headers : iterable of (bytes, bytes)
         Lower-case names and values.
     name : bytes
         Lower-case name of the header that carries the key.
@@ -142,7 +141,7 @@
 
     def identify(
         self,
-        headers: HeaderList,
+        headers: Iterable[tuple[bytes, bytes]],
         route: Route,
         peer_address: str,
         parent_customer: str | None,
@@ -151,7 +150,7 @@
 
         Parameters
         ----------
-        headers : list of (bytes, bytes)
+        headers : iterable of (bytes, bytes)
             Lower-case names and values of the request's headers.
         route : Route
             Route of the request.
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -80,6 +80,8 @@
     ----------
     service_time_s : float
         Run time of a request unless ``run_time`` is set.
+    status : int
+        Status of the responses.
     run_time : callable or None
         Returns the run time of a request, by its target.
     nested_call : callable or None
@@ -110,6 +112,7 @@
         self.warm_at = float("-inf")  # Monotonic time.
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
+        self.status = 200
         self.run_time: Callable[[bytes], float] | None = None
         self.nested_call: Callable[[bytes], Awaitable[bool]] | None = None
         self.response_framing: Callable[[bytes], ResponseFraming] | None = None
@@ -194,7 +197,7 @@
         self, req: HttpRequest, responder: HttpResponder, body_bytes: int
     ) -> None:
         run_s = self.run_time(req.target) if self.run_time else self.service_time_s
-        status = 200
+        status = self.status
         await trio.sleep(run_s / 2 if self.nested_call else run_s)
         if self.nested_call is not None:
             if not await self.nested_call(req.target):
@@ -220,11 +223,14 @@
 class HostedMesh:
     """Mesh of node processes; store and backend servers run in the test process."""
 
-    def __init__(self, services: list[str]) -> None:
+    def __init__(
+        self, services: list[str], vm_limits: dict[str, float] | None = None
+    ) -> None:
         self.block = LoopbackBlock()
         self.store_address = f"127.{self.block.number}.200.1"
         self.store = DocumentStandIn()
         self.services = services
+        self.vm_limits = vm_limits or {}
         self.names = [f"vm-{i}" for i in range(len(services))]
         self.backends: dict[str, Backend] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -262,6 +268,7 @@
             "bounds": [f"grace_s={grace_s:g}", *self.more_bounds],
             "app_addr": f"{address}:{BACKEND_PORT}",
             "service": service,
+            "limits": self.vm_limits,
             "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
         }
         path = self.directory / f"{name}.json"
@@ -397,9 +404,10 @@
     more_paths: tuple[dict[str, Any], ...] = (),
     more_bounds: tuple[str, ...] = (),
     more_of_services: dict[str, Any] | None = None,
+    vm_limits: dict[str, float] | None = None,
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
-    mesh = HostedMesh(list(services))
+    mesh = HostedMesh(list(services), vm_limits)
     mesh.more_paths.extend(more_paths)
     mesh.more_bounds.extend(more_bounds)
     mesh.more_of_services.update(more_of_services or {})
