Keep the crowd of the test of small requests at its first size

It was fixed at 2,000 requests on each connection and then lowered to 500 because an ordinary request got 503 while the crowd's requests held all slots. Ordinary callers of these tests send again after a refusal, so the first size passes as well.

--- a/tests/test_platform/test_untrusted_callers.py
+++ b/tests/test_platform/test_untrusted_callers.py
@@ -191,7 +191,7 @@
     # Guards against an object for each of the many small requests of one read.
     def test_small_requests_are_sent_ahead(self) -> None:
         async def send_ahead(streams: list[trio.SocketStream]) -> None:
-            data = 500 * b"GET / HTTP/1.1\r\nHost:a\r\n\r\n"
+            data = 2_000 * b"GET / HTTP/1.1\r\nHost:a\r\n\r\n"
             data = HEAD_START + b"\r\n" + data
             async with trio.open_nursery() as nursery:
                 for stream in streams:
