--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -8,15 +8,20 @@
 import trio
 
 from marigoldchute.errors import NotRunError, PeerError, ResultCode
+from marigoldchute.routing.access import ANONYMOUS
 from marigoldchute.routing.cut import CutCause
+from marigoldchute.routing.headers import encode_request_headers
 from marigoldchute.routing.http_request import CallerDisconnectedError
 from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
 from marigoldchute.routing.request_body import RequestBody
+from marigoldchute.util.clock import boottime_ms
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import Service
     from marigoldchute.link.stream import Stream
     from marigoldchute.moves.model import Split
+    from marigoldchute.routing.access import Identity
+    from marigoldchute.routing.customer_table import CustomerTable
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.regions import AllowedRegions
     from marigoldchute.routing.route_table import RouteEntry
@@ -53,8 +58,6 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
-    customer : str
-        Customer whose key the request has; empty without one.
     regions : tuple of str or None
         Regions in which the request may be served; None for all.
     regions_version : int
@@ -62,13 +65,22 @@
     is_foreign : bool
         Whether this node is or was outside the allowed regions. Only the id, the
         route's name and what was decided are then logged.
+    identity : Identity
+        Customer of the request.
+    parent_customer : str or None
+        Customer of the request on this VM that makes this one, see
+        ``Owner.parent_customer``.
+    customer_table : CustomerTable or None
+        Table from which ``identity`` was determined.
     """
 
-    customer = ""
     regions: AllowedRegions = None
     is_foreign = False
 
     retains_errors = False
+    identity: Identity = ANONYMOUS
+    parent_customer: str | None = None
+    customer_table: CustomerTable | None = None
 
     def __init__(
         self,
@@ -122,6 +134,17 @@
         max_attempts = self.route_entry.route.max_attempts
         return self.idempotent and self.delivered_attempts + 1 < max_attempts
 
+    @property
+    def customer(self) -> str:
+        """Customer of the request; empty when it is not known."""
+        return self.identity.customer
+
+    @property
+    def priority(self) -> int:
+        """Admission class; that of the customer takes precedence over the route's."""
+        priority = self.identity.priority
+        return self.route_entry.route.priority if priority is None else priority
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the bodies of the request and of its response."""
@@ -147,16 +170,24 @@
             req.target,
             self._header_block,
             max(1, int((self.deadline - now) * 1000)),
-            route.priority,
+            self.priority,
             self.idempotent,
             req.has_body,
             self._chunked,
             self.caller_service,
             max(0, int((self.objective - now) * 1000)),
             self.is_nested,
-            regions=self.regions or (),
+            self.identity.customer,
+            self.regions or (),
+            # As an integer, 0 takes one byte instead of nine.
+            self.service.warmup_requests_per_s or 0,
+            boottime_ms(),
         )
 
+    def encode_headers(self, own_headers: frozenset[bytes]) -> None:
+        """Encode the headers to forward again, without those named."""
+        self._header_block = encode_request_headers(self.req.headers, own_headers)
+
     def pop_complete_body(self) -> bytes | None:
         """Return the complete body if all of it has arrived, else None."""
         return self.body.pop_complete_body()
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -14,13 +14,15 @@
     RequestError,
     ResultCode,
 )
+from marigoldchute.routing.access import ANONYMOUS, AccessControl
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
-from marigoldchute.routing.candidates import CandidateTables
+from marigoldchute.routing.candidates import NO_CANDIDATES, CandidateTables
 from marigoldchute.routing.choice import PickInfo
 from marigoldchute.routing.cut import CutCause, cause_of_partial
 from marigoldchute.routing.dialect import DEFAULT_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
+from marigoldchute.routing.evacuation import NO_EVACUATIONS
 from marigoldchute.routing.failure import error_to_report, outcome_of
 from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import encode_request_headers, parse_deadline_ms
@@ -33,6 +35,7 @@
 from marigoldchute.routing.release_choice import ReleaseChoice
 from marigoldchute.routing.request_log import RequestLog, cut_fields
 from marigoldchute.routing.route_table import RouteTable
+from marigoldchute.routing.warmup import WarmupPacer
 
 if TYPE_CHECKING:
     import random
@@ -45,11 +48,13 @@
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
     from marigoldchute.moves.model import SplitSource
+    from marigoldchute.routing.access import Identity
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
     from marigoldchute.routing.cut import Cut
     from marigoldchute.routing.dialect import Dialect
+    from marigoldchute.routing.evacuation import Evacuations
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.outcomes import OutcomeSink
     from marigoldchute.routing.owner import Owner
@@ -66,6 +71,8 @@
 MIN_REMAINING_TIME_RATIO = 0.15
 # Each refusal costs one hop, and a fourth attempt rarely finds a slot in time.
 MAX_REFUSED_ATTEMPTS = 3
+# An evacuation lasts for longer than any wait that callers are told.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 def _no_service() -> str:
@@ -106,9 +113,16 @@
     caller_service : callable
         Returns the service on this VM, which is sent to backend servers as the
         caller's service.
+    evacuations : Evacuations
+        Data centres whose backend servers get no requests.
+    access : AccessControl, optional
+        Identifies the customers of requests; by default one that accepts requests
+        without a key from no address.
 
     Attributes
     ----------
+    access : AccessControl
+        Identifies the customers of requests.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
     refused_while_draining : int
@@ -133,16 +147,19 @@
         policy: PathPolicy = STREAMING_POLICY,
         retry_budget: RetryLimit | None = None,
         caller_service: Callable[[], str] = _no_service,
+        evacuations: Evacuations = NO_EVACUATIONS,
+        access: AccessControl | None = None,
     ) -> None:
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
         self.refused_while_draining = 0
         self.refused_by_region = 0
-        self.candidate_tables = CandidateTables(members)
+        self.candidate_tables = CandidateTables(members, evacuations)
         self.retry_budget: RetryLimit = retry_budget or RetryBudget(
             RETRY_RATIO, MIN_RETRIES_PER_S, RETRY_BURST
         )
         self._routes: RouteTable | None = None
+        self._evacuations = evacuations
         self._region_rules = NO_REGION_RULES
         self._splits = splits
         self._members = members
@@ -152,11 +169,12 @@
         self._clock = clock
         self._rng = rng
         self._dialect = dialect
-        self._own_request_headers = dialect.mesh_request_headers
+        self.access = access or AccessControl(dialect, log)
         self._policy = policy
         self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
         self._release_choice = ReleaseChoice(rng, policy.boost_rare_routes)
+        self._pacer = WarmupPacer(rng, lambda: len(members.all()))
         self._request_log = RequestLog(log)
         self._dispatcher = Dispatcher(
             members, traffic, owner, chooser, sink, clock, self._check_region
@@ -165,8 +183,16 @@
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
+        self.access.on_bundle(bundle)
         self._region_rules = self._owner.region_rules = RegionRules(bundle.content)
-        self._first_bundle.on_bundle()
+        if self._evacuations.is_known:
+            self._first_bundle.on_bundle()
+
+    def handle_evacuations_change(self) -> None:
+        """Apply a change of the evacuated data centres to the next attempts."""
+        self.candidate_tables.mark_stale()
+        if self._routes is not None and self._evacuations.is_known:
+            self._first_bundle.on_bundle()
 
     async def handle_external(self, req: HttpRequest, responder: HttpResponder) -> None:
         """Handle a request from a caller outside the mesh."""
@@ -189,7 +215,7 @@
         call = None
         outcome = Outcome.OK
         try:
-            if self._routes is None:
+            if self._routes is None or not self._evacuations.is_known:
                 await self._first_bundle.wait(req, received_at)
             call = self._make_call(req, responder, internal, received_at)
             await self._execute_call(call)
@@ -245,6 +271,12 @@
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
         entry = self._find_route(req, internal)
+        request_id = self._request_id(req, internal)
+        is_nested = self._owner.is_nested(request_id)
+        parent_customer = None
+        if is_nested and self.access.table:
+            parent_customer = self._owner.parent_customer(request_id)
+        identity = self._identify(req, responder, entry, parent_customer)
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
         timeout_ms = entry.route.timeout_ms
@@ -257,8 +289,6 @@
             )
         deadline = received_at + timeout_ms / 1000
         objective_ms = entry.route.objective_ms
-        request_id = self._request_id(req, internal)
-        is_nested = self._owner.is_nested(request_id)
         if self.stop_window is not None:
             deadline = self._limit_deadline(
                 self.stop_window, deadline, received_at, internal or is_nested
@@ -271,7 +301,7 @@
             split,
             self._release_choice.pick_release(req, entry, service, split),
             request_id,
-            encode_request_headers(req.headers, self._own_request_headers),
+            encode_request_headers(req.headers, self.access.own_headers),
             deadline,
             received_at + objective_ms / 1000 if objective_ms else 0.0,
             self._caller_service(),
@@ -279,6 +309,9 @@
             self._routes.version if self._routes is not None else 0,
             is_nested,
         )
+        call.identity = identity
+        call.parent_customer = parent_customer
+        call.customer_table = self.access.table
         if self._region_rules.restricts:
             self._apply_regions(call)
         return call
@@ -343,6 +376,10 @@
             raise NotRunError(
                 "no bundle in force", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
             )
+        if not self._evacuations.is_known:
+            raise NotRunError(
+                "evacuations are not known yet", ResultCode.REQUEST_NOT_RUN_NO_BUNDLE
+            )
         entry = self._routes.find(req.target, req.header(b"host") or b"")
         if entry is None:
             raise NotRunError(
@@ -395,6 +432,15 @@
             await call.req.wait_for_turn()
         self.retry_budget.record_request(trio.current_time(), service)
         while True:
+            try:
+                self._renew_identity(call)
+            except NotRunError as exc:
+                if call.retained_error is not None:
+                    await self._forward_retained_error(call)
+                    return
+                if call.may_have_run:
+                    raise error_to_report(call, exc) from exc
+                raise
             call.attempts += 1
             call.retains_errors = self._may_retain_error(call)
             try:
@@ -420,6 +466,36 @@
                     return
             call.body.rewind()
 
+    def _identify(
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        entry: RouteEntry,
+        parent_customer: str | None,
+    ) -> Identity:
+        if not self.access.table:
+            return ANONYMOUS
+        return self.access.identify(
+            req.headers, entry.route, responder.peer_address, parent_customer
+        )
+
+    def _renew_identity(self, call: Call) -> None:
+        """Identify the customer again if the customers in force have changed.
+
+        Raises
+        ------
+        NotRunError
+            The key of the request was withdrawn.
+        """
+        table = self.access.table
+        if call.customer_table is table:
+            return
+        call.identity = self._identify(
+            call.req, call.responder, call.route_entry, call.parent_customer
+        )
+        call.customer_table = table
+        call.encode_headers(self.access.own_headers)
+
     def _may_retain_error(self, call: Call) -> bool:
         return (
             self._policy.retry_errors
@@ -442,15 +518,21 @@
         pick_info = PickInfo(
             call.route_entry.route.name, max(0.0, call.objective - now)
         )
-        candidates = self._candidates(call, now)
+        candidates = self._find_candidates(call, now, now_ms)
         target = self._chooser.choose(
             candidates, call.attempted, now, now_ms, pick_info
         )
         if target is None and self._fall_back_to_old_release(call, now_ms):
-            candidates = self._candidates(call, now)
+            candidates = self._find_candidates(call, now, now_ms)
             target = self._chooser.choose(
                 candidates, call.attempted, now, now_ms, pick_info
             )
+        if target is None and self._is_evacuated(call, candidates):
+            raise NotRunError(
+                f"data centres with {service!r} {call.release!r} are evacuated",
+                ResultCode.REQUEST_NOT_RUN_EVACUATED,
+                EVACUATED_RETRY_AFTER_S,
+            )
         if call.regions is not None:
             if target is not None and target.unreachable_until > now:
                 # Waiting for each of them in turn would delay the refusal.
@@ -463,11 +545,24 @@
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.attempted.add(target)
+        if target.is_paced:
+            self._pacer.record_choice(
+                target, call.service.warmup_requests_per_s, now, now_ms
+            )
         return target, candidates
 
-    def _candidates(self, call: Call, now: float) -> Candidates:
-        return self.candidate_tables.find(
-            call.service.name, call.release, now, call.regions
+    def _find_candidates(self, call: Call, now: float, now_ms: int) -> Candidates:
+        service = call.service
+        candidates = self.candidate_tables.find(
+            service.name, call.release, now, call.regions
+        )
+        if service.warmup_requests_per_s:
+            self._pacer.prepare(candidates, service.warmup_requests_per_s, now, now_ms)
+        return candidates
+
+    def _is_evacuated(self, call: Call, candidates: Candidates) -> bool:
+        return candidates is NO_CANDIDATES and self.candidate_tables.is_evacuated(
+            call.service.name, call.release
         )
 
     def _fall_back_to_old_release(self, call: Call, now_ms: int) -> bool:
--- a/tests/test_routing/test_regions.py
+++ b/tests/test_routing/test_regions.py
@@ -24,6 +24,7 @@
 from marigoldchute.events import MemoryEventLog
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.moves.model import Split
+from marigoldchute.routing.access import Identity
 from marigoldchute.routing.candidates import CandidateTables
 from marigoldchute.routing.choice import NearestLeastLoaded, RandomChooser
 from marigoldchute.routing.cut import Cut, CutCause
@@ -334,7 +335,7 @@
         self.apply(make_content(("este",)))
         responder = self.send()
         self.assertEqual(responder.statuses, [503])
-        self.assertIn(b"marigoldchute-code: 514", responder.block)
+        self.assertIn(b"marigoldchute-code: 516", responder.block)
         self.assertIn(b"marigoldchute-outcome: not-run", responder.block)
         self.assertIn(b"retry-after: ", responder.block)
         self.assertEqual(self.traffic.opened, [])
@@ -352,7 +353,7 @@
     def _with_customer(self, make_call: Callable[..., Call]) -> Callable[..., Call]:
         def make(*args: Any) -> Call:
             call = make_call(*args)
-            call.customer = "ana"
+            call.identity = Identity("ana")
             self.entry._apply_regions(call)
             return call
 
@@ -446,7 +447,7 @@
         text = self.logged()
         self.assertNotIn("private-target", text)
         self.assertNotIn("body", text)
-        self.assertIn('"code": 514', text)
+        self.assertIn('"code": 516', text)
         self.assertIn('"route": "r"', text)
 
     def test_failed_and_repeated_requests_are_logged_without_target(self) -> None:
