--- a/marigoldchute/hosted/catalog.py
+++ b/marigoldchute/hosted/catalog.py
@@ -425,6 +425,7 @@
             f"{newest.version} in force and is ignored.",
             version=snapshot.version,
             in_force=newest.version,
+            code=ResultCode.BUNDLE_VERSION_NOT_HIGHER.value,
             revision=snapshot.revision,
             source=source,
         )
--- a/marigoldchute/objectstore/eras.py
+++ b/marigoldchute/objectstore/eras.py
@@ -87,38 +87,3 @@
         if era_of(position) != (self.known or 0):
             return None
         return revision_of(position)
-
-
-class AbsenceGrace:
-    """Decides when the absence of a document is believed.
-
-    A restored store lacks documents that were written after its copy was made, and
-    their writers write them again. Until then the documents count as present.
-
-    Parameters
-    ----------
-    grace_s : float
-        Seconds after the first page of a new era.
-    """
-
-    def __init__(self, grace_s: float = ABSENCE_GRACE_S) -> None:
-        self._grace_s = grace_s
-        self._era: int | None = None
-        self._ends_at = float("-inf")
-
-    def accepts_absence(self, position: int, now: float) -> bool:
-        """Return whether documents that a full list lacks count as deleted.
-
-        Parameters
-        ----------
-        position : int
-            Position of the list.
-        now : float
-            Monotonic time in seconds.
-        """
-        era = era_of(position)
-        if self._era is None or era > self._era:
-            if self._era is not None:
-                self._ends_at = now + self._grace_s
-            self._era = era
-        return era == self._era and now >= self._ends_at
--- a/tests/test_objectstore/test_eras.py
+++ b/tests/test_objectstore/test_eras.py
@@ -1,4 +1,4 @@
-"""Positions in a store that comes back from an older copy; the grace for absence."""
+"""Positions in a store that comes back from an older copy."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 from marigoldchute.objectstore.eras import (
     MAX_ERA,
     MAX_ERA_REVISION,
-    AbsenceGrace,
     EraTracker,
     era_of,
     make_position,
@@ -72,25 +71,5 @@
         self.assertEqual(eras.find_revision(large), large)
 
 
-class AbsenceGraceTest(unittest.TestCase):
-    def test_absence_is_believed_at_the_start_and_within_an_era(self) -> None:
-        grace = AbsenceGrace(10.0)
-        self.assertTrue(grace.accepts_absence(make_position(1, 5), 100.0))
-        self.assertTrue(grace.accepts_absence(make_position(1, 9), 101.0))
-
-    def test_absence_in_a_new_era_is_believed_after_the_grace_only(self) -> None:
-        """The restored store may lack a document that its writer writes again."""
-        grace = AbsenceGrace(10.0)
-        grace.accepts_absence(make_position(1, 50), 100.0)
-        self.assertFalse(grace.accepts_absence(make_position(2, 40), 101.0))
-        self.assertFalse(grace.accepts_absence(make_position(2, 41), 110.9))
-        self.assertTrue(grace.accepts_absence(make_position(2, 42), 111.0))
-
-    def test_absence_in_an_older_era_is_never_believed(self) -> None:
-        grace = AbsenceGrace(0.0)
-        grace.accepts_absence(make_position(2, 50), 100.0)
-        self.assertFalse(grace.accepts_absence(make_position(1, 60), 101.0))
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform/test_restored_store.py
+++ b/tests/test_platform/test_restored_store.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+import types
 import unittest
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 
+from marigoldchute.bundle.inforce import InForce
+from marigoldchute.bundle.model import BundleContent, Route, Service
 from marigoldchute.errors import (
     CompactedError,
     ConflictError,
@@ -16,6 +19,11 @@
     UnknownOutcomeError,
 )
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.hosted.bundle_topic import BundleTopic
+from marigoldchute.hosted.catalog import Catalog
+from marigoldchute.hosted.reader import StoreReader
+from marigoldchute.hosted.rejections import Rejections
+from marigoldchute.link.handlers import Handlers
 from marigoldchute.objectstore.eras import make_position
 from marigoldchute.objectstore.settings import StoreSettings
 from marigoldchute.platform.store import PlatformDocumentStore, _parse_era
@@ -25,6 +33,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from marigoldchute.objectstore.documents import Document
+
     Scenario = Callable[[DocumentStandIn, PlatformDocumentStore], Awaitable[None]]
 
 PORT = 9100
@@ -216,6 +226,63 @@
         self.run_with_store(scenario)
 
 
+class _VersionApi:
+    kind, name = "config", "main"
+
+    def decode(self, document: Document) -> tuple[int, BundleContent]:
+        version = document.content["version"]
+        route = Route("a", f"/{version}/", "turnos")
+        return version, BundleContent((Service("turnos", ""),), (route,))
+
+
+class FollowTest(StoreTestCase):
+    """A reader follows the bundle while the store is away and comes back older."""
+
+    def make_reader(self, store: PlatformDocumentStore) -> tuple[StoreReader, Catalog]:
+        log: Any = MemoryEventLog()
+        catalog = Catalog(InForce(), log)
+        topic = BundleTopic(_VersionApi(), catalog, Rejections(), log)
+        duty: Any = types.SimpleNamespace(is_reader=lambda now: True)
+        no_overlay: Any = None
+        reader = StoreReader(
+            store, [topic], duty, no_overlay, Handlers(), log, random.Random(1)
+        )
+        return reader, catalog
+
+    async def wait_for(self, is_true: Callable[[], bool]) -> None:
+        with trio.fail_after(8):
+            while not is_true():
+                await trio.sleep(0.02)
+
+    def test_lost_version_stays_in_force_and_later_ones_are_read(self) -> None:
+        async def scenario(
+            stand_in: DocumentStandIn, store: PlatformDocumentStore
+        ) -> None:
+            reader, catalog = self.make_reader(store)
+            versions: list[int] = []
+            catalog.on_update.append(lambda bundle: versions.append(bundle.version))
+            stand_in.put("config", "main", {"version": 1})
+            copy = stand_in.take_copy()
+            stand_in.put("config", "main", {"version": 2})
+            async with trio.open_nursery() as nursery:
+                reader.start_topics(nursery)
+                await self.wait_for(lambda: catalog.version == 2)
+                stand_in.faults.refused_status = 503
+                await trio.sleep(0.5)
+                stand_in.restore(copy)
+                stand_in.faults.refused_status = 0
+                await self.wait_for(lambda: catalog.ignored_count > 0)
+                self.assertEqual(catalog.version, 2)
+                stand_in.put("config", "main", {"version": 2})
+                await self.wait_for(lambda: catalog.revision > make_position(2, 1))
+                stand_in.put("config", "main", {"version": 3})
+                await self.wait_for(lambda: catalog.version == 3)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(versions, [2, 3])
+
+        self.run_with_store(scenario)
+
+
 class _ChangingCaller:
     """Caller of a store that is restored between two pages of a list."""
 
