Count the full window from the start of the process; correct a test

After the loss of all nodes each owner refused all requests for a second after it had adopted its server. The window of an earlier process ends a second after the start of this one, so it counts from there.

--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -137,6 +137,7 @@
         self._report_interval_s = report_interval_s
         self._warmup_rate = warmup_rate
         self._sends: dict[int, SendLog] = {}  # By port.
+        self._started_at: float | None = None
         self.stop_window: StopWindow | None = None
         self._log = log
         self._servers = servers
@@ -159,6 +160,7 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Close idle connections and track abandoned requests until cancelled."""
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -498,7 +500,9 @@
         """Return the guard of a new server, which may reuse the port of another one."""
         sends = self._sends.get(port)
         if sends is None:
-            sends = self._sends[port] = SendLog(now)
+            # An earlier process had ended when this one started.
+            started_at = now if self._started_at is None else self._started_at
+            sends = self._sends[port] = SendLog(started_at)
         return WarmupGuard(sends, self._report_interval_s, now)
 
     def _remove(self, server_id: str) -> None:
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -245,7 +245,7 @@
             self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_WARMING_UP)
             self.assertEqual((owner.running, owner.refused_while_cold), (0, 1))
             await trio.sleep(1.0)  # The window begins full.
-            for _ in range(6):
+            for _ in range(8):
                 await owner.execute(self.make_cold_head(), CollectingExchange())
             with self.assertRaises(NotRunError):
                 await owner.execute(self.make_cold_head(), CollectingExchange())
@@ -253,6 +253,19 @@
 
         self.run_owner(serve, body)
 
+    def test_server_that_appears_later_has_room_at_once(self) -> None:
+        """Guards against a second without requests after the loss of all nodes."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            await trio.sleep(1.0)  # Only now the server is looked up.
+            await owner.execute(self.make_cold_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
     def test_cancelled_wait_for_room_leaks_nothing(self) -> None:
         async def serve(stream: trio.SocketStream) -> None:
             if await read_request(stream):
