Take no verdict of an earlier order of the same target from a restored store

An order for a target that had an order before would end with the verdict that the copy holds for the earlier one. The new test fails without the check.

--- a/marigoldchute/orders/driver.py
+++ b/marigoldchute/orders/driver.py
@@ -189,7 +189,8 @@
         known = self._book.state(order.service)
         if known is not None and known.target == order.target:
             # Shares are replicated; only a verdict is taken from the status.
-            if order.stage > max(known.stage, OrderStage.RUNNING):
+            has_verdict = order.stage > max(known.stage, OrderStage.RUNNING)
+            if has_verdict and not self._is_older(order, known):
                 self._book.publish(_with_verdict(known, order.stage))
             return
         if self._book.is_superseded(order.service, order.target, order.number):
@@ -217,6 +218,11 @@
         self._started_at[state.order_id] = trio.current_time() - order.elapsed_ms / 1000
         self._book.publish(state)
 
+    def _is_older(self, order: OrderDocument, known: OrderState) -> bool:
+        """Return whether a restored store shows an earlier order of the same target."""
+        predates = self._book.predates(known, order.revision)
+        return predates and order.number < known.number
+
     def _log_superseded(self, order: OrderDocument) -> None:
         self._log.emit(
             "orders",
--- a/tests/test_orders/test_restored_orders.py
+++ b/tests/test_orders/test_restored_orders.py
@@ -183,6 +183,7 @@
         stored = store.copy()
         node.read()
         await self.finish_order(node)
+        self.first_status = copy.deepcopy(store.status)
         store.order("v3")
         node.read()
         await node.tick()
@@ -203,6 +204,26 @@
 
         self.run_with_store(scenario)
 
+    def test_verdict_of_an_earlier_order_of_the_same_target_is_not_taken(self) -> None:
+        async def scenario(store: EraStore) -> None:
+            node = DriverNode("vm-1", store)
+            await self.replace_order(store, node)
+            store.order("v2")
+            store.status = None
+            node.read()
+            for _ in range(30):
+                await node.tick()
+                await trio.sleep(0.1)
+            before = self.state(node)
+            self.assertEqual(before.stage, OrderStage.RUNNING)
+            store.restore((43, store.spec, self.first_status))
+            node.read()
+            self.assertEqual(self.state(node), before)
+            self.assertEqual(await self.rewrite(node), 1)
+            self.assertEqual(store.status["state"], "running")
+
+        self.run_with_store(scenario)
+
     def test_new_order_of_a_new_era_wins_with_a_lower_revision(self) -> None:
         async def scenario(store: EraStore) -> None:
             node = DriverNode("vm-1", store)
