--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -110,6 +110,11 @@
         stored = self._kinds.get(kind, {}).get(name)
         return None if stored is None else stored.status
 
+    def spec_of(self, kind: str, name: str) -> Any:
+        """Return the content of a document, an empty object without a document."""
+        stored = self._kinds.get(kind, {}).get(name)
+        return {} if stored is None else stored.spec
+
     def names(self, kind: str) -> list[str]:
         """Return the names of the documents of a kind."""
         return sorted(self._kinds.get(kind, {}))
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -233,6 +233,7 @@
         self.more_paths: list[dict[str, Any]] = []
         self.more_bounds: list[str] = []
         self.more_of_services: dict[str, Any] = {}
+        self.regions: dict[str, str] = {}  # By name of the VM; "r" if it is missing.
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -251,7 +252,7 @@
             "node": name,
             "ip": address,
             "zone": f"z{int(name[3:]) % 2}",
-            "region": "r",
+            "region": self.regions.get(name, "r"),
             "listen": {
                 "outbound": f"{address}:{CALLER_PORT}",
                 "control": f"{address}:{CONTROL_PORT}",
@@ -397,12 +398,14 @@
     more_paths: tuple[dict[str, Any], ...] = (),
     more_bounds: tuple[str, ...] = (),
     more_of_services: dict[str, Any] | None = None,
+    regions: dict[str, str] | None = None,
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
     mesh = HostedMesh(list(services))
     mesh.more_paths.extend(more_paths)
     mesh.more_bounds.extend(more_bounds)
     mesh.more_of_services.update(more_of_services or {})
+    mesh.regions.update(regions or {})
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
