--- a/marigoldchute/routing/backend_attempt.py
+++ b/marigoldchute/routing/backend_attempt.py
@@ -194,14 +194,17 @@
         if 0 <= response.length <= max_buffered_bytes or response.is_unframed:
             while not response.complete and response.body_bytes <= max_buffered_bytes:
                 await self._read_more()
+        head_s = head_received_at - self._sent_at
+        mean_s = self._gate.record_head_time(self._head.route, head_s)
         head = ResponseHead(
             response.status,
             response.header_block,
             response.has_length,
             0,
             self._load_level,
-            int((head_received_at - self._sent_at) * 1_000_000),
+            int(head_s * 1_000_000),
             self._gate.load,
+            mean_run_us=int(mean_s * 1_000_000),
         )
         exchange = self._exchange
         if response.complete:
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -137,7 +137,7 @@
             req.has_body,
             self._chunked,
             self.caller_service,
-            max(0, int((self.objective - now) * 1000)),
+            max(1, int((self.objective - now) * 1000)) if self.objective else 0,
             self.is_nested,
         )
 
--- a/marigoldchute/routing/choice.py
+++ b/marigoldchute/routing/choice.py
@@ -70,9 +70,18 @@
         """
 
     def record_run_time(
-        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+        self,
+        target: Target,
+        route: str,
+        run_ms: float,
+        body_bytes: int = 0,
+        mean_run_ms: float = 0.0,
     ) -> None:
-        """Record the run time and the body bytes of a request of a route."""
+        """Record the run time and the body bytes of a request of a route.
+
+        ``mean_run_ms`` is the mean of the route's requests of all nodes at the target;
+        0 when it is unknown.
+        """
 
     def record_failure(
         self, target: Target, candidates: Candidates, now: float
@@ -105,7 +114,12 @@
         return None
 
     def record_run_time(
-        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+        self,
+        target: Target,
+        route: str,
+        run_ms: float,
+        body_bytes: int = 0,
+        mean_run_ms: float = 0.0,
     ) -> None:
         """Do nothing."""
 
@@ -174,7 +188,12 @@
         return self._choose_unavailable(candidates, attempted, now)
 
     def record_run_time(
-        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+        self,
+        target: Target,
+        route: str,
+        run_ms: float,
+        body_bytes: int = 0,
+        mean_run_ms: float = 0.0,
     ) -> None:
         """Do nothing: this policy uses the latency that the entry node measures."""
 
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -191,7 +191,11 @@
             if outcome is Outcome.OK:
                 run_ms = response_head.backend_us / 1000
                 self._chooser.record_run_time(
-                    target, call.route_entry.route.name, run_ms, call.body_bytes
+                    target,
+                    call.route_entry.route.name,
+                    run_ms,
+                    call.body_bytes,
+                    response_head.mean_run_us / 1000,
                 )
         self._sink.record(
             call.route_entry.route.name,
--- a/marigoldchute/routing/least_time.py
+++ b/marigoldchute/routing/least_time.py
@@ -99,9 +99,29 @@
         return _first_available(all_targets, attempted)
 
     def record_run_time(
-        self, target: Target, route: str, run_ms: float, body_bytes: int = 0
+        self,
+        target: Target,
+        route: str,
+        run_ms: float,
+        body_bytes: int = 0,
+        mean_run_ms: float = 0.0,
     ) -> None:
-        """Record the run time and the body bytes of a request of a route."""
+        """Record the run time and the body bytes of a request of a route.
+
+        Parameters
+        ----------
+        target : Target
+            Target that ran the request.
+        route : str
+            Name of the route.
+        run_ms : float
+            Run time of this request.
+        body_bytes : int
+            Bytes of its bodies.
+        mean_run_ms : float
+            Mean run time of the route at the target, from the requests of all nodes;
+            0 when it is unknown.
+        """
         typical_bytes = self._typical_body_bytes.get(route, float(body_bytes))
         self._typical_body_bytes[route] = typical_bytes + BODY_BYTES_EWMA_WEIGHT * (
             body_bytes - typical_bytes
@@ -110,7 +130,10 @@
         if typical_ms is None:
             self._typical_run_ms[route] = max(run_ms, 1.0)
             return
-        target.record_slowness(run_ms / typical_ms)
+        if mean_run_ms:
+            target.record_mean_slowness(mean_run_ms / typical_ms)
+        else:
+            target.record_slowness(run_ms / typical_ms)
         self._typical_run_ms[route] = max(
             1.0, typical_ms + RUN_TIME_EWMA_WEIGHT * (run_ms - typical_ms)
         )
--- a/marigoldchute/routing/messages.py
+++ b/marigoldchute/routing/messages.py
@@ -35,7 +35,8 @@
     caller_service : str
         Service on whose VM the request originated; empty when it is unknown.
     objective_ms : int
-        Time left until the latency objective of the route; 0 when it has none.
+        Time left until the latency objective of the route; 0 when it has none, and 1
+        when it has passed.
     is_nested : bool
         Whether a request that runs on the entry node's backend server makes this one.
     customer : str
@@ -87,6 +88,9 @@
         Requests that ran or waited at the backend server when it responded.
     retry_after_ms : int
         Time after which a refused request may be admitted; 0 when it is unknown.
+    mean_run_us : int
+        Mean run time of the route's requests at the backend server, in microseconds;
+        0 when it is unknown.
     """
 
     status: int
@@ -97,6 +101,7 @@
     backend_us: int = 0
     load: int = 0
     retry_after_ms: int = 0
+    mean_run_us: int = 0
 
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(RequestHead)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -307,6 +307,7 @@
                 head.objective_ms / 1000,
                 head.route,
                 head.is_nested,
+                head.customer,
             )
         except NotRunError as exc:
             if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -18,6 +18,8 @@
 USUAL_LOAD_MEMORY_S = 5.0
 SERVICE_LOAD_EWMA_WEIGHT = 0.05
 SLOWNESS_EWMA_WEIGHT = 0.1
+# The owner's mean covers the requests of all nodes, so that few samples suffice.
+MEAN_SLOWNESS_EWMA_WEIGHT = 0.5
 MAX_SLOWNESS_SAMPLE = 10.0
 EJECT_CONSECUTIVE_FAILURES = 3
 EJECT_ERROR_RATE = 0.5
@@ -192,6 +194,11 @@
         bounded_ratio = min(ratio, MAX_SLOWNESS_SAMPLE)
         self.slowness += SLOWNESS_EWMA_WEIGHT * (bounded_ratio - self.slowness)
 
+    def record_mean_slowness(self, ratio: float) -> None:
+        """Record a mean run time of the owner as a ratio to the route's typical one."""
+        bounded_ratio = min(ratio, MAX_SLOWNESS_SAMPLE)
+        self.slowness += MEAN_SLOWNESS_EWMA_WEIGHT * (bounded_ratio - self.slowness)
+
     def back_off(self, now: float) -> None:
         """Pause the target briefly after a refusal for lack of capacity."""
         self.busy_until = now + BUSY_BACKOFF_S
