Limit requests whose nested calls find an overloaded service

Cause: a nested call that is rejected discards the run of the request that made it, and nothing kept such requests from running.

Change: NestedLimit, at each owner, lowers the part of a route's requests that it admits while calls of these requests are rejected, or late at a server with a queue. It needs no messages.

--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -52,6 +52,9 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
+    found_queue : bool
+        Whether requests waited at the backend server of the latest attempt when it
+        responded.
     """
 
     retains_errors = False
@@ -98,6 +101,7 @@
         self.response_head: ResponseHead | None = None
         self.link_bytes = 0
         self.response_bytes = 0
+        self.found_queue = False
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -187,6 +187,7 @@
         if outcome is not Outcome.OK:
             self._chooser.record_failure(target, candidates, now)
         if response_head is not None:
+            call.found_queue = response_head.load > target.server.slots
             target.record_load(response_head.load, now)
             if outcome is Outcome.OK:
                 run_ms = response_head.backend_us / 1000
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -21,7 +21,11 @@
 from marigoldchute.routing.cut import CutCause, cause_of_partial
 from marigoldchute.routing.dialect import DEFAULT_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
-from marigoldchute.routing.failure import error_to_report, outcome_of
+from marigoldchute.routing.failure import (
+    FINAL_REFUSAL_CODES,
+    error_to_report,
+    outcome_of,
+)
 from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import encode_request_headers, parse_deadline_ms
 from marigoldchute.routing.http_request import CallerDisconnectedError
@@ -202,6 +206,8 @@
                 req.call_fields = cut_fields(call, trio.current_time())
         if call is not None:
             self._record_latency(call, outcome, started)
+            if call.is_nested:
+                self._owner.record_nested_call(call, outcome, trio.current_time())
 
     def _log_failed(
         self,
@@ -417,6 +423,8 @@
     def _may_retry(self, call: Call, exc: MarigoldchuteError, now: float) -> bool:
         if call.responder.started or not call.body.is_rewindable:
             return False
+        if exc.code in FINAL_REFUSAL_CODES:
+            return False
         if exc.code in CALLER_ERROR_CODES or isinstance(exc, CallerDisconnectedError):
             return False
         if call.may_have_run and not call.idempotent:
--- a/marigoldchute/routing/failure.py
+++ b/marigoldchute/routing/failure.py
@@ -20,6 +20,9 @@
         ResultCode.REQUEST_NOT_RUN_REFUSED,
     }
 )
+# Refusals that other backend servers would repeat, and that say nothing about the load
+# of the one that refused.
+FINAL_REFUSAL_CODES = frozenset({ResultCode.REQUEST_NOT_RUN_CALLS_FAIL})
 
 
 def outcome_of(exc: MarigoldchuteError) -> Outcome:
@@ -27,7 +30,8 @@
     if isinstance(exc, CallerDisconnectedError) or exc.code in CALLER_ERROR_CODES:
         return Outcome.CANCELLED
     if isinstance(exc, NotRunError):
-        return Outcome.SHED if exc.code in SHED_CODES else Outcome.NOT_RUN
+        is_shed = exc.code in SHED_CODES or exc.code in FINAL_REFUSAL_CODES
+        return Outcome.SHED if is_shed else Outcome.NOT_RUN
     if exc.code is ResultCode.REQUEST_OUTCOME_UNKNOWN_DEADLINE:
         return Outcome.OVERDUE
     return Outcome.UNKNOWN
--- a/marigoldchute/routing/nested_limit.py
+++ b/marigoldchute/routing/nested_limit.py
@@ -10,6 +10,8 @@
 
 import dataclasses
 
+from marigoldchute.routing.outcomes import Outcome
+
 WINDOW_S = 0.5
 MIN_WINDOW_CALLS = 4
 # With a larger part of failed calls in a window the limit is lowered.
@@ -24,6 +26,30 @@
 MAX_ROUTES = 64
 
 
+def is_failed_call(
+    outcome: Outcome, objective_at: float, found_queue: bool, now: float
+) -> bool:
+    """Return whether a nested call failed because the called service is overloaded.
+
+    A late response counts only from a server with a queue: one that is slow without a
+    queue gets no faster with fewer requests. Errors of the server itself do not count.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Outcome of the call.
+    objective_at : float
+        Time of the call's objective; 0 without one.
+    found_queue : bool
+        Whether requests waited at the server that responded.
+    now : float
+        Monotonic time in seconds.
+    """
+    if outcome is Outcome.SHED:
+        return True
+    return bool(objective_at) and found_queue and now > objective_at
+
+
 @dataclasses.dataclass
 class _RouteLimit:
     admitted_ratio: float = 1.0
@@ -62,7 +88,7 @@
         route : str
             Route of the request that made the call.
         failed : bool
-            Whether the call was refused, or its response came after its objective.
+            Whether the call failed by ``is_failed_call``.
         now : float
             Monotonic time in seconds.
         """
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -23,19 +23,23 @@
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
+from marigoldchute.routing.nested_limit import NestedLimit, is_failed_call
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
 
 if TYPE_CHECKING:
     from marigoldchute.link.stream import Stream
     from marigoldchute.membership.model import BackendServer, Member
     from marigoldchute.routing.backend_conn import BackendConn
+    from marigoldchute.routing.call import Call
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.outcomes import Outcome
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
+CALLS_FAIL_RETRY_S = 0.5  # The limit of calls that fail changes twice a second.
 
 
 class LocalServers(Protocol):
@@ -90,6 +94,8 @@
         Number of requests of other nodes that wait or run here.
     refused_while_draining : int
         Number of requests that were refused because of a drain.
+    nested_limit : NestedLimit
+        Limit of requests whose nested calls fail.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -114,6 +120,8 @@
         self._member: Member | None = None
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
+        self._running_routes: dict[str, str] = {}
+        self.nested_limit = NestedLimit()
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -149,6 +157,19 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
+    def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
+        """Record the end of a call that a request on this VM made."""
+        parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
+        route = self._running_routes.get(parent_id)
+        if route is None:
+            return
+        failed = is_failed_call(outcome, call.objective, call.found_queue, now)
+        before = self.nested_limit.ratio(route)
+        self.nested_limit.record_call(route, failed, now)
+        after = self.nested_limit.ratio(route)
+        if self._log is not None and before != after:
+            self._log.emit_nested_limit(route, call.service.name, before, after, now)
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -250,6 +271,13 @@
         if server.service != head.service or server.release != head.release:
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
+        now = trio.current_time()
+        if not head.is_nested and not self.nested_limit.admit(head.route, now):
+            raise NotRunError(
+                "a service that requests of this route call is overloaded",
+                ResultCode.REQUEST_NOT_RUN_CALLS_FAIL,
+                CALLS_FAIL_RETRY_S,
+            )
         remaining_ms = await self._acquire_slot(head, exchange, gate)
         running = gate.running
         try:
@@ -272,6 +300,7 @@
             self._policy,
         )
         self._running_ids[head.request_id] += 1
+        self._running_routes[head.request_id] = head.route
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -284,6 +313,7 @@
             self._running_ids[head.request_id] -= 1
             if not self._running_ids[head.request_id]:
                 del self._running_ids[head.request_id]
+                del self._running_routes[head.request_id]
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -22,6 +22,7 @@
 FAILED_BURST_LINES = 400.0  # 0.2 MB; a burst of 40 dropped 411 of 1,015 failures.
 RETRIED_LINES_PER_S = 4.0
 OWNER_LINES_PER_S = 10.0
+LIMIT_LINES_PER_S = 1.0
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
@@ -48,6 +49,7 @@
             "failed": TokenBucket(FAILED_LINES_PER_S, FAILED_BURST_LINES),
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
+            "nested_limit": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
             "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
             "abandoned": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
         }
@@ -138,6 +140,34 @@
             remaining_ms=head.remaining_ms,
         )
 
+    def emit_nested_limit(
+        self, route: str, called_service: str, before: float, after: float, now: float
+    ) -> None:
+        """Log a change of the part of a route's requests that is admitted.
+
+        Parameters
+        ----------
+        route : str
+            Route of the requests that make nested calls.
+        called_service : str
+            Service of the latest call.
+        before, after : float
+            Admitted part before and after the change.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._admit("nested_limit", now):
+            return
+        self._log.emit(
+            "owner",
+            "nested_limit",
+            f"{after:.0%} of the requests of {route!r} are admitted.",
+            route=route,
+            called_service=called_service,
+            ratio=round(after, 3),
+            ratio_before=round(before, 3),
+        )
+
     def emit_cut(self, cut: Cut, id_header: bytes) -> None:
         """Log a request whose connection ended without a complete response.
 
