Count the decisions about requests that wait

Metrics of displaced, late and refused requests let an operator see which rule refuses requests under overload. Five counters without labels.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -428,6 +428,7 @@
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "rejected_documents": self._rejections.count,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
+                    **self._owner.overload_counts(),
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
                         self.entry.refused_while_draining
--- a/marigoldchute/node.py
+++ b/marigoldchute/node.py
@@ -208,6 +208,7 @@
                 "requests": budget.requests,
                 "retries": budget.retries,
                 "refused_retries": budget.refused_retries,
+                **self._request_path.owner.overload_counts(),
             },
         )
 
--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -10,6 +10,7 @@
 from marigoldchute.routing.admission_queue import (
     MAX_QUEUED_PER_SLOT,
     NUM_PRIORITIES,
+    AdmissionCounts,
     AdmissionQueue,
     Capacity,
     Demand,
@@ -78,15 +79,22 @@
         Backend server as announced, with its slots and connections.
     adaptive : bool
         Whether refusals and rising latency lower the limit below the slots.
+    counts : AdmissionCounts, optional
+        Counts of the node, to which those of this gate are added.
     """
 
-    def __init__(self, server: BackendServer, adaptive: bool = True) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        adaptive: bool = True,
+        counts: AdmissionCounts | None = None,
+    ) -> None:
         self.running = 0
         self.max_running = 0
         self.draining = False
         self._adaptive = adaptive
         self._limit = AdaptiveLimit(server.slots)
-        self._queue: AdmissionQueue[_Waiter] = AdmissionQueue()
+        self._queue: AdmissionQueue[_Waiter] = AdmissionQueue(counts)
         self._run_times = RunTimes()
         self._head_times = RunTimes()
         self.update(server)
--- a/marigoldchute/routing/admission_queue.py
+++ b/marigoldchute/routing/admission_queue.py
@@ -94,6 +94,28 @@
         return (ahead_s + self.mean_s) / self.limit
 
 
+@dataclasses.dataclass
+class AdmissionCounts:
+    """Counts of decisions about waiting requests since the start of the process.
+
+    Parameters
+    ----------
+    displaced : int
+        Requests that were refused after they had waited.
+    refused_late : int
+        Requests that were refused because they would not be in time.
+    refused_full : int
+        Requests that were refused because the queue was full.
+    waited_late : int
+        Requests that were taken after their objective had passed.
+    """
+
+    displaced: int = 0
+    refused_late: int = 0
+    refused_full: int = 0
+    waited_late: int = 0
+
+
 class Waiter:
     """A request that waits for a slot.
 
@@ -136,9 +158,15 @@
 
     A request whose objective has passed may still meet its deadline. It waits behind
     all others and is the first to be displaced.
+
+    Parameters
+    ----------
+    counts : AdmissionCounts, optional
+        Counts to add to; those of all backend servers of a node are kept together.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counts: AdmissionCounts | None = None) -> None:
+        self._counts = counts if counts is not None else AdmissionCounts()
         self._classes: tuple[list[WaiterT], ...] = tuple(
             [] for _ in range(NUM_PRIORITIES)
         )
@@ -160,6 +188,19 @@
         NotRunError
             The request must not wait.
         """
+        try:
+            displaced = self._add(waiter, capacity, now)
+        except NotRunError as exc:
+            if exc.code is ResultCode.REQUEST_NOT_RUN_OVERLOADED:
+                self._counts.refused_full += 1
+            else:
+                self._counts.refused_late += 1
+            raise
+        self._counts.waited_late += waiter.is_late
+        self._counts.displaced += len(displaced)
+        return displaced
+
+    def _add(self, waiter: WaiterT, capacity: Capacity, now: float) -> list[WaiterT]:
         demand = waiter.demand
         if demand.is_late(now):
             self._add_late(waiter, capacity, now)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -17,6 +17,7 @@
     ResultCode,
 )
 from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.admission_queue import AdmissionCounts
 from marigoldchute.routing.backend_attempt import BackendAttempt
 from marigoldchute.routing.backend_conn import BackendConnPool
 from marigoldchute.routing.cut import CutCause, is_cancelled
@@ -57,9 +58,15 @@
 class OwnedServer:
     """Backend server of this VM with its admission gate and connection pool."""
 
-    def __init__(self, server: BackendServer, address: str, adaptive: bool) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        address: str,
+        adaptive: bool,
+        counts: AdmissionCounts | None = None,
+    ) -> None:
         self.server = server
-        self.gate = AdmissionGate(server, adaptive)
+        self.gate = AdmissionGate(server, adaptive, counts)
         self.pool = BackendConnPool(address, server.port)
 
     def update(self, server: BackendServer) -> None:
@@ -96,6 +103,8 @@
         Number of requests that were refused because of a drain.
     nested_limit : NestedLimit
         Limit of requests whose nested calls fail.
+    admission_counts : AdmissionCounts
+        Decisions about requests that waited here.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -122,6 +131,7 @@
         self._running_ids: collections.Counter[str] = collections.Counter()
         self._running_routes: dict[str, str] = {}
         self.nested_limit = NestedLimit()
+        self.admission_counts = AdmissionCounts()
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -157,6 +167,17 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
+    def overload_counts(self) -> dict[str, int]:
+        """Return the counters of overload by the names of their metrics."""
+        counts = self.admission_counts
+        return {
+            "requests_displaced": counts.displaced,
+            "requests_refused_late": counts.refused_late,
+            "requests_refused_queue_full": counts.refused_full,
+            "requests_queued_after_objective": counts.waited_late,
+            "requests_refused_nested_calls_fail": self.nested_limit.refused,
+        }
+
     def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
         """Record the end of a call that a request on this VM made."""
         parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
@@ -400,7 +421,9 @@
             owned = self._owned.get(server_id)
             if owned is None:
                 adaptive = self._policy.adaptive_limit
-                owned = OwnedServer(server, self._address, adaptive)
+                owned = OwnedServer(
+                    server, self._address, adaptive, self.admission_counts
+                )
                 self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
--- a/tests/test_routing/overload_simulation.py
+++ b/tests/test_routing/overload_simulation.py
@@ -288,6 +288,8 @@
         seed: int,
     ) -> None:
         self.now = 0.0
+        self.rejections = 0
+        self.rejections_beside_free = 0
         self._seed = seed
         self._down_until = 0.0
         self.rng = random.Random(seed)
@@ -601,6 +603,13 @@
 
     def _reject(self, request: Request, retry_after_s: float) -> None:
         """Answer 503; the caller may come back."""
+        if request.sent_at >= WARM_UP_S and self.now >= self._down_until:
+            self.rejections += 1
+            self.rejections_beside_free += any(
+                server.running < server.slots
+                for server in self.servers
+                if server.backend.service == request.kind.service
+            )
         if request.parent is not None:
             for tally in self._tallies_of(request):
                 tally.rejected += 1
--- a/tests/test_routing/test_admission_queue.py
+++ b/tests/test_routing/test_admission_queue.py
@@ -7,6 +7,7 @@
 from marigoldchute.errors import NotRunError, ResultCode
 from marigoldchute.routing.admission_queue import (
     MAX_QUEUED_PER_SLOT,
+    AdmissionCounts,
     AdmissionQueue,
     Capacity,
     Demand,
@@ -144,3 +145,16 @@
             self.queue.offer(
                 make_waiter(0.01, objective_s=60.0, priority=0), CAPACITY, 0.0
             )
+
+
+class CountsTest(unittest.TestCase):
+    def test_each_decision_is_counted(self) -> None:
+        counts = AdmissionCounts()
+        queue: AdmissionQueue[Waiter] = AdmissionQueue(counts)
+        queue.offer(make_waiter(objective_s=4.9), CAPACITY, 5.0)
+        for _ in range(4):
+            queue.offer(make_waiter(priority=2), CAPACITY, 5.0)
+        for refused in (make_waiter(priority=2), make_waiter(1.0, 5.5)):
+            with self.assertRaises(NotRunError):
+                queue.offer(refused, CAPACITY, 5.0)
+        self.assertEqual(counts, AdmissionCounts(1, 1, 1, 1))
