--- a/marigoldchute/routing/admission_queue.py
+++ b/marigoldchute/routing/admission_queue.py
@@ -232,7 +232,7 @@
         wait_s = capacity.wait_behind(sum(other.demand.run_s for other in self))
         max_wait_s = demand.deadline_at - now - RUN_TIME_MARGIN * demand.run_s
         if wait_s > max_wait_s:
-            raise _late_error(wait_s - max_wait_s, capacity)
+            raise _late_error(wait_s, max_wait_s, capacity)
         if len(self._late) >= capacity.limit:
             raise self._full_error(capacity)
         waiter.is_late = True
@@ -260,7 +260,7 @@
             wait_s = capacity.wait_behind(ahead_s - longest.demand.run_s)
             if wait_s <= max_wait_s:
                 return [longest]
-        raise _late_error(wait_s - max_wait_s, capacity)
+        raise _late_error(wait_s, max_wait_s, capacity)
 
     def _make_space(self, demand: Demand, capacity: Capacity) -> list[WaiterT]:
         max_queued = MAX_QUEUED_PER_SLOT * capacity.limit
@@ -283,7 +283,7 @@
 
     def _full_error(self, capacity: Capacity) -> NotRunError:
         return NotRunError(
-            "queue is full",
+            f"queue is full: {self._count} waiting, limit {capacity.limit}",
             ResultCode.REQUEST_NOT_RUN_OVERLOADED,
             self._count * capacity.mean_s / capacity.limit,
         )
@@ -309,11 +309,12 @@
         return late
 
 
-def _late_error(missing_s: float, capacity: Capacity) -> NotRunError:
+def _late_error(wait_s: float, max_wait_s: float, capacity: Capacity) -> NotRunError:
     return NotRunError(
-        "no slot is expected to be free in time",
+        "no slot is expected to be free in time:"
+        f" wait {wait_s:.3f} s, at most {max_wait_s:.3f} s, limit {capacity.limit}",
         ResultCode.REQUEST_NOT_RUN_DEADLINE,
-        max(capacity.mean_s, missing_s),
+        max(capacity.mean_s, wait_s - max_wait_s),
     )
 
 
--- a/marigoldchute/routing/nested_limit.py
+++ b/marigoldchute/routing/nested_limit.py
@@ -18,9 +18,9 @@
 MAX_FAILED_RATIO = 0.1
 MIN_DECREASE_FACTOR = 0.5
 INCREASE_FACTOR = 1.2
-# Enough requests remain to notice that the called service has recovered, and no kind
-# of request is starved.
-MIN_ADMITTED_RATIO = 0.1
+# Enough requests remain to notice that the called service has recovered. With 0.1, and
+# callers that come back twice, a service at 3 times its capacity stayed overloaded.
+MIN_ADMITTED_RATIO = 0.05
 # The limit of a route without calls for this long says nothing about the present.
 FORGET_S = 10.0
 MAX_ROUTES = 64
