--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -510,6 +510,7 @@
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                     "connections_closed_for_memory": self._memory.closed_count,
                     "unused_connections_closed": callers.unused_closed,
+                    **self._owner.overload_counts(),
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
                         self.entry.refused_while_draining
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -49,6 +49,9 @@
         Number of attempts that may have reached a backend server.
     refused_attempts : int
         Number of attempts that certainly did not run.
+    shed_retry_after_s : float or None
+        Time after which the owner that refused last may have a slot; None if no
+        attempt was refused for lack of capacity.
     retains_errors : bool
         Whether a backend server's complete error response is kept for a retry instead
         of being forwarded.
@@ -72,6 +75,9 @@
         ``Owner.parent_customer``.
     customer_table : CustomerTable or None
         Table from which ``identity`` was determined.
+    found_queue : bool
+        Whether requests waited at the backend server of the latest attempt when it
+        responded.
     """
 
     regions: AllowedRegions = None
@@ -120,11 +126,13 @@
         self.attempts = 0
         self.delivered_attempts = 0
         self.refused_attempts = 0
+        self.shed_retry_after_s: float | None = None
         self.may_have_run = False
         self.retained_error: tuple[ResponseHead, bytes] | None = None
         self.response_head: ResponseHead | None = None
         self.link_bytes = 0
         self.response_bytes = 0
+        self.found_queue = False
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
@@ -175,7 +183,7 @@
             req.has_body,
             self._chunked,
             self.caller_service,
-            max(0, int((self.objective - now) * 1000)),
+            max(1, int((self.objective - now) * 1000)) if self.objective else 0,
             self.is_nested,
             self.identity.customer,
             self.regions or (),
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -210,11 +210,16 @@
         if outcome is not Outcome.OK:
             self._chooser.record_failure(target, candidates, now)
         if response_head is not None:
+            call.found_queue = response_head.load > target.server.slots
             target.record_load(response_head.load, now)
             if outcome is Outcome.OK:
                 run_ms = response_head.backend_us / 1000
                 self._chooser.record_run_time(
-                    target, call.route_entry.route.name, run_ms, call.body_bytes
+                    target,
+                    call.route_entry.route.name,
+                    run_ms,
+                    call.body_bytes,
+                    response_head.mean_run_us / 1000,
                 )
         self._sink.record(
             call.route_entry.route.name,
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -23,7 +23,12 @@
 from marigoldchute.routing.dialect import DEFAULT_DIALECT
 from marigoldchute.routing.dispatch import Dispatcher
 from marigoldchute.routing.evacuation import NO_EVACUATIONS
-from marigoldchute.routing.failure import error_to_report, outcome_of
+from marigoldchute.routing.failure import (
+    FINAL_REFUSAL_CODES,
+    SHED_CODES,
+    error_to_report,
+    outcome_of,
+)
 from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import encode_request_headers, parse_deadline_ms
 from marigoldchute.routing.http_request import CallerDisconnectedError
@@ -69,10 +74,11 @@
 RETRY_BURST = 20.0
 # With a smaller part of a request's time left, an attempt likely ends at the deadline.
 MIN_REMAINING_TIME_RATIO = 0.15
-# Each refusal costs one hop, and a fourth attempt rarely finds a slot in time.
-MAX_REFUSED_ATTEMPTS = 3
 # An evacuation lasts for longer than any wait that callers are told.
 EVACUATED_RETRY_AFTER_S = 1.0
+# Each refusal costs one hop. With 3 attempts, at 1.05 times the capacity a quarter of
+# the rejected requests were rejected while another server had a free slot.
+MAX_REFUSED_ATTEMPTS = 5
 
 
 def _no_service() -> str:
@@ -238,6 +244,8 @@
                 req.call_fields = cut_fields(call, trio.current_time())
         if call is not None:
             self._record_latency(call, outcome, started)
+            if call.is_nested:
+                self._owner.record_nested_call(call, outcome, trio.current_time())
 
     def _log_failed(
         self,
@@ -450,6 +458,8 @@
             except (RequestError, PeerError, AuthError) as exc:
                 if not isinstance(exc, NotRunError):
                     call.may_have_run = True
+                elif exc.code in SHED_CODES:
+                    call.shed_retry_after_s = exc.retry_after_s
                 if not self._may_retry(call, exc, trio.current_time()):
                     if call.retained_error is None:
                         if error_to_report(call, exc) is exc:
@@ -533,6 +543,12 @@
                 ResultCode.REQUEST_NOT_RUN_EVACUATED,
                 EVACUATED_RETRY_AFTER_S,
             )
+        if target is None and call.shed_retry_after_s is not None:
+            raise NotRunError(
+                f"all backend servers of {service!r} {call.release!r} are overloaded",
+                ResultCode.REQUEST_NOT_RUN_OVERLOADED,
+                call.shed_retry_after_s,
+            )
         if call.regions is not None:
             if target is not None and target.unreachable_until > now:
                 # Waiting for each of them in turn would delay the refusal.
@@ -592,6 +608,8 @@
     def _may_retry(self, call: Call, exc: MarigoldchuteError, now: float) -> bool:
         if call.responder.started or not call.body.is_rewindable:
             return False
+        if exc.code in FINAL_REFUSAL_CODES:
+            return False
         if exc.code in CALLER_ERROR_CODES or isinstance(exc, CallerDisconnectedError):
             return False
         if call.may_have_run and not call.idempotent:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -18,12 +18,14 @@
     ResultCode,
 )
 from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.admission_queue import AdmissionCounts
 from marigoldchute.routing.backend_attempt import BackendAttempt
 from marigoldchute.routing.backend_conn import BackendConnPool
 from marigoldchute.routing.cut import CutCause, is_cancelled
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
+from marigoldchute.routing.nested_limit import NestedLimit, is_failed_call
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
 from marigoldchute.routing.regions import NO_REGION_RULES, is_allowed
 from marigoldchute.routing.warmup import (
@@ -42,8 +44,10 @@
     from marigoldchute.link.stream import Stream
     from marigoldchute.membership.model import BackendServer, Member
     from marigoldchute.routing.backend_conn import BackendConn
+    from marigoldchute.routing.call import Call
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.outcomes import Outcome
     from marigoldchute.routing.regions import RegionRules
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
@@ -53,6 +57,7 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 # Shorter delays are those of the scheduler, and change no decision.
 MIN_TRANSIT_DELAY_MS = 20
+CALLS_FAIL_RETRY_S = 0.5  # The limit of calls that fail changes twice a second.
 
 
 class LocalServers(Protocol):
@@ -75,11 +80,16 @@
     """Backend server of this VM with its gate, connection pool and warm-up."""
 
     def __init__(
-        self, server: BackendServer, address: str, adaptive: bool, guard: WarmupGuard
+        self,
+        server: BackendServer,
+        address: str,
+        adaptive: bool,
+        guard: WarmupGuard,
+        counts: AdmissionCounts | None = None,
     ) -> None:
         self.server = server
         self.guard = guard
-        self.gate = AdmissionGate(server, adaptive)
+        self.gate = AdmissionGate(server, adaptive, counts)
         self.pool = BackendConnPool(address, server.port)
 
     def update(self, server: BackendServer) -> None:
@@ -126,6 +136,10 @@
     refused_after_transit : int
         Number of requests that were refused because their deadline had passed when
         they arrived.
+    nested_limit : NestedLimit
+        Limit of requests whose nested calls fail.
+    admission_counts : AdmissionCounts
+        Decisions about requests that waited here.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -163,6 +177,9 @@
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
         self._running_customers: dict[str, str] = {}  # By the id of the request.
+        self._running_routes: dict[str, str] = {}
+        self.nested_limit = NestedLimit()
+        self.admission_counts = AdmissionCounts()
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -211,6 +228,30 @@
         parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
         return self._running_customers.get(parent_id, "")
 
+    def overload_counts(self) -> dict[str, int]:
+        """Return the counters of overload by the names of their metrics."""
+        counts = self.admission_counts
+        return {
+            "requests_displaced": counts.displaced,
+            "requests_refused_late": counts.refused_late,
+            "requests_refused_queue_full": counts.refused_full,
+            "requests_queued_after_objective": counts.waited_late,
+            "requests_refused_nested_calls_fail": self.nested_limit.refused,
+        }
+
+    def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
+        """Record the end of a call that a request on this VM made."""
+        parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
+        route = self._running_routes.get(parent_id)
+        if route is None:
+            return
+        failed = is_failed_call(outcome, call.objective, call.found_queue, now)
+        before = self.nested_limit.ratio(route)
+        self.nested_limit.record_call(route, failed, now)
+        after = self.nested_limit.ratio(route)
+        if self._log is not None and before != after:
+            self._log.emit_nested_limit(route, call.service.name, before, after, now)
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -366,6 +407,13 @@
         if server.service != head.service or server.release != head.release:
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
+        now = trio.current_time()
+        if not head.is_nested and not self.nested_limit.admit(head.route, now):
+            raise NotRunError(
+                "a service that requests of this route call is overloaded",
+                ResultCode.REQUEST_NOT_RUN_CALLS_FAIL,
+                CALLS_FAIL_RETRY_S,
+            )
         remaining_ms = await self._acquire_slot_and_room(head, exchange, owned)
         running = gate.running
         try:
@@ -401,6 +449,7 @@
         self._running_ids[head.request_id] += 1
         if head.customer:
             self._running_customers[head.request_id] = head.customer
+        self._running_routes[head.request_id] = head.route
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -414,6 +463,7 @@
             if not self._running_ids[head.request_id]:
                 del self._running_ids[head.request_id]
                 self._running_customers.pop(head.request_id, None)
+                del self._running_routes[head.request_id]
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
@@ -561,7 +611,9 @@
             if owned is None:
                 adaptive = self._policy.adaptive_limit
                 guard = self._make_guard(server.port, trio.current_time())
-                owned = OwnedServer(server, self._address, adaptive, guard)
+                owned = OwnedServer(
+                    server, self._address, adaptive, guard, self.admission_counts
+                )
                 self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -29,6 +29,7 @@
 REJECTED_CODES = frozenset(
     {ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED, ResultCode.REQUEST_NOT_RUN_QUOTA}
 )
+LIMIT_LINES_PER_S = 1.0
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
@@ -57,6 +58,7 @@
             "rejected": TokenBucket(REJECTED_LINES_PER_S, 4 * REJECTED_LINES_PER_S),
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
+            "nested_limit": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
             "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
             "abandoned": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
         }
@@ -155,6 +157,34 @@
             remaining_ms=head.remaining_ms,
         )
 
+    def emit_nested_limit(
+        self, route: str, called_service: str, before: float, after: float, now: float
+    ) -> None:
+        """Log a change of the part of a route's requests that is admitted.
+
+        Parameters
+        ----------
+        route : str
+            Route of the requests that make nested calls.
+        called_service : str
+            Service of the latest call.
+        before, after : float
+            Admitted part before and after the change.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._admit("nested_limit", now):
+            return
+        self._log.emit(
+            "owner",
+            "nested_limit",
+            f"{after:.0%} of the requests of {route!r} are admitted.",
+            route=route,
+            called_service=called_service,
+            ratio=round(after, 3),
+            ratio_before=round(before, 3),
+        )
+
     def emit_cut(self, cut: Cut, id_header: bytes, is_foreign: bool = False) -> None:
         """Log a request whose connection ended without a complete response.
 
