Hold what waits on links and of responses compactly; document the bounds

Cause: pieces of a body that wait for a slot, a retry or a slow caller, and header lines of a backend server's response, had an object each.

Change: small pieces are joined where they wait; header lines of a response are one block. Ordinary connections alone are closed down to 95 in 100 of the budget, so that connections are not selected for each further byte. An error response that is kept for a retry counts against the budget.

--- a/marigoldchute/link/stream.py
+++ b/marigoldchute/link/stream.py
@@ -9,6 +9,7 @@
 
 from marigoldchute.errors import PeerError, ResultCode
 from marigoldchute.link.frames import FrameKind, encode_frame
+from marigoldchute.util.pieces import append_piece
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -189,7 +190,7 @@
                 raise PeerError(
                     "peer sends more than its credit", ResultCode.PEER_PROTOCOL
                 )
-            self._received_data.append(body)
+            append_piece(self._received_data, body)
         elif kind == FrameKind.OPEN:
             self._peer_head = body
         elif kind == FrameKind.END:
--- a/marigoldchute/routing/backend_response.py
+++ b/marigoldchute/routing/backend_response.py
@@ -9,6 +9,7 @@
 from marigoldchute.errors import RequestError
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.headers import HOP_HEADERS
+from marigoldchute.util.pieces import append_piece
 
 # Limit of the bytes outside of the body: heads, interim responses, chunk sizes and
 # extensions, and trailers. Chunks of a few bytes have several bytes of framing each.
@@ -51,10 +52,10 @@
         "_codings",
         "_dialect",
         "_echoed_id",
+        "_header_block",
         "_invalid",
         "_is_first",
         "_is_head_response",
-        "_lines",
         "_overhead_bytes",
         "_parser",
         "_request_id",
@@ -92,7 +93,8 @@
         self.is_contradicted = False  # Whether one with another status followed.
         self.skipped_count = 0
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
-        self._lines: list[bytes] = []
+        # One block: a line of its own would take 33 bytes more.
+        self._header_block = bytearray()
         self._codings: tuple[bytes, ...] = ()
         self._overhead_bytes = 0
         self._skipped_bytes = 0
@@ -109,7 +111,7 @@
     @property
     def header_block(self) -> bytes:
         """End-to-end headers, each line ended by CR LF."""
-        return b"".join(self._lines)
+        return bytes(self._header_block)
 
     @property
     def has_length(self) -> bool:
@@ -141,7 +143,7 @@
             is_only = self._echoed_id in (None, value)
             self._echoed_id = value if is_only else b""
         if name not in HOP_HEADERS:
-            self._lines.append(b"%s: %s\r\n" % (name, value))
+            self._header_block += b"%s: %s\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Process the complete head; interim responses are discarded."""
@@ -176,7 +178,7 @@
         else:
             self.body_bytes += len(data)
             if not self.complete:
-                self.chunks.append(data)
+                append_piece(self.chunks, data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, or end the skipping of another one."""
@@ -250,7 +252,7 @@
         Parser and object are then freed without the garbage collector.
         """
         del self._parser
-        self._lines.clear()
+        self._header_block.clear()
         self.chunks.clear()
 
     def pop_body(self) -> bytes:
@@ -289,7 +291,7 @@
         return not (self._is_first and is_refusal)
 
     def _clear_head(self) -> None:
-        self._lines.clear()
+        self._header_block.clear()
         self._echoed_id = None
         self._codings = ()
         self.length = _NO_LENGTH
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -155,6 +155,7 @@
         self.response_bytes = len(body)
         if self.retains_errors and head.status in RETRYABLE_STATUSES:
             self.retained_error = (head, body)
+            self.req.response_buffer = lambda: len(body)
             return
         try:
             await self.responder.send_complete(
@@ -225,7 +226,8 @@
             await self.send_complete(head, b"")
             return
         self.link_bytes += len(first_data)
-        self.req.response_buffer = lambda: stream.buffered_bytes
+        retained_bytes = len(self.retained_error[1]) if self.retained_error else 0
+        self.req.response_buffer = lambda: retained_bytes + stream.buffered_bytes
         await self.send_head(head, first_data)
         while (data := await stream.receive()) is not None:
             self.link_bytes += len(data)
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -11,6 +11,7 @@
 from marigoldchute.errors import RequestError, ResultCode
 from marigoldchute.routing.http_checks import check_head, parse_target
 from marigoldchute.routing.request_headers import MAX_LISTED_LINES, RequestHeaders
+from marigoldchute.util.pieces import append_piece
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -501,14 +502,13 @@
         """Append a piece of the body."""
         self._body_bytes += len(data)
         req = self._current_request
-        req.chunks.append(data)
+        append_piece(req.chunks, data)
         held_bytes = min(len(data), MAX_HELD_BODY_BYTES - req.held_body_bytes)
         req.held_body_bytes += held_bytes
         self._requests_bytes += held_bytes
 
     def on_message_complete(self) -> None:
         """Mark the request as complete."""
-        _join_pieces(self._current_request.chunks)
         self._current_request.complete = True
         self._in_head = True
         self._head_bytes = 0
@@ -594,19 +594,11 @@
             )
         elif self._in_head and self._head_bytes > self.max_head_bytes:
             self._error = _head_size_error()
-        if not self._in_head:
-            _join_pieces(self._current_request.chunks)
         self._update_account()
         made_progress = len(self.requests) > queued_count or previous_request.complete
         if self._error is not None and not made_progress:
             raise self._error
 
 
-def _join_pieces(chunks: list[bytes]) -> None:
-    """Join the pieces of a body, of each takes 33 bytes more than its content."""
-    if len(chunks) > 1:
-        chunks[:] = [b"".join(chunks)]
-
-
 def _head_size_error() -> RequestError:
     return RequestError("request head is too large", ResultCode.REQUEST_TOO_LARGE)
--- a/marigoldchute/routing/memory_budget.py
+++ b/marigoldchute/routing/memory_budget.py
@@ -17,8 +17,10 @@
 # another at once, and small connections find room again.
 LOW_WATER_RATIO = 0.8
 # A connection that takes no more is an ordinary one. It is only closed when the budget
-# does not suffice for ordinary ones alone.
+# does not suffice for ordinary ones alone, and then down to the second ratio: to select
+# connections takes time that depends on the number of all.
 ORDINARY_BYTES = 32_768
+ORDINARY_LOW_WATER_RATIO = 0.95
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -140,8 +142,8 @@
 ) -> list[MemoryAccount]:
     """Return the accounts to close, the largest first.
 
-    Accounts are closed until ``LOW_WATER_RATIO`` of the limit is held. Those of
-    ordinary connections are only closed as far as the limit itself requires it.
+    Accounts are closed until ``LOW_WATER_RATIO`` of the limit is held, those of
+    ordinary connections until ``ORDINARY_LOW_WATER_RATIO`` of it is.
 
     Parameters
     ----------
@@ -153,10 +155,10 @@
         Memory that they may hold.
     """
     selected = []
-    low_water_bytes = LOW_WATER_RATIO * limit_bytes
     for account in sorted(accounts, key=lambda item: item.held_bytes, reverse=True):
         is_ordinary = account.held_bytes <= ORDINARY_BYTES
-        if held_bytes <= (limit_bytes if is_ordinary else low_water_bytes):
+        ratio = ORDINARY_LOW_WATER_RATIO if is_ordinary else LOW_WATER_RATIO
+        if held_bytes <= ratio * limit_bytes:
             break
         selected.append(account)
         held_bytes -= account.held_bytes
--- a/marigoldchute/routing/request_body.py
+++ b/marigoldchute/routing/request_body.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldchute.link.stream import MAX_DATA_BYTES, WINDOW_BYTES
+from marigoldchute.util.pieces import append_piece
 
 if TYPE_CHECKING:
     from marigoldchute.routing.http_request import HttpRequest
@@ -72,7 +73,7 @@
         return data
 
     def _buffer(self, data: bytes) -> None:
-        self._buffered.append(data)
+        append_piece(self._buffered, data)
         self.read_bytes += len(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_REPLAY_BYTES:
