--- a/tests/test_platform/test_untrusted_callers.py
+++ b/tests/test_platform/test_untrusted_callers.py
@@ -11,8 +11,11 @@
 import unittest
 from typing import TYPE_CHECKING
 
+import httpcore
 import trio
 
+from marigoldchute.platform.settings import METRICS_PORT
+from marigoldchute.routing.memory_budget import MIN_BUDGET_BYTES
 from tests.support.hosted import CALLER_PORT, HOST, HostedMesh, hosted_mesh
 
 if TYPE_CHECKING:
@@ -157,6 +160,32 @@
             with self.subTest(name):
                 self.run_node(scenario)
 
+    # Guards against a budget that the node does not apply, or applies silently.
+    def test_connections_beyond_the_budget_are_refused_and_logged(self) -> None:
+        async def hold(streams: list[trio.SocketStream]) -> None:
+            await send_all(streams, make_head(LINES["empty"])[:-2])
+
+        async def scenario(node: NodeProcess) -> None:
+            await self.check(node, hold, 2 * CONNECTIONS)
+            events = node.mesh.read_events("vm-0")
+            (line, *_) = (e for e in events if e["event"] == "routing:memory")
+            self.assertEqual(line["limit_bytes"], MIN_BUDGET_BYTES)
+            self.assertGreater(line["held_bytes"], MIN_BUDGET_BYTES)
+            address = node.mesh.address("vm-0")
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{address}:{METRICS_PORT}/metrics"
+                text = (await pool.request("GET", url)).content.decode()
+            counts = dict(
+                line.rsplit(" ", 1) for line in text.splitlines() if line[0] != "#"
+            )
+            closed = counts["marigoldchute_connections_closed_for_memory_total"]
+            self.assertGreater(float(closed), 0)
+            limit = counts["marigoldchute_caller_bytes_limit"]
+            self.assertEqual(float(limit), MIN_BUDGET_BYTES)
+            self.assertLess(float(counts["marigoldchute_caller_bytes"]), 100_000)
+
+        self.run_node(scenario, 10.0)
+
     # Guards against heads that stay in memory after their responses.
     def test_heads_of_many_lines_are_completed_again_and_again(self) -> None:
         async def repeat(streams: list[trio.SocketStream]) -> None:
