--- a/marigoldchute/routing/admission_queue.py
+++ b/marigoldchute/routing/admission_queue.py
@@ -233,7 +233,7 @@
         max_wait_s = demand.deadline_at - now - RUN_TIME_MARGIN * demand.run_s
         if wait_s > max_wait_s:
             raise _late_error(wait_s, max_wait_s, capacity)
-        if len(self._late) >= capacity.limit:
+        if self._count >= MAX_QUEUED_PER_SLOT * capacity.limit:
             raise self._full_error(capacity)
         waiter.is_late = True
         waiter.sort_key = (demand.priority, next(self._arrivals))
