--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
@@ -13,6 +14,7 @@
 from marigoldchute.hosted.directory import Directory
 from marigoldchute.hosted.discovery import Discovery
 from marigoldchute.hosted.drain import DrainStage, NodeDrain
+from marigoldchute.hosted.evacuation import EvacuationBook, EvacuationTopic
 from marigoldchute.hosted.metrics import MetricsPage, count_states
 from marigoldchute.hosted.reader import StoreReader
 from marigoldchute.hosted.reader_duty import ReaderDuty
@@ -32,14 +34,18 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.routing.access import AccessControl, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.entry import Entry
-from marigoldchute.routing.http_server import HttpServer
+from marigoldchute.routing.http_server import MAX_CALLER_CONNECTIONS, HttpServer
 from marigoldchute.routing.least_time import LeastExpectedTime
+from marigoldchute.routing.memory_budget import MemoryBudget, budget_bytes
+from marigoldchute.routing.memory_log import MemoryLog
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.policy import PathPolicy
 from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.routing.warmup import make_rate
 from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
@@ -50,6 +56,7 @@
     from marigoldchute.bundle.model import Bundle
     from marigoldchute.events import EventLog
     from marigoldchute.hosted.bundle_topic import BundleApi
+    from marigoldchute.hosted.evacuation import EvacuationApi
     from marigoldchute.hosted.node_entry import Leave
     from marigoldchute.hosted.reader import Topic
     from marigoldchute.hosted.settings import HostedSettings
@@ -58,14 +65,22 @@
     from marigoldchute.orders.driver import OrderApi
     from marigoldchute.routing.dialect import Dialect
     from marigoldchute.routing.http_server import RequestHandler
+    from marigoldchute.routing.warmup import WarmupRate
 
 # Only nodes share the network of a hosted mesh. The fixed secret only tells it apart
 # from a mesh with a configured secret.
 MESH_SECRET = b"marigoldchute hosted mesh"
 LINK_HEARTBEAT_MS = 500  # A link is closed after three missed heartbeats, 1.5 s.
 MAX_BUFFERED_RESPONSE_BYTES = 262_144
+# Descriptors for links to all nodes, the backend server, the store and files; the
+# largest mesh has 874 nodes, and a node has links to a few dozen of them.
+RESERVED_DESCRIPTORS = 1_024
+# At the control, readiness and metrics addresses each, which the backend server and the
+# platform use with a few connections.
+MAX_LOCAL_CONNECTIONS = 128
 EXPIRY_CHECK_INTERVAL_S = 0.25
 LEAVE_PROPAGATION_S = 0.05
+LOOPBACK_ADDRESS = "127.0.0.1"
 PEERS_TIMEOUT_S = 1.5
 # A few round trips between regions: opening a link, comparison and difference.
 PEERS_SYNC_S = 0.4
@@ -89,6 +104,14 @@
 }
 
 
+def _connection_limit(max_descriptors: int) -> int:
+    """Return the number of callers' connections that may be open."""
+    if not max_descriptors:
+        return MAX_CALLER_CONNECTIONS
+    free = max_descriptors - RESERVED_DESCRIPTORS
+    return min(MAX_CALLER_CONNECTIONS, max(max_descriptors // 2, free))
+
+
 class HostAdapter(Protocol):
     """Interface to the platform that hosts a mesh."""
 
@@ -104,6 +127,10 @@
     def orders(self) -> OrderApi:
         """Access to the orders in the store."""
 
+    @property
+    def evacuations(self) -> EvacuationApi:
+        """Access to the evacuations in the store."""
+
     @property
     def store(self) -> DocumentStore:
         """The platform's store."""
@@ -203,6 +230,7 @@
             awaits_leaves=True,
         )
         self._registry.max_connections = self._max_connections
+        self._warmup_rates: dict[str, WarmupRate] = {}
         self._rejections = Rejections()
         self._catalog = Catalog(self._in_force, log)
         self._relay = BundleRelay(
@@ -225,6 +253,15 @@
         bundles = BundleTopic(adapter.bundles, self._catalog, self._rejections, log)
         # Without the orders a bundle does not tell which release to serve.
         topics: list[Topic] = [self._driver, bundles]
+        self._evacuations = EvacuationBook(table, log, cfg.bounds.evacuation_s > 0)
+        if cfg.bounds.evacuation_s > 0:
+            # A node that has just started must know them before it sends requests.
+            topics.insert(
+                0,
+                EvacuationTopic(
+                    adapter.evacuations, self._evacuations, self._rejections, log
+                ),
+            )
         self._reader = StoreReader(
             adapter.store, topics, self._reader_duty, self._overlay, handlers, log, rng
         )
@@ -234,9 +271,18 @@
         )
         entry = self._discovery.entry
         entry.on_loaded = self._registry.restore_leaves
+        adapter.store.on_restored.append(entry.handle_restored)
         self._owner = Owner(
-            self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
+            self.directory,
+            cfg.address,
+            adapter.dialect,
+            POLICY,
+            RequestLog(log),
+            cfg.report_interval_ms / 1000,
+            self._warmup_rate,
         )
+        self._registry.on_report = self._owner.record_report
+        self._registry.limits_warmup = self._warmup_rates.__contains__
         bounds = cfg.bounds
         self.entry = Entry(
             self._in_force,
@@ -258,7 +304,10 @@
                 lambda: len(self.directory.reachable()),
             ),
             lambda: self._current_settings().service,
+            self._evacuations,
+            AccessControl(adapter.dialect, log, self._is_own_address),
         )
+        self._evacuations.on_change.append(self._apply_evacuations)
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
             self._registry,
@@ -268,12 +317,18 @@
             entry.store_leave,
         )
         metrics_page = MetricsPage(self._metrics_snapshot)
-        self._metrics_http_server = HttpServer(metrics_page.handle, self._log_failure)
+        self._memory = MemoryBudget(budget_bytes(cfg.memory_mb))
+        MemoryLog(log, self._memory, trio.current_time)
         self._caller_http_server = HttpServer(
-            self.entry.handle_external, self._log_failure, self.entry.log_cut
+            self.entry.handle_external,
+            self._log_failure,
+            self.entry.log_cut,
+            self._memory,
+            _connection_limit(cfg.max_descriptors),
         )
-        self._control_http_server = HttpServer(control, self._log_failure)
-        self._readiness_http_server = HttpServer(readiness, self._log_failure)
+        self._metrics_http_server = self._make_local_server(metrics_page.handle)
+        self._control_http_server = self._make_local_server(control)
+        self._readiness_http_server = self._make_local_server(readiness)
         self._in_force.add_swap_listener(self._apply_bundle)
         self.directory.on_view_changed += [
             self.entry.candidate_tables.mark_stale,
@@ -281,9 +336,21 @@
         ]
         table.subscribe(RecordKind.MEMBER, lambda record: self._order_book.refresh())
 
+    def _make_local_server(self, handler: RequestHandler) -> HttpServer:
+        return HttpServer(
+            handler,
+            self._log_failure,
+            memory=self._memory,
+            connection_limit=MAX_LOCAL_CONNECTIONS,
+        )
+
     def is_ready(self) -> bool:
         """Return whether this node is ready for requests of callers."""
-        return self._in_force.bundle is not None and not self._draining
+        return (
+            self._in_force.bundle is not None
+            and not self._draining
+            and self._evacuations.is_known
+        )
 
     def _current_settings(self) -> HostedSettings:
         self.refresh_settings()
@@ -399,6 +466,8 @@
             await trio.sleep_until(due_at)
             now = trio.current_time()
             self._registry.expire(now, now - due_at)
+            if self._in_force.bundle is not None:
+                self._evacuations.check_overdue(now)
 
     def _metrics_snapshot(self) -> NodeSnapshot:
         from marigoldchute.admin.metrics import MoveShare, NodeCounts, NodeSnapshot
@@ -425,18 +494,44 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    **{
+                        f"requests_refused_key_{fault.value}": (
+                            self.entry.access.fault_counts[fault]
+                        )
+                        for fault in KeyFault
+                    },
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
+                    "store_restorations": self._store.restorations,
+                    "order_statuses_rewritten": self._driver.rewritten_count,
+                    "bundles_ignored_as_older": self._catalog.ignored_count,
                     "rejected_documents": self._rejections.count,
+                    "requests_refused_by_region": self.entry.refused_by_region,
+                    "owner_refusals_by_region": self._owner.refused_by_region,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
                     **self._owner.overload_counts(),
+                    "connections_closed_for_memory": self._memory.closed_count,
+                    "unused_connections_closed": callers.unused_closed,
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
                         self.entry.refused_while_draining
                         + self._owner.refused_while_draining
                     ),
+                    "requests_refused_while_evacuated": (
+                        self._owner.refused_while_evacuated
+                    ),
+                    "requests_refused_after_transit": (
+                        self._owner.refused_after_transit
+                    ),
+                    "requests_refused_while_cold": self._owner.refused_while_cold,
                 },
                 {cause.value: callers.cut_counts[cause] for cause in CutCause},
                 drain_s,
+                {
+                    "evacuated_data_centres": len(self._evacuations.evacuated),
+                    "limited_cold_servers": self._count_limited(),
+                },
+                self._memory.held_bytes,
+                self._memory.limit_bytes,
             ),
         )
 
@@ -449,6 +544,40 @@
             bundle.content.limits, trio.current_time()
         )
         self._registry.refresh_limits()
+        bounds = self._cfg.bounds
+        self._warmup_rates.clear()
+        for service in bundle.content.services:
+            if service.warmup_requests_per_s > 0.0:
+                self._warmup_rates[service.name] = make_rate(
+                    service.warmup_requests_per_s,
+                    bounds.warmup_overshoot,
+                    bounds.warmup_slack,
+                )
+
+    def _warmup_rate(self, service: str, requests_per_s: float) -> WarmupRate | None:
+        """Return the limit of cold servers, by the entry's rate before a bundle."""
+        if self._in_force.bundle is not None:
+            return self._warmup_rates.get(service)
+        if not 0.0 < requests_per_s < math.inf:  # Not trusted: it comes from a peer.
+            return None
+        bounds = self._cfg.bounds
+        return make_rate(requests_per_s, bounds.warmup_overshoot, bounds.warmup_slack)
+
+    def _count_limited(self) -> int:
+        if not self._warmup_rates:
+            return 0
+        return self._owner.count_limited(trio.current_time())
+
+    def _apply_evacuations(self) -> None:
+        data_centre = self._cfg.data_centre
+        self._owner.set_evacuated(self._evacuations.is_evacuated(data_centre))
+        self.entry.handle_evacuations_change()
+
+    def _is_own_address(self, address: str) -> bool:
+        """Return whether connections from an IP address originate on this VM."""
+        cfg = self._cfg
+        own = (cfg.address, cfg.backend.address, cfg.callers.address, LOOPBACK_ADDRESS)
+        return address in own
 
     def _max_connections(self, service: str) -> int:
         bundle = self._in_force.bundle
--- a/marigoldchute/routing/dispatch.py
+++ b/marigoldchute/routing/dispatch.py
@@ -19,8 +19,11 @@
 from marigoldchute.routing.failure import SHED_CODES, outcome_of
 from marigoldchute.routing.messages import ENCODER
 from marigoldchute.routing.outcomes import Outcome
+from marigoldchute.routing.target import BUSY_BACKOFF_S
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.link.link import Link
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
@@ -35,6 +38,17 @@
 
 OPEN_LINK_TIMEOUT_S = 1.0
 UNREACHABLE_BACKOFF_S = 1.0
+# Refusals that last until the node learns of their cause, which takes less than the
+# pause of a target that cannot be reached.
+LASTING_CODES = frozenset(
+    {
+        ResultCode.REQUEST_NOT_RUN_DRAINING,
+        ResultCode.REQUEST_NOT_RUN_EVACUATED,
+    }
+)
+# Longer than the attempts of one request need to time out at several targets, so that
+# the next requests for the same regions are refused without waiting.
+UNREACHABLE_MEMORY_S = 3.0
 
 
 class Dispatcher:
@@ -54,6 +68,8 @@
         Receives the outcome of every attempt.
     clock : Clock
         Wall clock of the process.
+    check_target : callable
+        Raises ``NotRunError`` if a request may no longer be sent to a target.
     """
 
     def __init__(
@@ -64,6 +80,7 @@
         chooser: Chooser,
         sink: OutcomeSink,
         clock: Clock,
+        check_target: Callable[[Call, Target], None],
     ) -> None:
         self._members = members
         self._traffic = traffic
@@ -71,6 +88,7 @@
         self._chooser = chooser
         self._sink = sink
         self._clock = clock
+        self._check_target = check_target
 
     async def attempt(self, call: Call, target: Target, candidates: Candidates) -> None:
         """Run a request at a target and forward its response.
@@ -113,6 +131,9 @@
             code = exc.code
             if isinstance(exc, NotRunError):
                 _handle_refusal(target, exc)
+            if exc.code is ResultCode.REQUEST_NOT_RUN_EVACUATED:
+                now = trio.current_time()
+                call.attempted |= leave_out_data_centre(target, candidates, now)
             raise
         finally:
             target.in_flight -= 1
@@ -130,6 +151,8 @@
         link = self._traffic.find_open(target.member.name)
         if link is None:
             link = await self._open_link(target)
+            target.unreachable_until = 0.0
+            self._check_target(call, target)
         body = call.body.pop_complete_body()
         encoded = ENCODER.encode(head)
         try:
@@ -211,14 +234,39 @@
         )
 
 
+def leave_out_data_centre(
+    refused: Target, candidates: Candidates, now: float
+) -> set[Target]:
+    """Pause and return the targets in the data centre of a target that is evacuated.
+
+    Its owner has learned of the evacuation before this node. Without that, the further
+    attempts of a request would be refused there as well.
+    """
+    data_centre = refused.member.data_centre
+    targets = {
+        target
+        for tier in (candidates.data_centre, candidates.region, candidates.remote)
+        for target in tier
+        if target.member.data_centre == data_centre
+    }
+    for target in targets:
+        target.pause(now + UNREACHABLE_BACKOFF_S)
+    return targets
+
+
 def _unreachable_error(target: Target) -> NotRunError:
     """Pause the target and return the error of the attempt."""
     target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+    target.unreachable_until = trio.current_time() + UNREACHABLE_MEMORY_S
     return NotRunError(f"{target.member.name} cannot be reached")
 
 
 def _handle_refusal(target: Target, exc: NotRunError) -> None:
-    if exc.code in SHED_CODES:
-        target.back_off(trio.current_time())
-    elif exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
+    if exc.code in LASTING_CODES:
         target.busy_until = trio.current_time() + UNREACHABLE_BACKOFF_S
+    elif exc.code is ResultCode.REQUEST_NOT_RUN_WARMING_UP:
+        now = trio.current_time()
+        target.presume_cold(now)
+        target.pause(now + max(BUSY_BACKOFF_S, exc.retry_after_s))
+    elif exc.code in SHED_CODES:
+        target.back_off(trio.current_time())
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -5,6 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from marigoldchute.errors import NotRunError, ResultCode
 from marigoldchute.routing.budget import TokenBucket
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS
 from marigoldchute.routing.cut import CutCause
@@ -23,6 +24,12 @@
 RETRIED_LINES_PER_S = 4.0
 OWNER_LINES_PER_S = 10.0
 LIMIT_LINES_PER_S = 1.0
+# Lines of their own budget, so that callers without a key or over their quota do not
+# use up that of failures.
+REJECTED_LINES_PER_S = 10.0
+REJECTED_CODES = frozenset(
+    {ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED, ResultCode.REQUEST_NOT_RUN_QUOTA}
+)
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
@@ -35,7 +42,8 @@
     Requests that failed or were refused, that got a server error from a backend server
     or that needed more than one attempt are logged up to a rate; of the others, one in
     ``SAMPLE_EVERY`` is logged. The number of dropped lines of each kind is logged every
-    ``DROPPED_REPORT_INTERVAL_S`` at most.
+    ``DROPPED_REPORT_INTERVAL_S`` at most. Of a request whose regions do not or may not
+    include that of this node, the target and the properties of the body are left out.
 
     Parameters
     ----------
@@ -47,6 +55,7 @@
         self._log = log
         self._budgets = {
             "failed": TokenBucket(FAILED_LINES_PER_S, FAILED_BURST_LINES),
+            "rejected": TokenBucket(REJECTED_LINES_PER_S, 4 * REJECTED_LINES_PER_S),
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
             "nested_limit": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
@@ -65,6 +74,7 @@
         outcome: Outcome,
         exc: MarigoldchuteError,
         now: float,
+        is_foreign: bool = False,
     ) -> None:
         """Log a request that got no response from a backend server.
 
@@ -82,18 +92,25 @@
             Cause of the failure.
         now : float
             Monotonic time in seconds.
+        is_foreign : bool
+            Whether the request's regions may exclude this node.
         """
-        if not self._admit("failed", now):
+        kind = "rejected" if exc.code in REJECTED_CODES else "failed"
+        if not self._admit(kind, now):
             return
+        body_fields = {} if is_foreign else _body_fields(req)
+        reason = _foreign_reason(exc) if is_foreign else exc.message
+        fields = _call_fields(call, now)
+        if isinstance(exc, NotRunError):
+            fields |= exc.fields
         self._log.emit(
             "routing",
             outcome.value,
-            f"{req.target.decode('latin-1')} failed: {exc.message}.",
+            f"{_name(req, is_foreign)} failed: {reason}.",
             code=exc.code.value,
             request=request_id,
-            body=_framing(req),
-            body_complete=req.complete,
-            **_call_fields(call, now),
+            **body_fields,
+            **fields,
         )
 
     def emit_response(self, call: Call, status: int, now: float) -> None:
@@ -114,7 +131,7 @@
         self._log.emit(
             "routing",
             event,
-            f"{call.req.target.decode('latin-1')} got status {status}.",
+            f"{_name(call.req, call.is_foreign)} got status {status}.",
             request=call.request_id,
             status=status,
             sample_of=SAMPLE_EVERY if event == "sampled" else 1,
@@ -168,7 +185,7 @@
             ratio_before=round(before, 3),
         )
 
-    def emit_cut(self, cut: Cut, id_header: bytes) -> None:
+    def emit_cut(self, cut: Cut, id_header: bytes, is_foreign: bool = False) -> None:
         """Log a request whose connection ended without a complete response.
 
         Parameters
@@ -177,6 +194,8 @@
             The request and the cause.
         id_header : bytes
             Lower-case name of the header with the request's id.
+        is_foreign : bool
+            Whether the request's regions may exclude this node.
         """
         if not self._admit("cut", cut.at):
             return
@@ -194,17 +213,19 @@
             return
         fields: dict[str, object] = {"request": _text(req.header(id_header))}
         fields |= req.call_fields or {"tries": 0}
+        if is_foreign:
+            fields.pop("body_bytes", None)
+        else:
+            fields |= _body_fields(req)
+            fields["response_bytes"] = responder.sent_bytes if responder else 0
         self._log.emit(
             "routing",
             "cut",
-            f"{req.target.decode('latin-1')} was cut: {cut.cause.value}.",
+            f"{_name(req, is_foreign)} was cut: {cut.cause.value}.",
             cause=cut.cause.value,
             seen=cut.seen,
             waits_for=_waits_for(cut),
-            response_bytes=responder.sent_bytes if responder is not None else 0,
             response_complete=responder is not None and responder.finished,
-            body=_framing(req),
-            body_complete=req.complete,
             **_cut_times(cut),
             **fields,
         )
@@ -310,6 +331,21 @@
     return "chunked" if req.header(b"content-length") is None else "length"
 
 
+def _body_fields(req: HttpRequest) -> dict[str, object]:
+    return {"body": _framing(req), "body_complete": req.complete}
+
+
+def _name(req: HttpRequest, is_foreign: bool) -> str:
+    return "Request" if is_foreign else req.target.decode("latin-1")
+
+
+def _foreign_reason(exc: MarigoldchuteError) -> str:
+    """Return a reason without anything that the request contains."""
+    if exc.code is ResultCode.REQUEST_NOT_RUN_REGION:
+        return exc.message
+    return exc.code.name
+
+
 def _text(value: bytes | None) -> str:
     return (value or b"").decode("latin-1")
 
@@ -326,7 +362,9 @@
 def _call_fields(call: Call | None, now: float) -> dict[str, object]:
     if call is None:
         return {"tries": 0}
+    customer = call.identity.customer
     return {
+        **({"customer": customer} if customer else {}),
         "tries": call.attempts,
         "trail": call.attempt_log,
         "route": call.route_entry.route.name,
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -80,6 +80,8 @@
     ----------
     service_time_s : float
         Run time of a request unless ``run_time`` is set.
+    status : int
+        Status of the responses.
     run_time : callable or None
         Returns the run time of a request, by its target.
     nested_call : callable or None
@@ -93,6 +95,8 @@
         Executions in the order of their arrival.
     reports : bool
         Whether it reports its state periodically.
+    warm_at : float
+        Monotonic time until which it reports that it is cold.
     """
 
     def __init__(self, name: str, service: str, address: str, release: str) -> None:
@@ -105,8 +109,10 @@
         self.sequence = 0
         self.acknowledged_sequence = 0
         self.reports = True
+        self.warm_at = float("-inf")  # Monotonic time.
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
+        self.status = 200
         self.run_time: Callable[[bytes], float] | None = None
         self.nested_call: Callable[[bytes], Awaitable[bool]] | None = None
         self.response_framing: Callable[[bytes], ResponseFraming] | None = None
@@ -136,7 +142,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self.sequence,
-                "warmup_left_ms": 0,
+                "warmup_left_ms": max(0.0, self.warm_at - trio.current_time()) * 1000,
             },
             "born": self.born,
         }
@@ -191,7 +197,7 @@
         self, req: HttpRequest, responder: HttpResponder, body_bytes: int
     ) -> None:
         run_s = self.run_time(req.target) if self.run_time else self.service_time_s
-        status = 200
+        status = self.status
         await trio.sleep(run_s / 2 if self.nested_call else run_s)
         if self.nested_call is not None:
             if not await self.nested_call(req.target):
@@ -217,17 +223,23 @@
 class HostedMesh:
     """Mesh of node processes; store and backend servers run in the test process."""
 
-    def __init__(self, services: list[str]) -> None:
+    def __init__(
+        self, services: list[str], vm_limits: dict[str, float] | None = None
+    ) -> None:
         self.block = LoopbackBlock()
         self.store_address = f"127.{self.block.number}.200.1"
         self.store = DocumentStandIn()
         self.services = services
+        self.vm_limits = vm_limits or {}
         self.names = [f"vm-{i}" for i in range(len(services))]
         self.backends: dict[str, Backend] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
+        self.more_bounds: list[str] = []
+        self.more_of_services: dict[str, Any] = {}
+        self.regions: dict[str, str] = {}  # By name of the VM; "r" if it is missing.
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -246,7 +258,7 @@
             "node": name,
             "ip": address,
             "zone": f"z{int(name[3:]) % 2}",
-            "region": "r",
+            "region": self.regions.get(name, "r"),
             "listen": {
                 "outbound": f"{address}:{CALLER_PORT}",
                 "control": f"{address}:{CONTROL_PORT}",
@@ -254,9 +266,10 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 15],
             "heartbeat_ms": REPORT_INTERVAL_MS,
-            "bounds": [f"grace_s={grace_s:g}"],
+            "bounds": [f"grace_s={grace_s:g}", *self.more_bounds],
             "app_addr": f"{address}:{BACKEND_PORT}",
             "service": service,
+            "limits": self.vm_limits,
             "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
         }
         path = self.directory / f"{name}.json"
@@ -297,7 +310,10 @@
             "main",
             {
                 "version": f"{self.version:08x}",
-                "services": [{"name": n, "max_connections": 100} for n in services],
+                "services": [
+                    {"name": n, "max_connections": 100, **self.more_of_services}
+                    for n in services
+                ],
                 "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
             },
@@ -387,10 +403,17 @@
     *services: str,
     backend_type: type[Backend] = Backend,
     more_paths: tuple[dict[str, Any], ...] = (),
+    more_bounds: tuple[str, ...] = (),
+    more_of_services: dict[str, Any] | None = None,
+    vm_limits: dict[str, float] | None = None,
+    regions: dict[str, str] | None = None,
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
-    mesh = HostedMesh(list(services))
+    mesh = HostedMesh(list(services), vm_limits)
     mesh.more_paths.extend(more_paths)
+    mesh.more_bounds.extend(more_bounds)
+    mesh.more_of_services.update(more_of_services or {})
+    mesh.regions.update(regions or {})
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
