--- a/tests/test_routing/test_least_time.py
+++ b/tests/test_routing/test_least_time.py
@@ -77,6 +77,22 @@
         self.assertGreater(counts["near1"], 90)
 
 
+class ReportedRunTimeTest(unittest.TestCase):
+    """With many entries, one entry sends too little to measure each server itself."""
+
+    def test_reported_mean_is_learned_in_few_responses(self) -> None:
+        slow, fast = make_target("slow"), make_target("fast")
+        candidates = Candidates((), (slow, fast))
+        chooser = LeastExpectedTime(random.Random(1))
+        chooser.record_run_time(fast, "r", 100.0, mean_run_ms=100.0)
+        for _ in range(2):
+            # A single quick response does not hide that the server is slow.
+            chooser.record_run_time(slow, "r", 90.0, mean_run_ms=200.0)
+        self.assertGreater(slow.slowness, 1.6)
+        counts = collections.Counter(choose(chooser, candidates) for _ in range(100))
+        self.assertEqual(counts["fast"], 100)
+
+
 class TypicalLoadTest(unittest.TestCase):
     """Each data centre has free slots; traffic to another one costs money."""
 
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -147,9 +147,27 @@
             await owner.execute(make_head(), exchange)
             assert exchange.head is not None
             self.assertEqual(exchange.head.status, 503)
+            # Quick errors would make a failing server look like a fast one.
+            self.assertEqual(exchange.head.mean_run_us, 0)
 
         self.run_owner(fail, body)
 
+    def test_response_reports_the_mean_run_time_of_its_route(self) -> None:
+        async def answer(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await trio.sleep(0.01)
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            exchange = CollectingExchange()
+            for _ in range(3):
+                exchange = CollectingExchange()
+                await owner.execute(make_head(), exchange)
+            assert exchange.head is not None
+            self.assertGreater(exchange.head.mean_run_us, 5_000)
+
+        self.run_owner(answer, body)
+
     def test_refused_connection_is_not_run(self) -> None:
         async def main() -> None:
             owner = Owner(FakeServers("127.9.9.9"), "127.9.9.9")
