--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -508,9 +508,9 @@
                     "requests_refused_by_region": self.entry.refused_by_region,
                     "owner_refusals_by_region": self._owner.refused_by_region,
                     "log_lines_dropped": writer.dropped_count if writer else 0,
+                    **self._owner.overload_counts(),
                     "connections_closed_for_memory": self._memory.closed_count,
                     "unused_connections_closed": callers.unused_closed,
-                    **self._owner.overload_counts(),
                     "requests_taken_while_draining": callers.taken_while_draining,
                     "requests_refused_while_draining": (
                         self.entry.refused_while_draining
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -49,9 +49,8 @@
         Number of attempts that may have reached a backend server.
     refused_attempts : int
         Number of attempts that certainly did not run.
-    shed_retry_after_s : float or None
-        Time after which the owner that refused last may have a slot; None if no
-        attempt was refused for lack of capacity.
+    last_shed : tuple of ResultCode and float, or None
+        Code and Retry-After of the latest refusal in ``SHED_CODES``.
     retains_errors : bool
         Whether a backend server's complete error response is kept for a retry instead
         of being forwarded.
@@ -61,6 +60,9 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
+    found_queue : bool
+        Whether requests waited at the backend server of the latest attempt when it
+        responded.
     regions : tuple of str or None
         Regions in which the request may be served; None for all.
     regions_version : int
@@ -75,9 +77,6 @@
         ``Owner.parent_customer``.
     customer_table : CustomerTable or None
         Table from which ``identity`` was determined.
-    found_queue : bool
-        Whether requests waited at the backend server of the latest attempt when it
-        responded.
     """
 
     regions: AllowedRegions = None
@@ -126,7 +125,7 @@
         self.attempts = 0
         self.delivered_attempts = 0
         self.refused_attempts = 0
-        self.shed_retry_after_s: float | None = None
+        self.last_shed: tuple[ResultCode, float] | None = None
         self.may_have_run = False
         self.retained_error: tuple[ResponseHead, bytes] | None = None
         self.response_head: ResponseHead | None = None
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -74,11 +74,11 @@
 RETRY_BURST = 20.0
 # With a smaller part of a request's time left, an attempt likely ends at the deadline.
 MIN_REMAINING_TIME_RATIO = 0.15
-# An evacuation lasts for longer than any wait that callers are told.
-EVACUATED_RETRY_AFTER_S = 1.0
 # Each refusal costs one hop. With 3 attempts, at 1.05 times the capacity a quarter of
 # the rejected requests were rejected while another server had a free slot.
 MAX_REFUSED_ATTEMPTS = 5
+# An evacuation lasts for longer than any wait that callers are told.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 def _no_service() -> str:
@@ -459,7 +459,7 @@
                 if not isinstance(exc, NotRunError):
                     call.may_have_run = True
                 elif exc.code in SHED_CODES:
-                    call.shed_retry_after_s = exc.retry_after_s
+                    call.last_shed = (exc.code, exc.retry_after_s)
                 if not self._may_retry(call, exc, trio.current_time()):
                     if call.retained_error is None:
                         if error_to_report(call, exc) is exc:
@@ -543,21 +543,26 @@
                 ResultCode.REQUEST_NOT_RUN_EVACUATED,
                 EVACUATED_RETRY_AFTER_S,
             )
-        if target is None and call.shed_retry_after_s is not None:
+        if (
+            call.regions is not None
+            and target is not None
+            and target.unreachable_until > now
+        ):
+            # Waiting for each of them in turn would delay the refusal.
+            excluded = call.attempted | _unreachable_targets(candidates, now)
+            target = self._chooser.choose(candidates, excluded, now, now_ms, pick_info)
+        if target is None and call.last_shed is not None:
+            code, retry_after_s = call.last_shed
+            if code is ResultCode.REQUEST_NOT_RUN_REFUSED:
+                # No further attempt reached a backend server.
+                code = ResultCode.REQUEST_NOT_RUN_OVERLOADED
             raise NotRunError(
-                f"all backend servers of {service!r} {call.release!r} are overloaded",
-                ResultCode.REQUEST_NOT_RUN_OVERLOADED,
-                call.shed_retry_after_s,
+                f"all backend servers of {service!r} {call.release!r} refused it",
+                code,
+                retry_after_s,
             )
-        if call.regions is not None:
-            if target is not None and target.unreachable_until > now:
-                # Waiting for each of them in turn would delay the refusal.
-                excluded = call.attempted | _unreachable_targets(candidates, now)
-                target = self._chooser.choose(
-                    candidates, excluded, now, now_ms, pick_info
-                )
-            if target is None:
-                raise _region_error(call)
+        if target is None and call.regions is not None:
+            raise _region_error(call)
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
         call.attempted.add(target)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -55,9 +55,9 @@
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
+CALLS_FAIL_RETRY_S = 0.5  # The limit of calls that fail changes twice a second.
 # Shorter delays are those of the scheduler, and change no decision.
 MIN_TRANSIT_DELAY_MS = 20
-CALLS_FAIL_RETRY_S = 0.5  # The limit of calls that fail changes twice a second.
 
 
 class LocalServers(Protocol):
@@ -129,6 +129,10 @@
         Number of requests of other nodes that wait or run here.
     refused_while_draining : int
         Number of requests that were refused because of a drain.
+    nested_limit : NestedLimit
+        Limit of requests whose nested calls fail.
+    admission_counts : AdmissionCounts
+        Decisions about requests that waited here.
     refused_while_evacuated : int
         Number of requests that were refused because the data centre is evacuated.
     refused_while_cold : int
@@ -136,10 +140,6 @@
     refused_after_transit : int
         Number of requests that were refused because their deadline had passed when
         they arrived.
-    nested_limit : NestedLimit
-        Limit of requests whose nested calls fail.
-    admission_counts : AdmissionCounts
-        Decisions about requests that waited here.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
@@ -176,10 +176,10 @@
         self._member: Member | None = None
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
-        self._running_customers: dict[str, str] = {}  # By the id of the request.
         self._running_routes: dict[str, str] = {}
         self.nested_limit = NestedLimit()
         self.admission_counts = AdmissionCounts()
+        self._running_customers: dict[str, str] = {}  # By the id of the request.
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -220,14 +220,6 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
-    def parent_customer(self, request_id: str) -> str:
-        """Return the customer of the running request that makes a nested request.
-
-        It is empty when that customer is not known.
-        """
-        parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
-        return self._running_customers.get(parent_id, "")
-
     def overload_counts(self) -> dict[str, int]:
         """Return the counters of overload by the names of their metrics."""
         counts = self.admission_counts
@@ -252,6 +244,14 @@
         if self._log is not None and before != after:
             self._log.emit_nested_limit(route, call.service.name, before, after, now)
 
+    def parent_customer(self, request_id: str) -> str:
+        """Return the customer of the running request that makes a nested request.
+
+        It is empty when that customer is not known.
+        """
+        parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
+        return self._running_customers.get(parent_id, "")
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -447,9 +447,9 @@
             self._policy,
         )
         self._running_ids[head.request_id] += 1
+        self._running_routes[head.request_id] = head.route
         if head.customer:
             self._running_customers[head.request_id] = head.customer
-        self._running_routes[head.request_id] = head.route
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -462,8 +462,8 @@
             self._running_ids[head.request_id] -= 1
             if not self._running_ids[head.request_id]:
                 del self._running_ids[head.request_id]
-                self._running_customers.pop(head.request_id, None)
                 del self._running_routes[head.request_id]
+                self._running_customers.pop(head.request_id, None)
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -23,13 +23,13 @@
 FAILED_BURST_LINES = 400.0  # 0.2 MB; a burst of 40 dropped 411 of 1,015 failures.
 RETRIED_LINES_PER_S = 4.0
 OWNER_LINES_PER_S = 10.0
+LIMIT_LINES_PER_S = 1.0
 # Lines of their own budget, so that callers without a key or over their quota do not
 # use up that of failures.
 REJECTED_LINES_PER_S = 10.0
 REJECTED_CODES = frozenset(
     {ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED, ResultCode.REQUEST_NOT_RUN_QUOTA}
 )
-LIMIT_LINES_PER_S = 1.0
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
 SAMPLE_EVERY = 200  # One in this many successful requests without a retry is logged.
