Limit the requests of customers over all nodes together

A customer's rate_per_s and burst had no effect. Now a node counts the requests of each customer that run and reports them five times a second to a relay of its data centre, which adds them up for one coordinator. Far from the quota nothing is held back. Near it the coordinator assigns rates by demand, and what was used beyond the quota is held back afterwards. A node without word from a coordinator for 0.8 s keeps to its even share, from which its earlier use is taken. A request beyond the quota gets 429 (code 531) with Retry-After; quota of a request that did not run is returned.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -32,6 +32,9 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.quota.limiter import QuotaLimiter
+from marigoldchute.quota.limits import QuotaBound
+from marigoldchute.quota.service import QuotaService
 from marigoldchute.routing.access import AccessControl, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
@@ -240,6 +243,17 @@
             self.directory, cfg.address, adapter.dialect, POLICY, RequestLog(log)
         )
         bounds = cfg.bounds
+        self._limiter = QuotaLimiter(rng)
+        self._quota = QuotaService(
+            self._limiter,
+            QuotaBound(
+                bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
+            ),
+            self.directory,
+            self._control_pool,
+            handlers,
+            log,
+        )
         self.entry = Entry(
             self._in_force,
             self._order_book,
@@ -261,6 +275,7 @@
             ),
             lambda: self._current_settings().service,
             AccessControl(adapter.dialect, log, self._is_own_address),
+            self._limiter,
         )
         handlers.stream_handler = self._owner.serve
         control, readiness = adapter.control_handlers(
@@ -278,6 +293,7 @@
         self._control_http_server = HttpServer(control, self._log_failure)
         self._readiness_http_server = HttpServer(readiness, self._log_failure)
         self._in_force.add_swap_listener(self._apply_bundle)
+        self._in_force.add_swap_listener(self._quota.on_bundle)
         self.directory.on_view_changed += [
             self.entry.candidate_tables.mark_stale,
             self._order_book.refresh,
@@ -322,6 +338,7 @@
             nursery.start_soon(self._overlay.run, self.directory)
             nursery.start_soon(self._discovery.run)
             nursery.start_soon(self._relay.run)
+            nursery.start_soon(self._quota.run)
             nursery.start_soon(self._expire_servers)
             await nursery.start(self._serve, self._caller_http_server, cfg.callers)
             await nursery.start(self._serve, self._readiness_http_server, cfg.readiness)
@@ -428,6 +445,9 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    "requests_over_quota": self._limiter.denied_count,
+                    "quota_reports_lost": self._quota.lost_reports,
+                    "quota_customers_limited": self._quota.limited_total,
                     **{
                         f"requests_refused_key_{fault.value}": (
                             self.entry.access.fault_counts[fault]
--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -25,3 +25,5 @@
     READER_BEACON = 32
     REPORT_OUTCOMES = 34  # 33 carried a single report.
     COLLECT_OUTCOMES = 35
+    REPORT_QUOTA_USE = 40
+    COLLECT_QUOTA_USE = 41
--- /dev/null
+++ b/marigoldchute/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers, which apply to the requests of all nodes together."""
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -61,6 +61,8 @@
     parent_customer : str or None
         Customer of the request on this VM that makes this one, see
         ``Owner.parent_customer``.
+    holds_quota : bool
+        Whether quota was taken for a run that has not begun.
     customer_table : CustomerTable or None
         Table from which ``identity`` was determined.
     """
@@ -68,6 +70,7 @@
     retains_errors = False
     identity: Identity = ANONYMOUS
     parent_customer: str | None = None
+    holds_quota = False
     customer_table: CustomerTable | None = None
 
     def __init__(
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -36,7 +36,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import Bundle
@@ -73,6 +73,19 @@
     return ""
 
 
+class QuotaLimit(Protocol):
+    """Limit on the requests of customers."""
+
+    def try_acquire(self, name: str, now: float) -> float:
+        """Admit a request of a customer, or return the seconds until the next one."""
+
+    def release(self, name: str) -> None:
+        """Return the quota of a request that did not run."""
+
+    def state_of(self, name: str, now: float) -> Mapping[str, object]:
+        """Return the inputs of the latest decision about a customer, for the log."""
+
+
 class Entry:
     """Routes callers' requests by the bundle in force.
 
@@ -110,6 +123,8 @@
     access : AccessControl, optional
         Identifies the customers of requests; by default one that accepts requests
         without a key from no address.
+    quota : QuotaLimit, optional
+        Limits the requests of customers; by default they are not limited.
 
     Attributes
     ----------
@@ -138,6 +153,7 @@
         retry_budget: RetryLimit | None = None,
         caller_service: Callable[[], str] = _no_service,
         access: AccessControl | None = None,
+        quota: QuotaLimit | None = None,
     ) -> None:
         self.metrics = RouteMetrics()
         self.stop_window: StopWindow | None = None
@@ -156,6 +172,7 @@
         self._rng = rng
         self._dialect = dialect
         self.access = access or AccessControl(dialect, log)
+        self._quota = quota
         self._policy = policy
         self._first_bundle = FirstBundleWait(policy.first_bundle_wait_s)
         self._caller_service = caller_service
@@ -207,6 +224,8 @@
             else:
                 await send_error_response(responder, exc, self._rng.random())
         finally:
+            if call is not None:
+                self._return_quota(call)
             if call is not None and not responder.finished:
                 req.call_fields = cut_fields(call, trio.current_time())
         if call is not None:
@@ -347,10 +366,12 @@
         service = call.service.name
         if not call.idempotent:
             await call.req.wait_for_turn()
+        self._admit(call)
         self.retry_budget.record_request(trio.current_time(), service)
         while True:
             try:
-                self._renew_identity(call)
+                if call.attempts:
+                    self._admit(call)
             except NotRunError as exc:
                 if call.retained_error is not None:
                     await self._forward_retained_error(call)
@@ -359,13 +380,18 @@
                     raise error_to_report(call, exc) from exc
                 raise
             call.attempts += 1
+            held_quota = False
             call.retains_errors = self._may_retain_error(call)
             try:
                 target, candidates = self._choose(call)
+                # A run uses the quota, also when its outcome is not known.
+                held_quota, call.holds_quota = call.holds_quota, False
                 await self._dispatcher.attempt(call, target, candidates)
                 call.delivered_attempts += 1
             except (RequestError, PeerError, AuthError) as exc:
-                if not isinstance(exc, NotRunError):
+                if isinstance(exc, NotRunError):
+                    call.holds_quota = call.holds_quota or held_quota
+                else:
                     call.may_have_run = True
                 if not self._may_retry(call, exc, trio.current_time()):
                     if call.retained_error is None:
@@ -396,6 +422,34 @@
             req.headers, entry.route, responder.peer_address, parent_customer
         )
 
+    def _admit(self, call: Call) -> None:
+        """Check the key of a request, and take quota for its next run.
+
+        Raises
+        ------
+        NotRunError
+            The key was withdrawn, or the quota of the customer is used up.
+        """
+        self._renew_identity(call)
+        if self._quota is None or call.holds_quota or not call.identity.is_limited:
+            return
+        now = trio.current_time()
+        name = call.identity.customer
+        wait_s = self._quota.try_acquire(name, now)
+        if wait_s:
+            raise NotRunError(
+                "the customer has used up its quota",
+                ResultCode.REQUEST_NOT_RUN_QUOTA,
+                wait_s,
+                self._quota.state_of(name, now),
+            )
+        call.holds_quota = True
+
+    def _return_quota(self, call: Call) -> None:
+        if call.holds_quota and self._quota is not None:
+            call.holds_quota = False
+            self._quota.release(call.identity.customer)
+
     def _renew_identity(self, call: Call) -> None:
         """Identify the customer again if the customers in force have changed.
 
@@ -407,6 +461,7 @@
         table = self.access.table
         if call.customer_table is table:
             return
+        self._return_quota(call)
         call.identity = self._identify(
             call.req, call.responder, call.route_entry, call.parent_customer
         )
--- a/tests/support/path_in_process.py
+++ b/tests/support/path_in_process.py
@@ -25,6 +25,8 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.records import RecordTable
 from marigoldchute.platform.settings import DIALECT
+from marigoldchute.quota.limiter import QuotaLimiter
+from marigoldchute.quota.limits import QuotaBound, make_quotas
 from marigoldchute.routing.access import AccessControl
 from marigoldchute.routing.entry import Entry
 from marigoldchute.routing.http_server import HttpServer
@@ -58,6 +60,7 @@
         server = BackendServer("i@1", "turnos", "v1", PORT, 16, 100)
         directory.publish_servers((server,))
         self.log = log
+        self.limiter = QuotaLimiter(rng)
         self.own_addresses = {address, "127.0.0.1"}
         in_force = self.in_force = InForce()
         book = OrderBook(directory, table, any_log)
@@ -78,6 +81,7 @@
             DIALECT,
             POLICY,
             access=AccessControl(DIALECT, any_log, self.own_addresses.__contains__),
+            quota=self.limiter,
         )
         directory.on_view_changed.append(self.entry.candidate_tables.mark_stale)
         self.callers = HttpServer(self.entry.handle_external)
@@ -90,6 +94,7 @@
         content = BundleContent(
             (Service("turnos", "v1"),), routes, (), LIMITS, customers
         )
+        self.limiter.set_quotas(make_quotas(customers, QuotaBound()))
         version: Any = _Manifest(self.in_force.version + 1)
         self.in_force.swap(Bundle(version, content))
 
