--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -34,6 +34,9 @@
 from marigoldchute.orders.outcomes import OutcomeCounter
 from marigoldchute.overlay.overlay import Overlay
 from marigoldchute.overlay.records import RecordKind, RecordTable
+from marigoldchute.quota.limiter import QuotaLimiter
+from marigoldchute.quota.limits import QuotaBound
+from marigoldchute.quota.service import QuotaService
 from marigoldchute.routing.access import AccessControl, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
@@ -284,6 +287,17 @@
         self._registry.on_report = self._owner.record_report
         self._registry.limits_warmup = self._warmup_rates.__contains__
         bounds = cfg.bounds
+        self._limiter = QuotaLimiter(rng)
+        self._quota = QuotaService(
+            self._limiter,
+            QuotaBound(
+                bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
+            ),
+            self.directory,
+            self._control_pool,
+            handlers,
+            log,
+        )
         self.entry = Entry(
             self._in_force,
             self._order_book,
@@ -306,6 +320,7 @@
             lambda: self._current_settings().service,
             self._evacuations,
             AccessControl(adapter.dialect, log, self._is_own_address),
+            self._limiter,
         )
         self._evacuations.on_change.append(self._apply_evacuations)
         handlers.stream_handler = self._owner.serve
@@ -330,6 +345,7 @@
         self._control_http_server = self._make_local_server(control)
         self._readiness_http_server = self._make_local_server(readiness)
         self._in_force.add_swap_listener(self._apply_bundle)
+        self._in_force.add_swap_listener(self._quota.on_bundle)
         self.directory.on_view_changed += [
             self.entry.candidate_tables.mark_stale,
             self._order_book.refresh,
@@ -386,6 +402,7 @@
             nursery.start_soon(self._overlay.run, self.directory)
             nursery.start_soon(self._discovery.run)
             nursery.start_soon(self._relay.run)
+            nursery.start_soon(self._quota.run)
             nursery.start_soon(self._expire_servers)
             await nursery.start(self._serve, self._caller_http_server, cfg.callers)
             await nursery.start(self._serve, self._readiness_http_server, cfg.readiness)
@@ -494,6 +511,9 @@
                     "requests": budget.requests,
                     "retries": budget.retries,
                     "refused_retries": budget.refused_retries,
+                    "requests_over_quota": self._limiter.denied_count,
+                    "quota_reports_lost": self._quota.lost_reports,
+                    "quota_customers_limited": self._quota.limited_total,
                     **{
                         f"requests_refused_key_{fault.value}": (
                             self.entry.access.fault_counts[fault]
