--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -482,10 +482,10 @@
             except (RequestError, PeerError, AuthError) as exc:
                 if isinstance(exc, NotRunError):
                     call.holds_quota = call.holds_quota or held_quota
+                    if exc.code in SHED_CODES:
+                        call.last_shed = (exc.code, exc.retry_after_s)
                 else:
                     call.may_have_run = True
-                elif exc.code in SHED_CODES:
-                    call.last_shed = (exc.code, exc.retry_after_s)
                 if not self._may_retry(call, exc, trio.current_time()):
                     if call.retained_error is None:
                         if error_to_report(call, exc) is exc:
