Keep the code of a refusal by an allowed but overloaded server

A restricted request whose only server had refused it was reported as having no reachable server in its regions (516). It now gets the same answer as without a restriction.

--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -39,7 +39,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import Bundle
@@ -534,13 +534,15 @@
                 EVACUATED_RETRY_AFTER_S,
             )
         if call.regions is not None:
-            if target is not None and target.unreachable_until > now:
+            if target is not None and not target.reachable(now):
                 # Waiting for each of them in turn would delay the refusal.
-                excluded = call.attempted | _unreachable_targets(candidates, now)
+                unreachable = {t for t in _targets(candidates) if not t.reachable(now)}
                 target = self._chooser.choose(
-                    candidates, excluded, now, now_ms, pick_info
+                    candidates, call.attempted | unreachable, now, now_ms, pick_info
                 )
-            if target is None:
+            if target is None and not any(
+                t.reachable(now) for t in _targets(candidates)
+            ):
                 raise _region_error(call)
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
@@ -625,9 +627,10 @@
         self.metrics.record(call.route_entry.route.name, outcome.value, total_us)
 
 
-def _unreachable_targets(candidates: Candidates, now: float) -> set[Target]:
-    tiers = (candidates.data_centre, candidates.region, candidates.remote)
-    return {t for tier in tiers for t in tier if t.unreachable_until > now}
+def _targets(candidates: Candidates) -> Iterator[Target]:
+    yield from candidates.data_centre
+    yield from candidates.region
+    yield from candidates.remote
 
 
 def _region_error(call: Call) -> NotRunError:
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -164,6 +164,10 @@
         """Return whether neither an ejection nor a recent refusal is in effect."""
         return now >= self.ejected_until and now >= self.busy_until
 
+    def reachable(self, now: float) -> bool:
+        """Return whether no link to its node has failed to open recently."""
+        return now >= self.unreachable_until
+
     def cost(self, default_latency_ms: float, now_ms: int) -> float:
         """Return the relative cost of one more request."""
         latency_ms = self.latency_ms
--- a/tests/test_routing/test_regions.py
+++ b/tests/test_routing/test_regions.py
@@ -341,6 +341,17 @@
         self.assertEqual(self.traffic.opened, [])
         self.assertEqual(self.entry.refused_by_region, 1)
 
+    def test_overloaded_server_is_not_reported_as_a_region_without_servers(
+        self,
+    ) -> None:
+        overloaded = NotRunError("full", ResultCode.REQUEST_NOT_RUN_OVERLOADED)
+        self.start("este", "sur", script=(overloaded,))
+        self.apply(make_content(("este",)))
+        responder = self.send()
+        self.assertEqual(responder.statuses, [503])
+        self.assertNotIn(b"marigoldchute-code: 516", responder.block)
+        self.assertEqual(self.entry.refused_by_region, 0)
+
     def test_disjoint_restrictions_are_refused(self) -> None:
         """An empty intersection must not allow every region."""
         self.start("sur", "este", script=(200,))
