--- a/marigoldchute/util/tcp.py
+++ b/marigoldchute/util/tcp.py
@@ -43,6 +43,10 @@
 class TcpConn:
     """TCP connection over a non-blocking socket.
 
+    The kernel reports an error of the connection once, to the first call in either
+    direction, and the regular end to later reads. Therefore an error is kept, and later
+    reads fail with it instead of returning the end.
+
     Parameters
     ----------
     sock : socket.socket
@@ -54,16 +58,20 @@
         Whether this end has closed the connection.
     bytes_written : int
         Bytes that the kernel has accepted for sending.
+    unsent_bytes : int
+        Size of the data of which a part waits for the peer to read.
     """
 
-    __slots__ = ("_sock", "bytes_written", "closed")
+    __slots__ = ("_errno", "_sock", "bytes_written", "closed", "unsent_bytes")
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
+        self._errno: int | None = None
         self.closed = False
         self.bytes_written = 0
+        self.unsent_bytes = 0
 
     def fileno(self) -> int:
         """Return the file descriptor, or -1 if the socket is closed."""
@@ -91,10 +99,9 @@
             if self.closed:
                 raise trio.ClosedResourceError("connection was closed at this end")
             await trio.lowlevel.wait_readable(self._sock)
-            try:
-                return self._sock.recv(limit)
-            except BlockingIOError:
-                continue
+            data = self.receive_now(limit)
+            if data is not None:
+                return data
 
     def receive_now(self, limit: int) -> bytes | None:
         """Return received data, empty bytes at the end, or None if there is none yet.
@@ -105,9 +112,15 @@
             The connection failed.
         """
         try:
-            return self._sock.recv(limit)
+            data = self._sock.recv(limit)
         except BlockingIOError:
             return None
+        except OSError as exc:
+            self._errno = exc.errno
+            raise
+        if not data and self._errno is not None:
+            raise OSError(self._errno, os.strerror(self._errno))
+        return data
 
     def send_now(self, data: bytes | bytearray | memoryview) -> int:
         """Write as much as the kernel accepts without waiting; return the byte count.
@@ -121,6 +134,9 @@
             sent = self._sock.send(data)
         except BlockingIOError:
             return 0
+        except OSError as exc:
+            self._errno = exc.errno
+            raise
         self.bytes_written += sent
         return sent
 
@@ -137,6 +153,13 @@
         sent = self.send_now(data)
         if sent == len(data):
             return
+        self.unsent_bytes += len(data)
+        try:
+            await self._send_rest(data, sent)
+        finally:
+            self.unsent_bytes -= len(data)
+
+    async def _send_rest(self, data: bytes | bytearray, sent: int) -> None:
         with memoryview(data) as view:
             while sent < len(data):
                 if self.closed:
@@ -150,7 +173,8 @@
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
+        except OSError as exc:
+            self._errno = exc.errno
             return False
         return False
 
