--- a/marigoldchute/orders/book.py
+++ b/marigoldchute/orders/book.py
@@ -37,9 +37,9 @@
     is announced gets no requests until an order names it.
 
     A store that came back from an older copy may show an order under another revision,
-    or an order that a later one has replaced. A node that knows neither publishes what
-    it reads, with a higher rank. The nodes that know better then publish the state that
-    they had again, above that rank.
+    or an order that a later one has replaced. A node without records of it publishes
+    what it reads, with a higher rank. Nodes that have the earlier state then publish it
+    again above that rank.
 
     Parameters
     ----------
--- a/tests/test_platform/test_restored_mesh.py
+++ b/tests/test_platform/test_restored_mesh.py
@@ -45,7 +45,7 @@
         mesh.store.faults.silent = False
         self.assertFalse(self._stored_leaves(mesh))
 
-        # The older version is listed at once, and again and again.
+        # The reader lists the older version in the new era.
         await self._wait_for(
             lambda: any(
                 event["event"].endswith("older_ignored")
