--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -44,7 +44,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     from marigoldchute.bundle.inforce import InForce
     from marigoldchute.bundle.model import Bundle
@@ -601,11 +601,13 @@
         if (
             call.regions is not None
             and target is not None
-            and target.unreachable_until > now
+            and not target.reachable(now)
         ):
             # Waiting for each of them in turn would delay the refusal.
-            excluded = call.attempted | _unreachable_targets(candidates, now)
-            target = self._chooser.choose(candidates, excluded, now, now_ms, pick_info)
+            unreachable = {t for t in _targets(candidates) if not t.reachable(now)}
+            target = self._chooser.choose(
+                candidates, call.attempted | unreachable, now, now_ms, pick_info
+            )
         if target is None and call.last_shed is not None:
             code, retry_after_s = call.last_shed
             if code is ResultCode.REQUEST_NOT_RUN_REFUSED:
@@ -616,7 +618,11 @@
                 code,
                 retry_after_s,
             )
-        if target is None and call.regions is not None:
+        if (
+            target is None
+            and call.regions is not None
+            and not any(t.reachable(now) for t in _targets(candidates))
+        ):
             raise _region_error(call)
         if target is None:
             raise NotRunError(f"no backend server of {service!r} {call.release!r}")
@@ -703,9 +709,10 @@
         self.metrics.record(call.route_entry.route.name, outcome.value, total_us)
 
 
-def _unreachable_targets(candidates: Candidates, now: float) -> set[Target]:
-    tiers = (candidates.data_centre, candidates.region, candidates.remote)
-    return {t for tier in tiers for t in tier if t.unreachable_until > now}
+def _targets(candidates: Candidates) -> Iterator[Target]:
+    yield from candidates.data_centre
+    yield from candidates.region
+    yield from candidates.remote
 
 
 def _region_error(call: Call) -> NotRunError:
