--- a/tests/test_routing/test_entry.py
+++ b/tests/test_routing/test_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import types
 import unittest
 
 import trio
@@ -59,6 +60,8 @@
     call.responder = FakeResponder()
     call.link_bytes = 0
     call.may_have_run = False
+    call.retained_error = None
+    call.req = types.SimpleNamespace()
     return call
 
 
