--- a/marigoldchute/quota/coordinator.py
+++ b/marigoldchute/quota/coordinator.py
@@ -19,6 +19,7 @@
 # Time over which an unused burst is handed out, or an overdraft held back.
 SETTLE_S = 1.0
 RELEASE_PART = 0.25
+START_LEVEL = 3.0
 START_S = 1.5  # After its start a coordinator does not know the demand.
 FORGET_S = 10.0
 
@@ -126,8 +127,8 @@
     def _restart(self, now: float) -> None:
         """Begin anew; another coordinator may have assigned the quotas meanwhile."""
         self._started_at = now
-        for customer in self._customers.values():
-            customer.level = min(0.0, customer.level)
+        for key, customer in self._customers.items():
+            customer.level = min(_start_level(self._quotas[key]), customer.level)
             customer.updated_at = now
             customer.is_limited = True
 
@@ -144,7 +145,7 @@
         customer = self._customers.get(key)
         if customer is None:
             gained = (now - self._started_at) * quota.rate_per_s
-            level = min(quota.burst, gained) * part
+            level = max(min(quota.burst, gained) * part, _start_level(quota))
             # Its demand is not known yet, so it is limited at first.
             is_limited = now - self._started_at < START_S
             customer = self._customers[key] = _Customer(level, is_limited, now)
@@ -210,6 +211,14 @@
         }
 
 
+def _start_level(quota: Quota) -> float:
+    """Return what may be admitted just after the start.
+
+    A customer with few requests would else wait for a minute for its first one.
+    """
+    return min(START_LEVEL, quota.burst / 2)
+
+
 def is_near_quota(
     level: float, rate: float, burst: float, demand: float, was_near: bool
 ) -> bool:
@@ -227,5 +236,9 @@
         The last decision. A customer is released later than it is limited, so that
         decisions do not alternate.
     """
-    level_then = level + (rate - demand) * REACTION_S
+    if level < 0:
+        return True
+    # A single request, which may be the only one, is no sign of more.
+    expected = max(0.0, demand * REACTION_S - 1.0)
+    level_then = level + rate * REACTION_S - expected
     return level_then < (RELEASE_PART * burst if was_near else 0.0)
--- a/marigoldchute/quota/limits.py
+++ b/marigoldchute/quota/limits.py
@@ -12,9 +12,11 @@
 
     from marigoldchute.bundle.model import Customer
 
-# Share of the permitted overshoot with which customers are served; the rest is for
-# requests that are admitted before a node learns that a quota is used up.
-USED_MARGIN = 0.1
+# Parts of the permitted overshoot and slack with which customers are served; the rest
+# is for requests that are admitted before a node learns that a quota is used up. Small
+# customers, of whom few requests are admitted in that time, are served with the slack.
+USED_OVERSHOOT = 0.1
+USED_SLACK = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,9 +65,7 @@
     for customer in customers:
         rate, burst = customer.rate_per_s, customer.burst
         if rate > 0:
-            permitted = rate * bound.window_s + burst
-            margin = window_limit(rate, burst, bound) - permitted
-            quotas[customer_id(customer.name)] = Quota(
-                rate, burst + USED_MARGIN * margin
-            )
+            overshoot = (rate * bound.window_s + burst) * bound.overshoot
+            margin = USED_OVERSHOOT * overshoot + USED_SLACK * bound.slack
+            quotas[customer_id(customer.name)] = Quota(rate, burst + margin)
     return quotas
--- a/tests/test_quota/test_coordinator.py
+++ b/tests/test_quota/test_coordinator.py
@@ -45,6 +45,10 @@
         self.assertTrue(is_near_quota(100.0, 100.0, 100.0, 400.0, False))
         self.assertTrue(is_near_quota(-1.0, 100.0, 100.0, 100.0, False))
 
+    def test_single_request_of_a_small_customer_does_not_limit_it(self) -> None:
+        """Thousands of small customers would be limited after each request."""
+        self.assertFalse(is_near_quota(1.0, 0.01, 2.0, 2.0, False))
+
     def test_release_needs_more_than_the_limit(self) -> None:
         """Decisions that alternate would admit a burst each time."""
         self.assertTrue(is_near_quota(10.0, 100.0, 100.0, 100.0, True))
