--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -287,7 +287,7 @@
         self._registry.on_report = self._owner.record_report
         self._registry.limits_warmup = self._warmup_rates.__contains__
         bounds = cfg.bounds
-        self._limiter = QuotaLimiter(rng)
+        self._limiter = QuotaLimiter(rng, bounds.quota_window_s)
         self._quota = QuotaService(
             self._limiter,
             QuotaBound(
