Check a configuration of a hosting platform before it is sent

Cause: nodes put each valid configuration in force, also one with routes that are hidden, customers that cannot identify themselves or limits that contradict each other. Operators saw this in the log or in refusals only, and had nothing that shows what a new version changes.

Change: 'marigoldchute-ctl config check FILE' prints what nodes refuse, with its code, what cannot take effect, and the differences from the version in force, read from a file or from the store. Text or JSON; exit status 8 is for warnings only, since 1 to 7 are the classes of the result codes. Keys are counted and never printed. The findings are in bundle/review.py, which needs no network; what depends on the platform's format is in platform/review.py. The decoder's test of keys has a function of its own, with the same result as before. No existing test is changed.

The whole suite was not run.

--- a/marigoldchute/cmd/_render.py
+++ b/marigoldchute/cmd/_render.py
@@ -5,10 +5,14 @@
 import collections
 from typing import TYPE_CHECKING
 
+from marigoldchute.bundle.review import ERROR
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from marigoldchute.admin.messages import MemberStatus, MoveStatus, Status
+    from marigoldchute.bundle.review import Change, Finding
+    from marigoldchute.platform.review import Review
 
 BAR_WIDTH = 20
 DECIDED_VERDICTS = ("done", "taken back")
@@ -63,6 +67,37 @@
     return "[" + "#" * filled + "." * (BAR_WIDTH - filled) + "]"
 
 
+def render_review(review: Review) -> str:
+    """Return the findings and changes of a configuration and a summary."""
+    lines = [_finding_line(finding) for finding in review.findings]
+    lines += [_change_line(change) for change in review.changes]
+    error_count = sum(finding.severity == ERROR for finding in review.findings)
+    version = (
+        "version unreadable" if review.version is None else f"version {review.version}"
+    )
+    summary = (
+        f"{version}: errors: {error_count}, "
+        f"warnings: {len(review.findings) - error_count}"
+    )
+    if review.version_in_force is not None:
+        summary += (
+            f", changes to version {review.version_in_force}: {len(review.changes)}"
+        )
+    return "\n".join([*lines, summary])
+
+
+def _finding_line(finding: Finding) -> str:
+    label = f"{finding.code} {finding.kind}" if finding.code else finding.kind
+    return f"{finding.severity} [{label}] {finding.place}: {finding.text}"
+
+
+def _change_line(change: Change) -> str:
+    name = f"{change.subject} {change.name}".rstrip()
+    if not change.field:
+        return f"{change.operation} {name}"
+    return f"changed {name}: {change.field} {change.before} -> {change.after}"
+
+
 def _convergence_lines(status: Status) -> list[str]:
     members_by_data_centre: dict[tuple[str, str], list[MemberStatus]] = {}
     for member in status.members:
--- a/marigoldchute/cmd/ctl.py
+++ b/marigoldchute/cmd/ctl.py
@@ -7,6 +7,7 @@
 import cappa
 
 from marigoldchute.cmd._bundle_commands import BundleCommand, KeysCommand
+from marigoldchute.cmd._config_commands import ConfigCommand
 from marigoldchute.cmd._mesh_commands import (
     CancelCommand,
     MembersCommand,
@@ -33,6 +34,7 @@
 
 The exit status is 0, or the class of the result code: 1 input, 2 bundle, 3 store,
 4 node unreachable, 5 request, 6 move taken back or unknown, 7 token or key rejected.
+'config check' has 8 for warnings only.
 Shell completion: marigoldchute-ctl --completion generate
 """
 
@@ -49,6 +51,7 @@
     command: cappa.Subcommands[
         KeysCommand
         | BundleCommand
+        | ConfigCommand
         | RollCommand
         | StatusCommand
         | MembersCommand
--- a/marigoldchute/platform/bundle.py
+++ b/marigoldchute/platform/bundle.py
@@ -159,13 +159,18 @@
     )
 
 
+def is_sendable_key(key: Any) -> bool:
+    """Return whether a request can carry a value as a key."""
+    return isinstance(key, str) and _KEY.fullmatch(key) is not None
+
+
 def _digest_keys(keys: list[Any]) -> tuple[bytes, ...]:
     """Return the digests of keys, each once.
 
     A value that no request can carry as a key is left out; it does not make the whole
     configuration malformed, because other customers depend on it.
     """
-    sendable = (key for key in keys if isinstance(key, str) and _KEY.fullmatch(key))
+    sendable = (key for key in keys if is_sendable_key(key))
     return tuple(dict.fromkeys(digest_key(key.encode()) for key in sendable))
 
 
