--- a/marigoldchute/quota/coordinator.py
+++ b/marigoldchute/quota/coordinator.py
@@ -19,8 +19,8 @@
 # Times over which an unused burst is handed out, and an overdraft held back.
 SETTLE_S = 1.0
 HOLD_BACK_S = 0.5
-# Part of a limited customer's burst that is kept for decisions that arrive late. Without
-# it the fullest window of 5 seeds was 0.997 of the bound, beside two coordinators.
+# Part of a limited customer's burst that is kept for decisions that arrive late.
+# Without it a window beside two coordinators was at 0.997 of the bound.
 RESERVE_S = 0.15
 RELEASE_PART = 0.25
 START_LEVEL = 3.0
