--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -228,6 +228,7 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
+        self.tenants: list[dict[str, Any]] = []
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -300,6 +301,7 @@
                 "services": [{"name": n, "max_connections": 100} for n in services],
                 "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
+                **({"tenants": self.tenants} if self.tenants else {}),
             },
         )
 
@@ -310,6 +312,7 @@
         content: bytes = b"",
         request_id: str = "1",
         deadline_ms: int = 3000,
+        key: str = "",
     ) -> httpcore.Response:
         """Send one request on a new connection."""
         async with httpcore.AsyncConnectionPool() as pool:
@@ -321,6 +324,7 @@
                     "attempt-id": request_id,
                     "deadline-ms": str(deadline_ms),
                     "content-length": str(len(content)),
+                    **({"authorization": f"Bearer {key}"} if key else {}),
                 },
                 content=content,
             )
