--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -240,6 +240,7 @@
         self.more_bounds: list[str] = []
         self.more_of_services: dict[str, Any] = {}
         self.regions: dict[str, str] = {}  # By name of the VM; "r" if it is missing.
+        self.tenants: list[dict[str, Any]] = []
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -316,6 +317,7 @@
                 ],
                 "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
+                **({"tenants": self.tenants} if self.tenants else {}),
             },
         )
 
@@ -326,6 +328,7 @@
         content: bytes = b"",
         request_id: str = "1",
         deadline_ms: int = 3000,
+        key: str = "",
     ) -> httpcore.Response:
         """Send one request on a new connection."""
         async with httpcore.AsyncConnectionPool() as pool:
@@ -337,6 +340,7 @@
                     "attempt-id": request_id,
                     "deadline-ms": str(deadline_ms),
                     "content-length": str(len(content)),
+                    **({"authorization": f"Bearer {key}"} if key else {}),
                 },
                 content=content,
             )
