--- a/marigoldchute/routing/http_checks.py
+++ b/marigoldchute/routing/http_checks.py
@@ -23,10 +23,13 @@
         Whether body data may follow.
     expects_continue : bool
         Whether the caller waits for ``100 Continue`` before it sends its body.
+    length : int
+        Length of the body; 0 if it is not known.
     """
 
     has_body: bool
     expects_continue: bool
+    length: int = 0
 
 
 NO_BODY = Framing(False, False)
@@ -76,7 +79,10 @@
     if host_count != 1 and not (host_count == 0 and http_version == "1.0"):
         raise _malformed_error("exactly one host header is required")
     has_body = chunked or (length is not None and length.strip(b"0") != b"")
-    return Framing(has_body, expects_continue) if has_body else NO_BODY
+    if not has_body:
+        return NO_BODY
+    known_length = 0 if chunked or length is None else int(length)
+    return Framing(has_body, expects_continue, known_length)
 
 
 def parse_target(target: bytes) -> bytes:
--- a/marigoldchute/routing/http_request.py
+++ b/marigoldchute/routing/http_request.py
@@ -24,8 +24,9 @@
 
 RECEIVE_BYTES = 65_536
 RECEIVE_HEAD_BYTES = 16_384
-# No more is parsed at a time once a request is complete, so that the objects of many
-# small requests do not exist before they are handled.
+# Parts in which a read is parsed until a request is complete, so that the objects of
+# many small requests do not exist before they are handled. A body of a known length is
+# parsed as a whole.
 FEED_HEAD_BYTES = 2_048
 FEED_BODY_BYTES = 8_192
 # Resident memory beside what the caller sent, rounded up from 8.2 kB for each of 800
@@ -80,6 +81,7 @@
     __slots__ = (
         "_conn_parser",
         "_expects_continue",
+        "body_length",
         "call_fields",
         "caller_disconnected",
         "cancel_scope",
@@ -107,6 +109,7 @@
         self.http_version = "1.1"
         self.keep_alive = True
         self.has_body = False
+        self.body_length = 0  # 0 if it is not known.
         self.complete = False
         self.chunks: list[bytes] = []  # An empty deque takes 760 bytes.
         self.cancel_scope: trio.CancelScope | None = None
@@ -168,6 +171,7 @@
         framing = check_head(self.http_version, self.headers)
         self.target = parse_target(self.target)
         self.has_body = framing.has_body
+        self.body_length = framing.length
         self._expects_continue = framing.expects_continue
 
     async def receive(self) -> bytes | None:
@@ -417,14 +421,15 @@
 
     def set_response_bytes(self, response_bytes: int) -> None:
         """Set the bytes of responses that wait for the caller to read them."""
-        if response_bytes != self._response_bytes:
-            self._response_bytes = response_bytes
-            self._update_account()
+        self._response_bytes = response_bytes
+        self._update_account()
 
     def add_held_bytes(self, added_bytes: int) -> None:
-        """Count further memory of a request of this connection."""
+        """Count further memory of a request of this connection.
+
+        The account follows with the next read or ``set_response_bytes``.
+        """
         self._requests_bytes += added_bytes
-        self._update_account()
 
     def release_request(self, req: HttpRequest) -> None:
         """Count the memory of a request that has ended as released."""
@@ -530,7 +535,7 @@
         if len(data) <= FEED_HEAD_BYTES:
             self.feed(data)
             return
-        self._feed_until_progress(data)
+        self._feed_in_parts(data)
 
     async def _receive(self) -> bytes:
         limit = RECEIVE_HEAD_BYTES if self._in_head else RECEIVE_BYTES
@@ -542,20 +547,31 @@
             raise CallerDisconnectedError("caller closed the connection")
         return data
 
-    def _feed_until_progress(self, data: bytes) -> None:
-        """Parse until a head or a body is complete, and keep the rest."""
+    def _feed_in_parts(self, data: bytes) -> None:
+        """Parse until a request is complete, and keep the rest."""
         position = 0
-        while position < len(data):
-            queued_count = len(self.requests)
-            req = self._current_request
-            size = FEED_HEAD_BYTES if self._in_head else FEED_BODY_BYTES
-            self.feed(data[position : position + size])
+        queued_count = len(self.requests)
+        req = self._current_request
+        made_progress = False
+        while position < len(data) and not (made_progress and self._in_head):
+            size = self._feed_size()
+            try:
+                self.feed(data[position : position + size])
+            except RequestError:
+                if not made_progress:
+                    raise
+                break  # It is raised by the next read.
             position += size
-            if len(self.requests) > queued_count or req.complete:
-                break
+            made_progress = len(self.requests) > queued_count or req.complete
         self._unparsed = data[position:]
         self._update_account()
 
+    def _feed_size(self) -> int:
+        if self._in_head:
+            return FEED_HEAD_BYTES
+        rest_bytes = self._current_request.body_length - self._body_bytes
+        return rest_bytes if rest_bytes > 0 else FEED_BODY_BYTES
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
--- a/marigoldchute/routing/memory_budget.py
+++ b/marigoldchute/routing/memory_budget.py
@@ -59,7 +59,10 @@
             return
         added_bytes = held_bytes - self.held_bytes
         self.held_bytes = held_bytes
-        self._budget.add(added_bytes)
+        budget = self._budget
+        budget.held_bytes += added_bytes
+        if added_bytes > 0 and budget.held_bytes > budget.limit_bytes:
+            budget.close_largest()
 
     def close(self) -> None:
         """End the account; the memory counts as released."""
@@ -88,8 +91,8 @@
 
     Attributes
     ----------
-    held_bytes, max_held_bytes : int
-        Memory that is held now, and the most that was held at any time.
+    held_bytes : int
+        Memory that all connections hold.
     closed_count : int
         Number of connections that were closed.
     """
@@ -102,7 +105,6 @@
         self.limit_bytes = limit_bytes
         self.on_closed = on_closed
         self.held_bytes = 0
-        self.max_held_bytes = 0
         self.closed_count = 0
         self._accounts: set[MemoryAccount] = set()
 
@@ -112,21 +114,14 @@
         self._accounts.add(account)
         return account
 
-    def add(self, added_bytes: int) -> None:
-        """Count memory; close connections if the limit is exceeded."""
-        self.held_bytes += added_bytes
-        if added_bytes > 0:
-            self.max_held_bytes = max(self.max_held_bytes, self.held_bytes)
-            if self.held_bytes > self.limit_bytes:
-                self._close_largest()
-
     def discard(self, account: MemoryAccount) -> None:
         """Remove an account and the memory that it holds."""
         if account in self._accounts:
             self._accounts.discard(account)
             self.held_bytes -= account.held_bytes
 
-    def _close_largest(self) -> None:
+    def close_largest(self) -> None:
+        """Close the connections that take the most, down to the low water mark."""
         held_bytes = self.held_bytes
         selected = select_largest(self._accounts, held_bytes, self.limit_bytes)
         largest_bytes = max(account.held_bytes for account in selected)
