--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -8,16 +8,22 @@
 import trio
 
 from marigoldchute.errors import NotRunError, PeerError, ResultCode
+from marigoldchute.routing.access import ANONYMOUS
 from marigoldchute.routing.cut import CutCause
+from marigoldchute.routing.headers import encode_request_headers
 from marigoldchute.routing.http_request import CallerDisconnectedError
 from marigoldchute.routing.messages import RESPONSE_DECODER, RequestHead, ResponseHead
 from marigoldchute.routing.request_body import RequestBody
+from marigoldchute.util.clock import boottime_ms
 
 if TYPE_CHECKING:
     from marigoldchute.bundle.model import Service
     from marigoldchute.link.stream import Stream
     from marigoldchute.moves.model import Split
+    from marigoldchute.routing.access import Identity
+    from marigoldchute.routing.customer_table import CustomerTable
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
+    from marigoldchute.routing.regions import AllowedRegions
     from marigoldchute.routing.route_table import RouteEntry
     from marigoldchute.routing.target import Target
 
@@ -43,6 +49,8 @@
         Number of attempts that may have reached a backend server.
     refused_attempts : int
         Number of attempts that certainly did not run.
+    last_shed : tuple of ResultCode and float, or None
+        Code and Retry-After of the latest refusal in ``SHED_CODES``.
     retains_errors : bool
         Whether a backend server's complete error response is kept for a retry instead
         of being forwarded.
@@ -52,9 +60,35 @@
         Bytes that the attempts have sent to other nodes and received from them.
     response_bytes : int
         Bytes of the body that the latest attempt has returned.
+    found_queue : bool
+        Whether requests waited at the backend server of the latest attempt when it
+        responded.
+    regions : tuple of str or None
+        Regions in which the request may be served; None for all.
+    regions_version : int
+        Bundle version that ``regions`` comes from.
+    is_foreign : bool
+        Whether this node is or was outside the allowed regions. Only the id, the
+        route's name and what was decided are then logged.
+    identity : Identity
+        Customer of the request.
+    parent_customer : str or None
+        Customer of the request on this VM that makes this one, see
+        ``Owner.parent_customer``.
+    holds_quota : bool
+        Whether quota was taken for a run that has not begun.
+    customer_table : CustomerTable or None
+        Table from which ``identity`` was determined.
     """
 
+    regions: AllowedRegions = None
+    is_foreign = False
+
     retains_errors = False
+    identity: Identity = ANONYMOUS
+    parent_customer: str | None = None
+    holds_quota = False
+    customer_table: CustomerTable | None = None
 
     def __init__(
         self,
@@ -85,6 +119,7 @@
         self.caller_service = caller_service
         self.started_at = started_at
         self.bundle_version = bundle_version
+        self.regions_version = bundle_version
         self.is_nested = is_nested
         self.attempt_log: list[str] = []
         self.idempotent = entry.is_idempotent(req.method)
@@ -93,11 +128,13 @@
         self.attempts = 0
         self.delivered_attempts = 0
         self.refused_attempts = 0
+        self.last_shed: tuple[ResultCode, float] | None = None
         self.may_have_run = False
         self.retained_error: tuple[ResponseHead, bytes] | None = None
         self.response_head: ResponseHead | None = None
         self.link_bytes = 0
         self.response_bytes = 0
+        self.found_queue = False
         self._header_block = header_block
         self._chunked = req.has_body and req.header(b"content-length") is None
 
@@ -107,6 +144,17 @@
         max_attempts = self.route_entry.route.max_attempts
         return self.idempotent and self.delivered_attempts + 1 < max_attempts
 
+    @property
+    def customer(self) -> str:
+        """Customer of the request; empty when it is not known."""
+        return self.identity.customer
+
+    @property
+    def priority(self) -> int:
+        """Admission class; that of the customer takes precedence over the route's."""
+        priority = self.identity.priority
+        return self.route_entry.route.priority if priority is None else priority
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the bodies of the request and of its response."""
@@ -132,15 +180,24 @@
             req.target,
             self._header_block,
             max(1, int((self.deadline - now) * 1000)),
-            route.priority,
+            self.priority,
             self.idempotent,
             req.has_body,
             self._chunked,
             self.caller_service,
-            max(0, int((self.objective - now) * 1000)),
+            max(1, int((self.objective - now) * 1000)) if self.objective else 0,
             self.is_nested,
+            self.identity.customer,
+            self.regions or (),
+            # As an integer, 0 takes one byte instead of nine.
+            self.service.warmup_requests_per_s or 0,
+            boottime_ms(),
         )
 
+    def encode_headers(self, own_headers: frozenset[bytes]) -> None:
+        """Encode the headers to forward again, without those named."""
+        self._header_block = encode_request_headers(self.req.headers, own_headers)
+
     def pop_complete_body(self) -> bytes | None:
         """Return the complete body if all of it has arrived, else None."""
         return self.body.pop_complete_body()
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -5,6 +5,7 @@
 import collections
 import contextlib
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -17,25 +18,46 @@
     ResultCode,
 )
 from marigoldchute.routing.admission import AdmissionGate
+from marigoldchute.routing.admission_queue import AdmissionCounts
 from marigoldchute.routing.backend_attempt import BackendAttempt
 from marigoldchute.routing.backend_conn import BackendConnPool
 from marigoldchute.routing.cut import CutCause, is_cancelled
 from marigoldchute.routing.dialect import DEFAULT_DIALECT, Dialect
 from marigoldchute.routing.exchange import AbandonSource, StreamExchange
 from marigoldchute.routing.messages import ENCODER, REQUEST_DECODER, ResponseHead
+from marigoldchute.routing.nested_limit import NestedLimit, is_failed_call
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
+from marigoldchute.routing.regions import NO_REGION_RULES, is_allowed
+from marigoldchute.routing.warmup import (
+    DEFAULT_REPORT_INTERVAL_S,
+    SendLog,
+    WarmupGuard,
+    is_urgent,
+    make_rate,
+    max_wait_s,
+)
+from marigoldchute.util.clock import boottime_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldchute.link.stream import Stream
     from marigoldchute.membership.model import BackendServer, Member
     from marigoldchute.routing.backend_conn import BackendConn
+    from marigoldchute.routing.call import Call
     from marigoldchute.routing.exchange import Exchange
     from marigoldchute.routing.messages import RequestHead
+    from marigoldchute.routing.outcomes import Outcome
+    from marigoldchute.routing.regions import RegionRules
     from marigoldchute.routing.request_log import RequestLog
     from marigoldchute.routing.stop_window import StopWindow
+    from marigoldchute.routing.warmup import WarmupRate
 
 SWEEP_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.02
+CALLS_FAIL_RETRY_S = 0.5  # The limit of calls that fail changes twice a second.
+# Shorter delays are those of the scheduler, and change no decision.
+MIN_TRANSIT_DELAY_MS = 20
 
 
 class LocalServers(Protocol):
@@ -50,12 +72,24 @@
         """Whether requests must be refused."""
 
 
+def _no_rate(service: str, requests_per_s: float) -> WarmupRate | None:
+    return make_rate(requests_per_s) if 0.0 < requests_per_s < math.inf else None
+
+
 class OwnedServer:
-    """Backend server of this VM with its admission gate and connection pool."""
+    """Backend server of this VM with its gate, connection pool and warm-up."""
 
-    def __init__(self, server: BackendServer, address: str, adaptive: bool) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        address: str,
+        adaptive: bool,
+        guard: WarmupGuard,
+        counts: AdmissionCounts | None = None,
+    ) -> None:
         self.server = server
-        self.gate = AdmissionGate(server, adaptive)
+        self.guard = guard
+        self.gate = AdmissionGate(server, adaptive, counts)
         self.pool = BackendConnPool(address, server.port)
 
     def update(self, server: BackendServer) -> None:
@@ -83,6 +117,11 @@
         Options of the request path.
     log : RequestLog, optional
         Log for failed requests of other nodes and for abandoned requests.
+    report_interval_s : float
+        Typical time between two status reports of a backend server in seconds.
+    warmup_rate : callable
+        Returns the limit of cold backend servers of a service, None without one; the
+        arguments are the service and the rate that the entry node has for it.
 
     Attributes
     ----------
@@ -90,10 +129,25 @@
         Number of requests of other nodes that wait or run here.
     refused_while_draining : int
         Number of requests that were refused because of a drain.
+    nested_limit : NestedLimit
+        Limit of requests whose nested calls fail.
+    admission_counts : AdmissionCounts
+        Decisions about requests that waited here.
+    refused_while_evacuated : int
+        Number of requests that were refused because the data centre is evacuated.
+    refused_while_cold : int
+        Number of requests that were refused because a backend server is or may be cold.
+    refused_after_transit : int
+        Number of requests that were refused because their deadline had passed when
+        they arrived.
     stop_cause : CutCause or None
         Set just before the process ends; cause of the requests that it abandons.
     stop_window : StopWindow or None
         Which requests are still taken; None unless the node was told to stop.
+    region_rules : RegionRules
+        Restrictions of the bundle in force on this node.
+    refused_by_region : int
+        Number of requests refused because this region is not allowed.
     """
 
     def __init__(
@@ -103,8 +157,16 @@
         dialect: Dialect = DEFAULT_DIALECT,
         policy: PathPolicy = STREAMING_POLICY,
         log: RequestLog | None = None,
+        report_interval_s: float = DEFAULT_REPORT_INTERVAL_S,
+        warmup_rate: Callable[[str, float], WarmupRate | None] = _no_rate,
     ) -> None:
+        self._report_interval_s = report_interval_s
+        self._warmup_rate = warmup_rate
+        self._sends: dict[int, SendLog] = {}  # By port.
+        self._started_at: float | None = None
         self.stop_window: StopWindow | None = None
+        self.region_rules: RegionRules = NO_REGION_RULES
+        self.refused_by_region = 0
         self._log = log
         self._servers = servers
         self._address = address
@@ -114,15 +176,24 @@
         self._member: Member | None = None
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
+        self._running_routes: dict[str, str] = {}
+        self.nested_limit = NestedLimit()
+        self.admission_counts = AdmissionCounts()
+        self._running_customers: dict[str, str] = {}  # By the id of the request.
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
+        self.refused_while_evacuated = 0
+        self.refused_after_transit = 0
+        self.refused_while_cold = 0
         self.stop_cause: CutCause | None = None
+        self._is_evacuated = False
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Close idle connections and track abandoned requests until cancelled."""
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -149,17 +220,79 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
+    def overload_counts(self) -> dict[str, int]:
+        """Return the counters of overload by the names of their metrics."""
+        counts = self.admission_counts
+        return {
+            "requests_displaced": counts.displaced,
+            "requests_refused_late": counts.refused_late,
+            "requests_refused_queue_full": counts.refused_full,
+            "requests_queued_after_objective": counts.waited_late,
+            "requests_refused_nested_calls_fail": self.nested_limit.refused,
+        }
+
+    def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
+        """Record the end of a call that a request on this VM made."""
+        parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
+        route = self._running_routes.get(parent_id)
+        if route is None:
+            return
+        failed = is_failed_call(outcome, call.objective, call.found_queue, now)
+        before = self.nested_limit.ratio(route)
+        self.nested_limit.record_call(route, failed, now)
+        after = self.nested_limit.ratio(route)
+        if self._log is not None and before != after:
+            self._log.emit_nested_limit(route, call.service.name, before, after, now)
+
+    def parent_customer(self, request_id: str) -> str:
+        """Return the customer of the running request that makes a nested request.
+
+        It is empty when that customer is not known.
+        """
+        parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
+        return self._running_customers.get(parent_id, "")
+
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
         return None if owned is None else owned.gate
 
+    def record_report(self, server_id: str, warmup_left_s: float, now: float) -> None:
+        """Record a status report of a backend server of this VM.
+
+        Parameters
+        ----------
+        server_id : str
+            Id under which the server is announced.
+        warmup_left_s : float
+            Time for which it stays cold in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        owned = self._find(server_id)
+        if owned is not None:
+            owned.guard.record_report(warmup_left_s, now)
+
+    def count_limited(self, now: float) -> int:
+        """Return the number of backend servers that are or may be cold."""
+        return sum(owned.guard.is_limited(now) for owned in self._owned.values())
+
     def drain(self) -> None:
         """Refuse new and waiting requests for all backend servers of this VM."""
         self._draining = True
         for owned in self._owned.values():
             owned.gate.drain()
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Refuse new and waiting requests while the data centre is evacuated.
+
+        Requests that run end as usual.
+        """
+        self._is_evacuated = is_evacuated
+        if is_evacuated:
+            for owned in self._owned.values():
+                owned.gate.refuse_waiting(ResultCode.REQUEST_NOT_RUN_EVACUATED)
+
     async def wait_idle(self) -> None:
         """Wait until no request runs on a backend server of this VM."""
         while self.running:
@@ -173,10 +306,13 @@
         except msgspec.DecodeError:
             stream.reset(ResultCode.PEER_PROTOCOL)
             return
+        delay_ms = self._transit_delay_ms(stream, head)
+        head = _after_transit(head, delay_ms)
         # The result of a request that may not be repeated cannot be had elsewhere.
         stream.outlasts_silence = not head.idempotent
         self.remote_requests += 1
         try:
+            self._check_arrival(head, delay_ms)
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + head.remaining_ms / 1000
                 exchange.deadline = scope.deadline
@@ -204,6 +340,25 @@
         finally:
             self.remote_requests -= 1
 
+    def _transit_delay_ms(self, stream: Stream, head: RequestHead) -> int:
+        if not head.sent_ms:
+            return 0
+        return stream.link.transit.record(head.sent_ms, boottime_ms())
+
+    def _check_arrival(self, head: RequestHead, delay_ms: int) -> None:
+        """Refuse a request whose deadline has passed on its way to this node.
+
+        Its cancellation, if the caller left, is still on the way as well.
+        """
+        if head.remaining_ms > 0:
+            return
+        self.refused_after_transit += 1
+        raise NotRunError(
+            f"deadline passed on the way to this node, which took {delay_ms} ms longer "
+            "than usual",
+            ResultCode.REQUEST_NOT_RUN_DEADLINE,
+        )
+
     def _log_failed_request(self, head: RequestHead, exc: MarigoldchuteError) -> None:
         if self._log is not None:
             owned = self._find(head.server_id)
@@ -242,7 +397,9 @@
                 "node is fenced: too few members are reachable",
                 ResultCode.REQUEST_NOT_RUN_FENCED,
             )
+        self._check_region(head)
         self._check_stop_window(head.remaining_ms / 1000, trio.current_time())
+        self._check_evacuation()
         owned = self._find(head.server_id)
         if owned is None:
             raise NotRunError("backend server is not on this VM")
@@ -250,9 +407,17 @@
         if server.service != head.service or server.release != head.release:
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
-        remaining_ms = await self._acquire_slot(head, exchange, gate)
+        now = trio.current_time()
+        if not head.is_nested and not self.nested_limit.admit(head.route, now):
+            raise NotRunError(
+                "a service that requests of this route call is overloaded",
+                ResultCode.REQUEST_NOT_RUN_CALLS_FAIL,
+                CALLS_FAIL_RETRY_S,
+            )
+        remaining_ms = await self._acquire_slot_and_room(head, exchange, owned)
         running = gate.running
         try:
+            self._check_region(head)
             conn = await owned.pool.acquire(
                 head.idempotent, server.connections, head.request_id
             )
@@ -260,6 +425,16 @@
             gate.release_slot()
             if is_cancelled(exc):
                 self._log_abandoned(head, exchange, "connection")
+            elif isinstance(exc.__cause__, ConnectionRefusedError):
+                owned.guard.record_refused_connection(trio.current_time())
+            raise
+        try:
+            # An evacuation or another bundle may have come during the waits.
+            self._check_evacuation()
+            self._check_region(head)
+        except NotRunError:
+            owned.pool.release(conn, trio.current_time())
+            gate.release_slot()
             raise
         attempt = BackendAttempt(
             head,
@@ -272,6 +447,9 @@
             self._policy,
         )
         self._running_ids[head.request_id] += 1
+        self._running_routes[head.request_id] = head.route
+        if head.customer:
+            self._running_customers[head.request_id] = head.customer
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -284,6 +462,8 @@
             self._running_ids[head.request_id] -= 1
             if not self._running_ids[head.request_id]:
                 del self._running_ids[head.request_id]
+                del self._running_routes[head.request_id]
+                self._running_customers.pop(head.request_id, None)
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
@@ -293,6 +473,38 @@
             owned.pool.discard(conn)
         gate.release_slot()
 
+    async def _acquire_slot_and_room(
+        self, head: RequestHead, exchange: Exchange, owned: OwnedServer
+    ) -> int:
+        """Wait for a slot and until the server may get one more request.
+
+        Returns the milliseconds until the caller's deadline.
+        """
+        gate, guard = owned.gate, owned.guard
+        rate = self._warmup_rate(head.service, head.warmup_requests_per_s)
+        if rate is None:
+            remaining_ms = await self._acquire_slot(head, exchange, gate)
+            guard.record_send(trio.current_time())
+            return remaining_ms
+        started = trio.current_time()
+        urgent, wait_s = is_urgent(head), max_wait_s(head)
+        try:
+            with guard.waiting(rate, urgent, wait_s, started):
+                await self._acquire_slot(head, exchange, gate)
+                try:
+                    await guard.send(rate, urgent, started + wait_s)
+                except BaseException as exc:
+                    gate.release_slot()
+                    if is_cancelled(exc):
+                        self._log_abandoned(head, exchange, "warm-up")
+                    raise
+        except NotRunError as exc:
+            if exc.code is ResultCode.REQUEST_NOT_RUN_WARMING_UP:
+                self.refused_while_cold += 1
+            raise
+        waited_ms = int((trio.current_time() - started) * 1000)
+        return max(1, head.remaining_ms - waited_ms)
+
     async def _acquire_slot(
         self, head: RequestHead, exchange: Exchange, gate: AdmissionGate
     ) -> int:
@@ -311,6 +523,8 @@
         except NotRunError as exc:
             if exc.code is ResultCode.REQUEST_NOT_RUN_DRAINING:
                 self.refused_while_draining += 1
+            elif exc.code is ResultCode.REQUEST_NOT_RUN_EVACUATED:
+                self.refused_while_evacuated += 1
             raise
         except trio.Cancelled:
             self._log_abandoned(head, exchange, "slot")
@@ -318,6 +532,25 @@
         waited_ms = int((trio.current_time() - queued_at) * 1000)
         return max(1, head.remaining_ms - waited_ms)
 
+    def _check_region(self, head: RequestHead) -> None:
+        """Refuse a request that the entry or this node excludes from this region.
+
+        Until both have the same bundle, the stricter restriction applies.
+        """
+        rules = self.region_rules
+        if not head.regions and not rules.restricts:
+            return
+        region = self._servers.local.region
+        if is_allowed(region, head.regions or None) and is_allowed(
+            region, rules.allowed(head.route, head.customer)
+        ):
+            return
+        self.refused_by_region += 1
+        raise NotRunError(
+            f"region {region!r} is not allowed for route {head.route!r}",
+            ResultCode.REQUEST_NOT_RUN_REGION,
+        )
+
     def _check_stop_window(self, remaining_s: float, now: float) -> None:
         if self.stop_window is None:
             return
@@ -327,6 +560,14 @@
             self.refused_while_draining += 1
             raise
 
+    def _check_evacuation(self) -> None:
+        if self._is_evacuated:
+            self.refused_while_evacuated += 1
+            raise NotRunError(
+                "data centre of the backend server is evacuated",
+                ResultCode.REQUEST_NOT_RUN_EVACUATED,
+            )
+
     def _release_failed(
         self, owned: OwnedServer, attempt: BackendAttempt, cancelled: bool
     ) -> None:
@@ -369,13 +610,25 @@
             owned = self._owned.get(server_id)
             if owned is None:
                 adaptive = self._policy.adaptive_limit
-                owned = OwnedServer(server, self._address, adaptive)
+                guard = self._make_guard(server.port, trio.current_time())
+                owned = OwnedServer(
+                    server, self._address, adaptive, guard, self.admission_counts
+                )
                 self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
             if self._draining:
                 owned.gate.drain()
 
+    def _make_guard(self, port: int, now: float) -> WarmupGuard:
+        """Return the guard of a new server, which may reuse the port of another one."""
+        sends = self._sends.get(port)
+        if sends is None:
+            # An earlier process had ended when this one started.
+            started_at = now if self._started_at is None else self._started_at
+            sends = self._sends[port] = SendLog(started_at)
+        return WarmupGuard(sends, self._report_interval_s, now)
+
     def _remove(self, server_id: str) -> None:
         owned = self._owned[server_id]
         # Differs from the next announcement, so that a server that returns while its
@@ -383,3 +636,21 @@
         owned.update(dataclasses.replace(owned.server, draining=True))
         if not owned.gate.running:
             del self._owned[server_id]
+
+
+def _after_transit(head: RequestHead, delay_ms: int) -> RequestHead:
+    """Return the head with the times that are left after a delay on the way.
+
+    The times of a head begin when it is sent. On a narrow connection a request may
+    wait for seconds, after which neither its caller nor its deadline has to be there.
+    """
+    if delay_ms < MIN_TRANSIT_DELAY_MS:
+        return head
+    objective_ms = head.objective_ms
+    if objective_ms:
+        objective_ms = max(1, objective_ms - delay_ms)
+    return msgspec.structs.replace(
+        head,
+        remaining_ms=max(0, head.remaining_ms - delay_ms),
+        objective_ms=objective_ms,
+    )
--- a/marigoldchute/routing/target.py
+++ b/marigoldchute/routing/target.py
@@ -11,6 +11,9 @@
 LATENCY_EWMA_WEIGHT = 0.1
 ERROR_EWMA_WEIGHT = 0.1
 BUSY_BACKOFF_S = 0.2
+# A server whose node has just started, or that got no requests, may be cold without
+# having said so. Its next report and the news of it take about this long.
+PRESUMED_COLD_S = 2.5
 SLOW_START_MS = 5000
 COLD_WEIGHT = 0.05
 LOAD_REPORT_DECAY_S = 0.4  # In twice a typical run time most requests have changed.
@@ -18,6 +21,8 @@
 USUAL_LOAD_MEMORY_S = 5.0
 SERVICE_LOAD_EWMA_WEIGHT = 0.05
 SLOWNESS_EWMA_WEIGHT = 0.1
+# The owner's mean covers the requests of all nodes, so that few samples suffice.
+MEAN_SLOWNESS_EWMA_WEIGHT = 0.5
 MAX_SLOWNESS_SAMPLE = 10.0
 EJECT_CONSECUTIVE_FAILURES = 3
 EJECT_ERROR_RATE = 0.5
@@ -70,6 +75,10 @@
         Attempts of this node that were in progress when the report arrived.
     reported_at : float
         Monotonic time of the latest report.
+    is_paced : bool
+        Whether a ``WarmupPacer`` spaces the choices of this target.
+    unreachable_until : float
+        Monotonic time until which its node counts as not reachable.
     """
 
     __slots__ = (
@@ -81,13 +90,16 @@
         "error_rate",
         "in_flight",
         "in_flight_at_report",
+        "is_paced",
         "latency_ms",
         "member",
+        "presumed_cold_until",
         "reported_at",
         "reported_load",
         "server",
         "service_load",
         "slowness",
+        "unreachable_until",
         "usual_load",
     )
 
@@ -109,8 +121,11 @@
         self.reported_at = float("-inf")
         self.error_rate = 0.0
         self.busy_until = 0.0
+        self.unreachable_until = 0.0
         self.ejected_until = 0.0
         self.ejections = 0
+        self.is_paced = False
+        self.presumed_cold_until = float("-inf")
         self._consecutive_failures = 0
         self._samples = 0
 
@@ -130,10 +145,31 @@
         """Return whether the backend server is in its cold start."""
         return now_ms < self.server.warm_at_ms
 
+    def is_limited(self, now: float, now_ms: int) -> bool:
+        """Return whether the backend server is cold or may be."""
+        return now < self.presumed_cold_until or self.is_cold(now_ms)
+
+    def limited_until(self, now: float, now_ms: int) -> float:
+        """Return the monotonic time until which the server is or may be cold."""
+        warm_at = now + (self.server.warm_at_ms - now_ms) / 1000
+        return max(warm_at, self.presumed_cold_until)
+
+    def presume_cold(self, now: float) -> None:
+        """Plan for a cold server for ``PRESUMED_COLD_S``."""
+        self.presumed_cold_until = now + PRESUMED_COLD_S
+
+    def pause(self, until: float) -> None:
+        """Make the target unavailable until a time, or for longer if it is already."""
+        self.busy_until = max(self.busy_until, until)
+
     def available(self, now: float) -> bool:
         """Return whether neither an ejection nor a recent refusal is in effect."""
         return now >= self.ejected_until and now >= self.busy_until
 
+    def reachable(self, now: float) -> bool:
+        """Return whether no link to its node has failed to open recently."""
+        return now >= self.unreachable_until
+
     def cost(self, default_latency_ms: float, now_ms: int) -> float:
         """Return the relative cost of one more request."""
         latency_ms = self.latency_ms
@@ -192,6 +228,11 @@
         bounded_ratio = min(ratio, MAX_SLOWNESS_SAMPLE)
         self.slowness += SLOWNESS_EWMA_WEIGHT * (bounded_ratio - self.slowness)
 
+    def record_mean_slowness(self, ratio: float) -> None:
+        """Record a mean run time of the owner as a ratio to the route's typical one."""
+        bounded_ratio = min(ratio, MAX_SLOWNESS_SAMPLE)
+        self.slowness += MEAN_SLOWNESS_EWMA_WEIGHT * (bounded_ratio - self.slowness)
+
     def back_off(self, now: float) -> None:
         """Pause the target briefly after a refusal for lack of capacity."""
         self.busy_until = now + BUSY_BACKOFF_S
--- a/tests/support/hosted.py
+++ b/tests/support/hosted.py
@@ -95,6 +95,8 @@
         Executions in the order of their arrival.
     reports : bool
         Whether it reports its state periodically.
+    warm_at : float
+        Monotonic time until which it reports that it is cold.
     """
 
     def __init__(self, name: str, service: str, address: str, release: str) -> None:
@@ -107,6 +109,7 @@
         self.sequence = 0
         self.acknowledged_sequence = 0
         self.reports = True
+        self.warm_at = float("-inf")  # Monotonic time.
         self.requests: list[dict[str, str]] = []
         self.service_time_s = BASE_SERVICE_TIME_S
         self.status = 200
@@ -139,7 +142,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self.sequence,
-                "warmup_left_ms": 0,
+                "warmup_left_ms": max(0.0, self.warm_at - trio.current_time()) * 1000,
             },
             "born": self.born,
         }
@@ -234,6 +237,9 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="hosted"))
         self.version = 1
         self.more_paths: list[dict[str, Any]] = []
+        self.more_bounds: list[str] = []
+        self.more_of_services: dict[str, Any] = {}
+        self.regions: dict[str, str] = {}  # By name of the VM; "r" if it is missing.
         self.limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 26,
@@ -252,7 +258,7 @@
             "node": name,
             "ip": address,
             "zone": f"z{int(name[3:]) % 2}",
-            "region": "r",
+            "region": self.regions.get(name, "r"),
             "listen": {
                 "outbound": f"{address}:{CALLER_PORT}",
                 "control": f"{address}:{CONTROL_PORT}",
@@ -260,7 +266,7 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 15],
             "heartbeat_ms": REPORT_INTERVAL_MS,
-            "bounds": [f"grace_s={grace_s:g}"],
+            "bounds": [f"grace_s={grace_s:g}", *self.more_bounds],
             "app_addr": f"{address}:{BACKEND_PORT}",
             "service": service,
             "limits": self.vm_limits,
@@ -304,7 +310,10 @@
             "main",
             {
                 "version": f"{self.version:08x}",
-                "services": [{"name": n, "max_connections": 100} for n in services],
+                "services": [
+                    {"name": n, "max_connections": 100, **self.more_of_services}
+                    for n in services
+                ],
                 "limits": self.limits,
                 "virtual_hosts": [{"host": HOST, "paths": [path, *self.more_paths]}],
             },
@@ -394,11 +403,17 @@
     *services: str,
     backend_type: type[Backend] = Backend,
     more_paths: tuple[dict[str, Any], ...] = (),
+    more_bounds: tuple[str, ...] = (),
+    more_of_services: dict[str, Any] | None = None,
     vm_limits: dict[str, float] | None = None,
+    regions: dict[str, str] | None = None,
 ) -> AsyncIterator[HostedMesh]:
     """Run a mesh with one VM and one backend server for each named service."""
     mesh = HostedMesh(list(services), vm_limits)
     mesh.more_paths.extend(more_paths)
+    mesh.more_bounds.extend(more_bounds)
+    mesh.more_of_services.update(more_of_services or {})
+    mesh.regions.update(regions or {})
     try:
         async with trio.open_nursery() as nursery:
             await nursery.start(mesh.store.serve, mesh.store_address, STORE_PORT)
--- a/tests/test_routing/test_memory_budget.py
+++ b/tests/test_routing/test_memory_budget.py
@@ -353,7 +353,7 @@
             self.assertLess(len(received), 30)
             for response in received:
                 self.assertIn(b"HTTP/1.1 503", response)
-                self.assertIn(b"marigoldchute-code: 514", response)
+                self.assertIn(b"marigoldchute-code: 517", response)
                 self.assertIn(b"marigoldchute-outcome: not-run", response)
                 self.assertIn(b"retry-after:", response)
 
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import types
 import unittest
 from typing import TYPE_CHECKING, Any
 
@@ -11,12 +12,19 @@
 
 from marigoldchute.errors import NotRunError, RequestError, ResultCode
 from marigoldchute.events import MemoryEventLog
+from marigoldchute.link.transit import TransitDelay
 from marigoldchute.membership.model import BackendServer, Member
 from marigoldchute.routing import backend_conn
 from marigoldchute.routing.cut import CutCause
-from marigoldchute.routing.messages import ENCODER, RequestHead, ResponseHead
+from marigoldchute.routing.messages import (
+    ENCODER,
+    RESPONSE_DECODER,
+    RequestHead,
+    ResponseHead,
+)
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.util.clock import boottime_ms
 from tests.support.servers import PORT, read_request, serve_script
 
 if TYPE_CHECKING:
@@ -139,9 +147,27 @@
             await owner.execute(make_head(), exchange)
             assert exchange.head is not None
             self.assertEqual(exchange.head.status, 503)
+            # Quick errors would make a failing server look like a fast one.
+            self.assertEqual(exchange.head.mean_run_us, 0)
 
         self.run_owner(fail, body)
 
+    def test_response_reports_the_mean_run_time_of_its_route(self) -> None:
+        async def answer(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await trio.sleep(0.01)
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            exchange = CollectingExchange()
+            for _ in range(3):
+                exchange = CollectingExchange()
+                await owner.execute(make_head(), exchange)
+            assert exchange.head is not None
+            self.assertGreater(exchange.head.mean_run_us, 5_000)
+
+        self.run_owner(answer, body)
+
     def test_refused_connection_is_not_run(self) -> None:
         async def main() -> None:
             owner = Owner(FakeServers("127.9.9.9"), "127.9.9.9")
@@ -163,6 +189,144 @@
         trio.run(main)
 
 
+class EvacuationTest(OwnerTestCase):
+    """The data centre of the VM is evacuated."""
+
+    slots = 1
+
+    def test_new_and_waiting_requests_are_refused_and_running_ones_end(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await trio.sleep(0.2)
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            running = CollectingExchange()
+            codes: list[ResultCode] = []
+
+            async def send_refused() -> None:
+                with self.assertRaises(NotRunError) as caught:
+                    await owner.execute(make_head(), CollectingExchange())
+                codes.append(caught.exception.code)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.execute, make_head(), running)
+                await trio.sleep(0.05)
+                nursery.start_soon(send_refused)
+                await trio.sleep(0.05)
+                owner.set_evacuated(True)
+                await send_refused()
+            self.assertEqual(codes, [ResultCode.REQUEST_NOT_RUN_EVACUATED] * 2)
+            self.assertEqual(owner.refused_while_evacuated, 2)
+            self.assertTrue(running.finished)
+            owner.set_evacuated(False)
+            await owner.execute(make_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
+    def test_request_that_opens_a_connection_is_refused(self) -> None:
+        """Guards against a request that is sent after a long wait to connect."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            if await read_request(stream):
+                self.fail("the backend server got a request")
+
+        async def body(owner: Owner) -> None:
+            self.assertIsNotNone(owner.gate("vm/1"))
+            pool: Any = owner._owned["vm/1"].pool
+            acquire = pool.acquire
+
+            async def acquire_late(*args: Any) -> Any:
+                conn = await acquire(*args)
+                owner.set_evacuated(True)
+                return conn
+
+            pool.acquire = acquire_late
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(make_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_EVACUATED)
+            self.assertEqual(owner.running, 0)
+
+        self.run_owner(serve, body)
+
+
+class ColdServerTest(OwnerTestCase):
+    """The backend server is cold, and its service has a warm-up rate."""
+
+    slots = 1
+
+    def make_cold_head(self) -> RequestHead:
+        return msgspec.structs.replace(make_head(), warmup_requests_per_s=8.0)
+
+    def test_request_without_room_is_refused_and_its_slot_is_free(self) -> None:
+        """Guards against a slot that a refused request keeps."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            with self.assertRaises(NotRunError) as caught:
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            code = caught.exception.code
+            self.assertEqual(code, ResultCode.REQUEST_NOT_RUN_WARMING_UP)
+            self.assertEqual((owner.running, owner.refused_while_cold), (0, 1))
+            await trio.sleep(1.0)  # The window begins full.
+            for _ in range(8):
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            with self.assertRaises(NotRunError):
+                await owner.execute(self.make_cold_head(), CollectingExchange())
+            self.assertEqual((owner.running, owner.refused_while_cold), (0, 2))
+
+        self.run_owner(serve, body)
+
+    def test_server_that_appears_later_has_room_at_once(self) -> None:
+        """Guards against a second without requests after the loss of all nodes."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            await trio.sleep(1.0)  # Only now the server is looked up.
+            await owner.execute(self.make_cold_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
+    def test_cancelled_wait_for_room_leaks_nothing(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            if await read_request(stream):
+                self.fail("the backend server got a request")
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            head = msgspec.structs.replace(
+                self.make_cold_head(), remaining_ms=5000, is_nested=True
+            )
+            with trio.move_on_after(0.1) as scope:
+                await owner.execute(head, CollectingExchange())
+            self.assertTrue(scope.cancelled_caught)
+            self.assertEqual(owner.running, 0)
+
+        self.run_owner(serve, body)
+
+    def test_service_without_a_rate_is_not_limited(self) -> None:
+        """Guards against waits in meshes that have no warm-up rate."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while await read_request(stream):
+                await stream.send_all(OK_RESPONSE)
+
+        async def body(owner: Owner) -> None:
+            owner.record_report("vm/1", 60.0, trio.current_time())
+            for _ in range(30):
+                await owner.execute(make_head(), CollectingExchange())
+
+        self.run_owner(serve, body)
+
+
 class UnknownOutcomeTest(OwnerTestCase):
     def test_written_request_without_response_is_unknown(self) -> None:
         async def close(stream: trio.SocketStream) -> None:
@@ -374,6 +538,59 @@
         self._on_cancel()
 
 
+class DelayedRequestTest(OwnerTestCase):
+    """Guards against requests that run although their callers have left long ago.
+
+    On a narrow connection a request waits on its way, and its cancellation behind it.
+    """
+
+    def serve_delayed(self, delay_ms: int) -> tuple[list[int], list[ResponseHead]]:
+        """Serve a request on its way for 0 ms and one for longer, each with 1000 ms.
+
+        Returns the deadlines that the backend server receives and the refusals.
+        """
+        deadlines: list[int] = []
+        refusals: list[ResponseHead] = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            while request := await read_request(stream):
+                text = request.lower().partition(b"deadline-ms: ")[2]
+                deadlines.append(int(text.partition(b"\r\n")[0]))
+                await stream.send_all(OK_RESPONSE)
+
+        class DelayedStream(RunningStream):
+            def __init__(self, link: Any, sent_ms: int) -> None:
+                super().__init__(1_000)
+                self.link = link
+                head = msgspec.structs.replace(make_head(), sent_ms=sent_ms)
+                self.head = ENCODER.encode(head)
+
+            async def send_complete(self, head: bytes, body: bytes) -> None:
+                response = RESPONSE_DECODER.decode(head)
+                if response.code:
+                    refusals.append(response)
+
+        async def body(owner: Owner) -> None:
+            link = types.SimpleNamespace(transit=TransitDelay(), is_ending=False)
+            for transit_ms in (0, delay_ms):
+                await owner.serve(DelayedStream(link, boottime_ms() - transit_ms))
+
+        self.run_owner(serve, body)
+        return deadlines, refusals
+
+    def test_request_arrives_after_its_deadline(self) -> None:
+        deadlines, refusals = self.serve_delayed(1_500)
+        self.assertEqual(len(deadlines), 1)
+        codes = [refusal.code for refusal in refusals]
+        self.assertEqual(codes, [ResultCode.REQUEST_NOT_RUN_DEADLINE])
+
+    def test_backend_server_gets_the_time_that_is_left(self) -> None:
+        deadlines, refusals = self.serve_delayed(600)
+        self.assertEqual(refusals, [])
+        self.assertGreater(deadlines[0], 900)
+        self.assertLessEqual(deadlines[1], 400)
+
+
 class AbandonedLineTest(unittest.TestCase):
     """Runs that are given up are logged with the cause and what they waited for."""
 
