Keep the first bound of retained memory but for small requests

The bound after a crowd was fixed at 12 MB and raised to 16 MB for all tests when small requests sent ahead left 14.3 MB with the allocator (35.4 MB on the code before).

--- a/tests/test_platform/test_untrusted_callers.py
+++ b/tests/test_platform/test_untrusted_callers.py
@@ -26,7 +26,10 @@
 HEAD_BYTES = 15_600
 # Growth of the resident memory while the crowd is there, and after it has left.
 MAX_GROWTH_BYTES = 24_000_000
-MAX_RETAINED_BYTES = 16_000_000
+MAX_RETAINED_BYTES = 12_000_000
+# The handlers of 800 small requests at once leave 13 to 15 MB with the allocator, which
+# does not grow with further crowds; the code before left 35 MB.
+MAX_RETAINED_SMALL_BYTES = 16_000_000
 # Descriptors beside one for each connection of the crowd; up to 100 are connections to
 # the backend server (``max_connections`` of its service).
 MAX_OTHER_DESCRIPTORS = 140
@@ -121,6 +124,7 @@
         node: NodeProcess,
         act: Callable[[list[trio.SocketStream]], Awaitable[None]],
         count: int = CONNECTIONS,
+        max_retained_bytes: int = MAX_RETAINED_BYTES,
     ) -> None:
         """Check memory and descriptors beside a crowd and after it has left."""
         start_bytes, start_descriptors = node.resident_bytes, node.descriptors
@@ -137,7 +141,7 @@
         shown = f"{growth_bytes=} {retained_bytes=} {descriptors=}"
         with self.subTest(shown):
             self.assertLess(growth_bytes, MAX_GROWTH_BYTES)
-            self.assertLess(retained_bytes, MAX_RETAINED_BYTES)
+            self.assertLess(retained_bytes, max_retained_bytes)
             self.assertLess(descriptors, count + MAX_OTHER_DESCRIPTORS)
             self.assertLess(left_descriptors, MAX_OTHER_DESCRIPTORS)
 
@@ -227,7 +231,9 @@
                     nursery.start_soon(send_all, [stream], data)
 
         async def scenario(node: NodeProcess) -> None:
-            await self.check(node, send_ahead)
+            await self.check(
+                node, send_ahead, max_retained_bytes=MAX_RETAINED_SMALL_BYTES
+            )
 
         self.run_node(scenario)
 
