--- a/marigoldchute/routing/admission.py
+++ b/marigoldchute/routing/admission.py
@@ -17,6 +17,7 @@
     Waiter,
 )
 from marigoldchute.routing.limit import AdaptiveLimit
+from marigoldchute.routing.objective_queue import ObjectiveQueue
 from marigoldchute.routing.outcomes import NUM_LOAD_LEVELS
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
 
 RUN_TIME_EWMA_WEIGHT = 0.1
 INITIAL_RUN_TIME_S = 0.002
+# Time that is left for an objective which has passed; 0 stands for none.
+PASSED_OBJECTIVE_S = 0.001
 # Routes whose run times are kept apart; the others share one mean.
 MAX_TIMED_ROUTES = 64
 
@@ -71,7 +74,7 @@
     """Slots of one backend server and the bounded queue of requests for them.
 
     Which requests wait, in which order, and which one is displaced is decided by
-    ``AdmissionQueue``.
+    ``ObjectiveQueue``, or by ``AdmissionQueue`` while ``weighs_work`` is set.
 
     Parameters
     ----------
@@ -81,6 +84,12 @@
         Whether refusals and rising latency lower the limit below the slots.
     counts : AdmissionCounts, optional
         Counts of the node, to which those of this gate are added.
+
+    Attributes
+    ----------
+    weighs_work : bool
+        Whether the work of requests decides as well. A change takes effect once no
+        request waits.
     """
 
     def __init__(
@@ -94,7 +103,10 @@
         self.draining = False
         self._adaptive = adaptive
         self._limit = AdaptiveLimit(server.slots)
-        self._queue: AdmissionQueue[_Waiter] = AdmissionQueue(counts)
+        self.weighs_work = False
+        self._counts = counts
+        self._queue: AdmissionQueue[_Waiter] | ObjectiveQueue[_Waiter]
+        self._queue = ObjectiveQueue(counts)
         self._run_times = RunTimes()
         self._head_times = RunTimes()
         self.update(server)
@@ -177,8 +189,8 @@
         objective_s : float
             Time left until the latency objective; 0 when there is none. A request that
             is not expected to meet it here is refused at once, a nested call only when
-            it is not expected to meet its deadline. One that cannot meet it anywhere
-            waits behind all others.
+            it is not expected to meet its deadline. One whose objective has passed
+            waits as if it had none, or behind all others with ``weighs_work``.
         route : str
             Name of the route, whose requests take similar times.
         is_nested : bool
@@ -192,8 +204,11 @@
         """
         now = trio.current_time()
         run_s = self._run_times.expected_s(route)
+        self._select_queue()
         if is_nested:
             priority, objective_s = 0, remaining_s
+        elif not self.weighs_work and objective_s <= PASSED_OBJECTIVE_S:
+            objective_s = 0.0
         demand = Demand(
             min(max(priority, 0), NUM_PRIORITIES - 1),
             run_s,
@@ -235,15 +250,23 @@
             self._limit.record_sample(run_s, running, now)
 
     def record_head_time(self, route: str, head_s: float) -> float:
-        """Record the time until the head of a response; return the route's mean."""
+        """Record the time until the head of a response.
+
+        Returns the mean of the route for the entries, 0 unless work is weighed.
+        """
         self._head_times.record(route, head_s)
-        return self._head_times.expected_s(route)
+        return self._head_times.expected_s(route) if self.weighs_work else 0.0
 
     def record_refusal(self, now: float) -> None:
         """Record that the backend server itself refused a request."""
         if self._adaptive:
             self._limit.record_refusal(now)
 
+    def _select_queue(self) -> None:
+        cls = AdmissionQueue if self.weighs_work else ObjectiveQueue
+        if not isinstance(self._queue, cls) and not len(self._queue):
+            self._queue = cls(self._counts)
+
     def _refuse(self, waiter: _Waiter, code: ResultCode) -> None:
         waiter.refusal = code
         waiter.event.set()
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -77,6 +77,7 @@
 # Each refusal costs one hop. With 3 attempts, at 1.05 times the capacity a quarter of
 # the rejected requests were rejected while another server had a free slot.
 MAX_REFUSED_ATTEMPTS = 5
+DEFAULT_MAX_REFUSED_ATTEMPTS = 3  # Without customers.
 # An evacuation lasts for longer than any wait that callers are told.
 EVACUATED_RETRY_AFTER_S = 1.0
 
@@ -183,6 +184,7 @@
         self._routes: RouteTable | None = None
         self._evacuations = evacuations
         self._region_rules = NO_REGION_RULES
+        self._weighs_work = False
         self._splits = splits
         self._members = members
         self._chooser = chooser
@@ -208,6 +210,10 @@
         self._routes = RouteTable(bundle)
         self.access.on_bundle(bundle)
         self._region_rules = self._owner.region_rules = RegionRules(bundle.content)
+        # Customers compete for servers; without them the operators asked for no choice
+        # between requests by their work.
+        self._weighs_work = bool(bundle.content.customers)
+        self._owner.weighs_work = self._weighs_work
         if self._evacuations.is_known:
             self._first_bundle.on_bundle()
 
@@ -608,7 +614,11 @@
             target = self._chooser.choose(
                 candidates, call.attempted | unreachable, now, now_ms, pick_info
             )
-        if target is None and call.last_shed is not None:
+        if (
+            target is None
+            and call.last_shed is not None
+            and (self._weighs_work or call.regions is not None)
+        ):
             code, retry_after_s = call.last_shed
             if code is ResultCode.REQUEST_NOT_RUN_REFUSED:
                 # No further attempt reached a backend server.
@@ -688,7 +698,7 @@
         if isinstance(exc, NotRunError):
             call.refused_attempts += 1
             reached_backend = exc.code is ResultCode.REQUEST_NOT_RUN_REFUSED
-            if call.refused_attempts >= MAX_REFUSED_ATTEMPTS:
+            if call.refused_attempts >= self._max_refused_attempts:
                 return False
         if not reached_backend:
             return True  # Only attempts that reach a backend server count as retries.
@@ -697,6 +707,12 @@
             return False
         return self.retry_budget.acquire_retry(now, call.service.name)
 
+    @property
+    def _max_refused_attempts(self) -> int:
+        if self._weighs_work:
+            return MAX_REFUSED_ATTEMPTS
+        return DEFAULT_MAX_REFUSED_ATTEMPTS
+
     def _record_latency(self, call: Call, outcome: Outcome, started: float) -> None:
         total_us = int((time.perf_counter() - started) * 1_000_000)
         if call.response_head is not None:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -177,6 +177,7 @@
         self._draining = False
         self._running_ids: collections.Counter[str] = collections.Counter()
         self._running_routes: dict[str, str] = {}
+        self._weighs_work = False
         self.nested_limit = NestedLimit()
         self.admission_counts = AdmissionCounts()
         self._running_customers: dict[str, str] = {}  # By the id of the request.
@@ -220,6 +221,17 @@
         parent_id, found, _ = request_id.rpartition(separator)
         return bool(found) and parent_id in self._running_ids
 
+    @property
+    def weighs_work(self) -> bool:
+        """Whether the work of requests decides which of them wait."""
+        return self._weighs_work
+
+    @weighs_work.setter
+    def weighs_work(self, weighs_work: bool) -> None:
+        self._weighs_work = weighs_work
+        for owned in self._owned.values():
+            owned.gate.weighs_work = weighs_work
+
     def overload_counts(self) -> dict[str, int]:
         """Return the counters of overload by the names of their metrics."""
         counts = self.admission_counts
@@ -235,7 +247,7 @@
         """Record the end of a call that a request on this VM made."""
         parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
         route = self._running_routes.get(parent_id)
-        if route is None:
+        if route is None or not self._weighs_work:
             return
         failed = is_failed_call(outcome, call.objective, call.found_queue, now)
         before = self.nested_limit.ratio(route)
@@ -408,7 +420,11 @@
             raise NotRunError("backend server now runs another service or release")
         gate = owned.gate
         now = trio.current_time()
-        if not head.is_nested and not self.nested_limit.admit(head.route, now):
+        if (
+            self._weighs_work
+            and not head.is_nested
+            and not self.nested_limit.admit(head.route, now)
+        ):
             raise NotRunError(
                 "a service that requests of this route call is overloaded",
                 ResultCode.REQUEST_NOT_RUN_CALLS_FAIL,
@@ -614,6 +630,7 @@
                 owned = OwnedServer(
                     server, self._address, adaptive, guard, self.admission_counts
                 )
+                owned.gate.weighs_work = self._weighs_work
                 self._owned[server_id] = owned
             elif owned.server != server:
                 owned.update(server)
--- a/tests/test_routing/test_admission_queue.py
+++ b/tests/test_routing/test_admission_queue.py
@@ -4,7 +4,12 @@
 
 import unittest
 
+import trio
+import trio.testing
+
 from marigoldchute.errors import NotRunError, ResultCode
+from marigoldchute.membership.model import BackendServer
+from marigoldchute.routing.admission import AdmissionGate
 from marigoldchute.routing.admission_queue import (
     MAX_QUEUED_PER_SLOT,
     AdmissionCounts,
@@ -157,3 +162,37 @@
             with self.assertRaises(NotRunError):
                 queue.offer(refused, CAPACITY, 5.0)
         self.assertEqual(counts, AdmissionCounts(1, 1, 1, 1))
+
+
+class GateTest(unittest.TestCase):
+    """Guards against a deployment without customers that is served by a new rule."""
+
+    def displaces(self, weighs_work: bool) -> bool:
+        """Return whether a short request displaces a long one that waits."""
+        refused: list[str] = []
+        gate = AdmissionGate(BackendServer("v/1", "s", "r1", 1, 1, 10), adaptive=False)
+        gate.weighs_work = weighs_work
+
+        async def wait(route: str, objective_s: float) -> None:
+            try:
+                await gate.acquire_slot(1, 20.0, objective_s, route)
+            except NotRunError:
+                refused.append(route)
+
+        async def main() -> None:
+            for route, run_s in (("long", 1.0), ("short", 0.1)):
+                gate.record_sample(run_s, 1, 0.0, route)
+            self.assertTrue(gate.try_acquire_slot())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait, "long", 2.0)
+                await trio.sleep(0.01)
+                nursery.start_soon(wait, "short", 1.2)
+                await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return "long" in refused
+
+    def test_work_decides_only_where_it_is_asked_for(self) -> None:
+        self.assertFalse(self.displaces(False))
+        self.assertTrue(self.displaces(True))
--- a/tests/test_routing/test_nested_limit.py
+++ b/tests/test_routing/test_nested_limit.py
@@ -87,6 +87,7 @@
 
     async def _check_refusal(self) -> None:
         owner = Owner(FakeServers("127.0.0.1"), "127.0.0.1")
+        owner.weighs_work = True
         now = trio.current_time()
         for _ in range(20):
             now = record_windows(owner.nested_limit, True, 1, "turnos", now)
@@ -107,6 +108,7 @@
             Dialect(nested_id_separator="."),
             log=RequestLog(log),  # type: ignore[arg-type]
         )
+        owner.weighs_work = True
         owner._running_routes["id"] = "outer"
         now = 0.0
         for index in range(4 * MIN_WINDOW_CALLS):
--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -159,6 +159,7 @@
                 await stream.send_all(OK_RESPONSE)
 
         async def body(owner: Owner) -> None:
+            owner.weighs_work = True
             exchange = CollectingExchange()
             for _ in range(3):
                 exchange = CollectingExchange()
