Review: calls of runs that outlast their node get 401

Claim: a node that was started again takes the calls of runs which it did not pass on itself for requests without a key. DENIED is broken.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -288,8 +288,8 @@
 class Upstream:
     """An application upstream beside a node.
 
-    It runs ``slots`` requests, queues as many, rejects what is beyond that, and drops a
-    request when its connection closes.
+    It runs ``slots`` requests, queues as many and rejects what is beyond that. If it
+    ``drops``, as most do, it drops a request when its connection closes.
     """
 
     def __init__(
@@ -299,6 +299,7 @@
         address: str,
         zone: str,
         work: Work,
+        drops: bool = True,
         version: str = "v1",
         slots: int = 12,
     ) -> None:
@@ -309,6 +310,7 @@
         self._service = service
         self._zone = zone
         self._work = work
+        self._drops = drops
         self._version = version
         self._slots = slots
         self._room = asyncio.Semaphore(slots)
@@ -377,8 +379,10 @@
         work = asyncio.create_task(self._run(request, request_id))
         closed = asyncio.create_task(reader.read(1))
         await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
-        if not work.done():
-            work.cancel()  # The connection was closed.
+        if not work.done():  # The connection was closed.
+            if self._drops:
+                work.cancel()
+            await asyncio.wait((work,))
             return False
         headers["Server-Signature"] = f"{self.instance}.{request_id}"
         text = f"{request_id} {len(request.body)}".encode()
@@ -505,13 +509,33 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review"))
         self._servers: list[asyncio.Server] = []
 
-    async def start(self, work: dict[str, Work], config: dict[str, Any]) -> None:
-        """Start store, upstreams and nodes, and wait until all nodes are ready."""
+    async def start(
+        self,
+        work: dict[str, Work],
+        config: dict[str, Any],
+        keeps_runs: tuple[str, ...] = (),
+    ) -> None:
+        """Start store, upstreams and nodes, and wait until all nodes are ready.
+
+        Parameters
+        ----------
+        work : dict of str to callable
+            What the upstreams of each service do.
+        config : dict of str to object
+            First configuration.
+        keeps_runs : tuple of str
+            Services whose upstreams go on with a request when its connection closes.
+        """
         self.store.put("config", "main", config)
         self._servers.append(await self.store.serve(self.store_address))
         self.upstreams = {
             vm.name: Upstream(
-                self.record, vm.service, vm.address, vm.zone, work[vm.service]
+                self.record,
+                vm.service,
+                vm.address,
+                vm.zone,
+                work[vm.service],
+                vm.service not in keeps_runs,
             )
             for vm in self.vms
         }
