--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -683,7 +683,7 @@
 
 
 def _reserve_block() -> tuple[socket.socket, int]:
-    for block in range(140, 240):
+    for block in range(2, 10):
         sock = socket.socket()
         try:
             sock.bind((f"127.{block}.254.254", RESERVATION_PORT))
@@ -749,6 +749,7 @@
     bounds : dict of str to str, optional
         Bounds that differ from those of the small sites.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # To end the processes.
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE") != "0"
 
