Answer 503 to calls whose request an earlier process may have sent

What callers saw: a node is killed and started again while its backend server goes on with its requests.

Cause: a call has no key; it is identified by the running request whose id its own extends. Those ids are in the memory of the process that sent the requests. A new process has none and rejected the calls for good, although it could not decide about them.

Ruled out: a withdrawn key (would be "unknown"), a missing bundle (503), another node (no attempt was made).

Change: for as long as a request of an earlier process may run, a call of this VM without any key gets 503 with code 532. Nobody is admitted by it. The running requests move from the owner to a class of their own. LocalPath counts as a process of long standing, so that its tests of 401 stay as strict; the one that looked into the owner looks into the new class.

--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -29,6 +29,7 @@
     MALFORMED = "malformed"
     REPEATED = "repeated"
     UNKNOWN = "unknown"
+    PARENT_UNKNOWN = "parent_unknown"
 
 
 _FAULT_TEXTS = {
@@ -36,8 +37,12 @@
     KeyFault.MALFORMED: "the authorization header is not of the form 'Bearer KEY'",
     KeyFault.REPEATED: "the request has more than one authorization header",
     KeyFault.UNKNOWN: "the key of the request is not known",
+    KeyFault.PARENT_UNKNOWN: "the request has no key, and the one that makes it may be "
+    "older than this process",
 }
 
+_FAULT_CODES = {KeyFault.PARENT_UNKNOWN: ResultCode.REQUEST_NOT_RUN_PARENT_UNKNOWN}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
@@ -145,6 +150,7 @@
         route: Route,
         peer_address: str,
         parent_customer: str | None,
+        may_lack_parent: bool = False,
     ) -> Identity:
         """Return the identity of a request.
 
@@ -159,15 +165,19 @@
         parent_customer : str or None
             Customer of the request that runs on this VM and whose id the request's
             own id extends, empty if that is not known; None without such a request.
+        may_lack_parent : bool
+            Whether such a request may run without being known to this process.
 
         Raises
         ------
         NotRunError
-            The request needs a key and has no valid one.
+            The request needs a key and has no valid one, or whether it needs one is
+            not known yet.
         """
         if not self.table:
             return ANONYMOUS
-        if parent_customer is not None and self._is_own_address(peer_address):
+        is_own = self._is_own_address(peer_address)
+        if parent_customer is not None and is_own:
             return self._nested_identity(parent_customer)
         key = parse_key(headers, self._dialect.authorization)
         customer = None if isinstance(key, KeyFault) else self._find(key)
@@ -175,7 +185,11 @@
             return Identity(customer.name, customer.priority, customer.rate_per_s > 0)
         if route.is_public:
             return ANONYMOUS
-        raise self._rejection(key if isinstance(key, KeyFault) else KeyFault.UNKNOWN)
+        fault = key if isinstance(key, KeyFault) else KeyFault.UNKNOWN
+        # Backend servers send no key at all.
+        if fault is KeyFault.MISSING and may_lack_parent and is_own:
+            fault = KeyFault.PARENT_UNKNOWN
+        raise self._rejection(fault)
 
     def _find(self, key: bytes) -> Customer | None:
         return self.table.find(digest_key(key))
@@ -188,7 +202,7 @@
         self.fault_counts[fault] += 1
         return NotRunError(
             _FAULT_TEXTS[fault],
-            ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED,
+            _FAULT_CODES.get(fault, ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED),
             fields={"key": fault.value, "bundle": self._version},
         )
 
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -73,8 +73,8 @@
     identity : Identity
         Customer of the request.
     parent_customer : str or None
-        Customer of the request on this VM that makes this one, see
-        ``Owner.parent_customer``.
+        Customer of the request on this VM that makes this one, empty if that is not
+        known; None without such a request.
     holds_quota : bool
         Whether quota was taken for a run that has not begun.
     customer_table : CustomerTable or None
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -209,6 +209,9 @@
     def _on_bundle(self, bundle: Bundle) -> None:
         self._routes = RouteTable(bundle)
         self.access.on_bundle(bundle)
+        self._owner.running_requests.record_timeouts(
+            [route.timeout_ms for route in bundle.content.routes]
+        )
         self._region_rules = self._owner.region_rules = RegionRules(bundle.content)
         # Customers compete for servers; without them the operators asked for no choice
         # between requests by their work.
@@ -305,11 +308,14 @@
             )
         entry = self._find_route(req, internal)
         request_id = self._request_id(req, internal)
-        is_nested = self._owner.is_nested(request_id)
+        parent = self._owner.running_requests.find_parent(request_id)
+        is_nested = parent is not None
         parent_customer = None
-        if is_nested and self.access.table:
-            parent_customer = self._owner.parent_customer(request_id)
-        identity = self._identify(req, responder, entry, parent_customer)
+        if parent is not None and self.access.table:
+            parent_customer = parent.customer
+        identity = self._identify(
+            req, responder, entry, request_id, parent_customer, received_at
+        )
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
         timeout_ms = entry.route.timeout_ms
@@ -513,12 +519,22 @@
         req: HttpRequest,
         responder: HttpResponder,
         entry: RouteEntry,
+        request_id: str,
         parent_customer: str | None,
+        now: float,
     ) -> Identity:
         if not self.access.table:
             return ANONYMOUS
+        may_lack_parent = (
+            parent_customer is None
+            and self._owner.running_requests.may_lack_parent(request_id, now)
+        )
         return self.access.identify(
-            req.headers, entry.route, responder.peer_address, parent_customer
+            req.headers,
+            entry.route,
+            responder.peer_address,
+            parent_customer,
+            may_lack_parent,
         )
 
     def _admit(self, call: Call) -> None:
@@ -562,7 +578,12 @@
             return
         self._return_quota(call)
         call.identity = self._identify(
-            call.req, call.responder, call.route_entry, call.parent_customer
+            call.req,
+            call.responder,
+            call.route_entry,
+            call.request_id,
+            call.parent_customer,
+            trio.current_time(),
         )
         call.customer_table = table
         call.encode_headers(self.access.own_headers)
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import contextlib
 import dataclasses
 import math
@@ -28,6 +27,7 @@
 from marigoldchute.routing.nested_limit import NestedLimit, is_failed_call
 from marigoldchute.routing.policy import STREAMING_POLICY, PathPolicy
 from marigoldchute.routing.regions import NO_REGION_RULES, is_allowed
+from marigoldchute.routing.running_requests import RunningRequest, RunningRequests
 from marigoldchute.routing.warmup import (
     DEFAULT_REPORT_INTERVAL_S,
     SendLog,
@@ -148,6 +148,8 @@
         Restrictions of the bundle in force on this node.
     refused_by_region : int
         Number of requests refused because this region is not allowed.
+    running_requests : RunningRequests
+        Requests that run on the backend servers of this VM.
     """
 
     def __init__(
@@ -175,12 +177,10 @@
         self._owned: dict[str, OwnedServer] = {}
         self._member: Member | None = None
         self._draining = False
-        self._running_ids: collections.Counter[str] = collections.Counter()
-        self._running_routes: dict[str, str] = {}
+        self.running_requests = RunningRequests(dialect.nested_id_separator)
         self._weighs_work = False
         self.nested_limit = NestedLimit()
         self.admission_counts = AdmissionCounts()
-        self._running_customers: dict[str, str] = {}  # By the id of the request.
         self._nursery: trio.Nursery | None = None
         self.remote_requests = 0
         self.refused_while_draining = 0
@@ -195,6 +195,7 @@
     ) -> None:
         """Close idle connections and track abandoned requests until cancelled."""
         self._started_at = trio.current_time()
+        self.running_requests.start(self._started_at)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -209,18 +210,6 @@
         """Number of requests that run on the backend servers of this VM."""
         return sum(owned.gate.running for owned in self._owned.values())
 
-    def is_nested(self, request_id: str) -> bool:
-        """Return whether a request that runs on this VM makes a request.
-
-        Backend servers derive the ids of their calls from that of their request, if
-        the dialect has a separator for that.
-        """
-        separator = self._dialect.nested_id_separator
-        if not separator:
-            return False
-        parent_id, found, _ = request_id.rpartition(separator)
-        return bool(found) and parent_id in self._running_ids
-
     @property
     def weighs_work(self) -> bool:
         """Whether the work of requests decides which of them wait."""
@@ -245,10 +234,10 @@
 
     def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
         """Record the end of a call that a request on this VM made."""
-        parent_id = call.request_id.rpartition(self._dialect.nested_id_separator)[0]
-        route = self._running_routes.get(parent_id)
-        if route is None or not self._weighs_work:
+        parent = self.running_requests.find_parent(call.request_id)
+        if parent is None or not self._weighs_work:
             return
+        route = parent.route
         failed = is_failed_call(outcome, call.objective, call.found_queue, now)
         before = self.nested_limit.ratio(route)
         self.nested_limit.record_call(route, failed, now)
@@ -256,14 +245,6 @@
         if self._log is not None and before != after:
             self._log.emit_nested_limit(route, call.service.name, before, after, now)
 
-    def parent_customer(self, request_id: str) -> str:
-        """Return the customer of the running request that makes a nested request.
-
-        It is empty when that customer is not known.
-        """
-        parent_id = request_id.rpartition(self._dialect.nested_id_separator)[0]
-        return self._running_customers.get(parent_id, "")
-
     def gate(self, server_id: str) -> AdmissionGate | None:
         """Return the admission gate of a backend server of this VM."""
         owned = self._find(server_id)
@@ -462,10 +443,14 @@
             self._dialect,
             self._policy,
         )
-        self._running_ids[head.request_id] += 1
-        self._running_routes[head.request_id] = head.route
-        if head.customer:
-            self._running_customers[head.request_id] = head.customer
+        run = RunningRequest(
+            head.request_id,
+            head.route,
+            head.customer,
+            server.server_id,
+            trio.current_time() + remaining_ms / 1000,
+        )
+        self.running_requests.begin(run)
         try:
             await attempt.execute()
         except BaseException as exc:
@@ -475,11 +460,7 @@
             self._release_failed(owned, attempt, cancelled)
             raise
         finally:
-            self._running_ids[head.request_id] -= 1
-            if not self._running_ids[head.request_id]:
-                del self._running_ids[head.request_id]
-                del self._running_routes[head.request_id]
-                self._running_customers.pop(head.request_id, None)
+            self.running_requests.end(run)
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -28,7 +28,11 @@
 # use up that of failures.
 REJECTED_LINES_PER_S = 10.0
 REJECTED_CODES = frozenset(
-    {ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED, ResultCode.REQUEST_NOT_RUN_QUOTA}
+    {
+        ResultCode.REQUEST_NOT_RUN_UNAUTHORIZED,
+        ResultCode.REQUEST_NOT_RUN_QUOTA,
+        ResultCode.REQUEST_NOT_RUN_PARENT_UNKNOWN,
+    }
 )
 CUT_LINES_PER_S = 20.0
 CUT_BURST_LINES = 400.0  # All requests in progress are cut at once.
--- /dev/null
+++ b/marigoldchute/routing/running_requests.py
@@ -0,0 +1,107 @@
+"""Requests that run, or may still run, on the backend servers of this VM."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# Timeouts of bundles that were in force before this process started are not known.
+MIN_LONGEST_RUN_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class RunningRequest:
+    """Execution of a request by a backend server of this VM.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    route : str
+        Name of its route.
+    customer : str
+        Its customer; empty when it has none or it is not known.
+    server_id : str
+        Backend server that runs it.
+    deadline : float
+        Monotonic time in seconds after which it makes no further calls.
+    """
+
+    request_id: str
+    route: str
+    customer: str
+    server_id: str
+    deadline: float
+
+
+class RunningRequests:
+    """Running requests by id, which identify the calls that backend servers make.
+
+    A process does not know what began to run before it started. Until that has ended,
+    a call whose parent is not found may be one of an earlier process's requests.
+
+    Parameters
+    ----------
+    separator : str
+        Text between the id of a request and the rest of the id of a call that it
+        makes; empty when the ids of calls are unrelated.
+    """
+
+    def __init__(self, separator: str) -> None:
+        self._separator = separator
+        self._runs: dict[str, list[RunningRequest]] = {}
+        self._started_at: float | None = None
+        self._longest_run_s = MIN_LONGEST_RUN_S
+
+    def __len__(self) -> int:
+        """Return the number of ids of running requests."""
+        return len(self._runs)
+
+    def start(self, now: float) -> None:
+        """Record the time at which this process started, in monotonic seconds."""
+        self._started_at = now
+
+    def record_timeouts(self, timeouts_ms: Collection[int]) -> None:
+        """Record how long requests may run by a bundle, in milliseconds."""
+        self._longest_run_s = max(
+            self._longest_run_s, max(timeouts_ms, default=0) / 1000
+        )
+
+    def begin(self, run: RunningRequest) -> None:
+        """Add a request that begins to run."""
+        self._runs.setdefault(run.request_id, []).append(run)
+
+    def end(self, run: RunningRequest) -> None:
+        """Remove a request that no longer runs."""
+        runs = self._runs.get(run.request_id, [])
+        if run in runs:
+            runs.remove(run)
+            if not runs:
+                del self._runs[run.request_id]
+
+    def find_parent(self, request_id: str) -> RunningRequest | None:
+        """Return the running request that makes a call with an id."""
+        if not self._separator:
+            return None
+        parent_id, found, _ = request_id.rpartition(self._separator)
+        runs = self._runs.get(parent_id) if found else None
+        return runs[0] if runs else None
+
+    def may_lack_parent(self, request_id: str, now: float) -> bool:
+        """Return whether an earlier process may have begun to run a call's parent.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the call.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._separator or not all(request_id.rpartition(self._separator)):
+            return False
+        if self._started_at is None:
+            return True
+        return now < self._started_at + self._longest_run_s
--- a/tests/support/path_in_process.py
+++ b/tests/support/path_in_process.py
@@ -40,6 +40,7 @@
 
 CALLER_PORT = 9101
 LIMITS = CallerLimits()
+UPTIME_S = 3_600.0  # No request of an earlier process runs any more.
 ROUTE = Route("r", "/a/", "turnos", 3_000, max_attempts=2)
 
 
@@ -123,6 +124,7 @@
     async with serve_script(script) as address, trio.open_nursery() as nursery:
         path = LocalPath(address)
         await nursery.start(path.owner.run)
+        path.owner.running_requests.start(trio.current_time() - UPTIME_S)
         await nursery.start(path.callers.serve, address, CALLER_PORT)
         yield path
         nursery.cancel_scope.cancel()
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -246,11 +246,55 @@
     def test_ended_requests_leave_no_customer_behind(self) -> None:
         async def body(path: LocalPath) -> None:
             await path.send(encode_request(bearer(KEY)))
-            self.assertEqual(path.owner._running_customers, {})
+            self.assertEqual(len(path.owner.running_requests), 0)
 
         self.run_path(body)
 
 
+class UnknownParentTest(AccessTestCase):
+    """A process that has just started does not know what already runs."""
+
+    def status_after(self, uptime_s: float, *lines: bytes, **options: Any) -> int:
+        """Return the status of a request to a process that started some time ago."""
+        statuses = []
+
+        async def body(path: LocalPath) -> None:
+            path.owner.running_requests.start(trio.current_time() - uptime_s)
+            if not options.pop("own", True):
+                path.own_addresses.clear()
+            options.setdefault("request_id", b"earlier.1")
+            response = await path.send(encode_request(*lines, **options))
+            statuses.append(status_of(response))
+            self.assertEqual(len(self.received), statuses[0] == 200)
+            self.assertEqual(
+                path.entry.access.fault_counts[KeyFault.PARENT_UNKNOWN],
+                statuses[0] == 503,
+            )
+
+        self.run_path(body)
+        return statuses[0]
+
+    # Guards against the rejection of calls whose parent an earlier process has sent.
+    def test_call_that_an_earlier_process_may_know_gets_503(self) -> None:
+        self.assertEqual(self.status_after(0.0), 503)
+        self.assertEqual(self.status_after(29.0), 503)
+
+    def test_call_is_rejected_when_no_earlier_request_runs(self) -> None:
+        self.assertEqual(self.status_after(31.0), 401)
+
+    def test_only_a_call_of_this_vm_without_any_key_may_be_unknown(self) -> None:
+        self.assertEqual(self.status_after(0.0, bearer(b"k-nobody")), 401)
+        self.assertEqual(self.status_after(0.0, b"Authorization: Basic x"), 401)
+        self.assertEqual(self.status_after(0.0, own=False), 401)
+        for request_id in (b"earlier", b".1", b"earlier."):
+            with self.subTest(request_id):
+                self.assertEqual(self.status_after(0.0, request_id=request_id), 401)
+
+    def test_key_and_public_route_do_not_depend_on_the_parent(self) -> None:
+        self.assertEqual(self.status_after(0.0, bearer(KEY)), 200)
+        self.assertEqual(self.status_after(0.0, target=b"/p/x"), 200)
+
+
 class ChangeTest(AccessTestCase):
     def test_keys_change_on_an_open_connection(self) -> None:
         async def body(path: LocalPath) -> None:
--- a/tests/test_routing/test_attempts.py
+++ b/tests/test_routing/test_attempts.py
@@ -28,6 +28,7 @@
 from marigoldchute.routing.least_time import LeastExpectedTime
 from marigoldchute.routing.messages import ResponseHead
 from marigoldchute.routing.policy import PathPolicy
+from marigoldchute.routing.running_requests import RunningRequests
 from marigoldchute.util.clock import Clock
 
 if TYPE_CHECKING:
@@ -98,9 +99,7 @@
     def __init__(self, script: list[int | Exception]) -> None:
         self.script = script
         self.servers: list[str] = []
-
-    def is_nested(self, request_id: str) -> bool:
-        return False
+        self.running_requests = RunningRequests("")
 
     async def execute(self, head: RequestHead, exchange: Call) -> None:
         await trio.lowlevel.checkpoint()
--- a/tests/test_routing/test_nested_limit.py
+++ b/tests/test_routing/test_nested_limit.py
@@ -22,6 +22,7 @@
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.request_log import RequestLog
+from marigoldchute.routing.running_requests import RunningRequest
 from tests.test_routing.test_attempts import AttemptTestCase, refusal
 from tests.test_routing.test_owner import CollectingExchange, FakeServers, make_head
 
@@ -109,7 +110,8 @@
             log=RequestLog(log),  # type: ignore[arg-type]
         )
         owner.weighs_work = True
-        owner._running_routes["id"] = "outer"
+        run = RunningRequest("id", "outer", "", "i@1", 10.0)
+        owner.running_requests.begin(run)
         now = 0.0
         for index in range(4 * MIN_WINDOW_CALLS):
             call = _FakeCall(f"id.{index}")
--- a/tests/test_routing/test_regions.py
+++ b/tests/test_routing/test_regions.py
@@ -35,6 +35,7 @@
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.policy import PathPolicy
 from marigoldchute.routing.regions import RegionRules, intersect_regions
+from marigoldchute.routing.running_requests import RunningRequests
 from marigoldchute.util.clock import Clock
 from tests.support.servers import read_request
 from tests.test_routing.test_attempts import FakeResponder, FakeRetryBudget
@@ -191,8 +192,8 @@
 class FakeOwner:
     region_rules: RegionRules
 
-    def is_nested(self, request_id: str) -> bool:
-        return False
+    def __init__(self) -> None:
+        self.running_requests = RunningRequests("")
 
 
 class FakeStream:
