Keep abandoned requests known until their backend server drops them

What callers saw: the caller of a request leaves, or the link to its node is lost, and the backend server goes on with the request. Its calls get 401, and it fails.

The owner forgot the id of a request as soon as it closed its side of the connection, while the backend server may run it for longer: its slot was kept for that reason, its id was not.

Evidence: test_call_of_a_request_whose_caller_left_runs_until_the_server_drops_it failed before: 401 instead of 200.

Change: such a request stays known until the backend server closes the connection, and without that until its deadline, 4,096 of them at most. After that its ids are rejected as before; the same test checks it.

Result: the test passes, with those of the owner, the entry and the nested limit.

--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -126,12 +126,17 @@
             raise RequestError("backend server closed the connection")
         response.feed(data)
 
-    async def wait_for_abandoned_request(self) -> None:
+    async def wait_for_abandoned_request(self) -> bool:
         """Abandon the response and wait until the backend server cancels the request.
 
         The half-closed connection signals the backend server to cancel the request;
         when it closes its side, the slot is free. A connection that is not closed
         within ``ABANDON_TIMEOUT_S``, or on which bytes keep arriving, is reset.
+
+        Returns
+        -------
+        bool
+            Whether the backend server closed its side.
         """
         self.tcp.send_eof()
         discarded_bytes = 0
@@ -140,12 +145,15 @@
                 while discarded_bytes <= MAX_ABANDONED_BYTES:
                     data = await self.tcp.receive(RECEIVE_BYTES)
                     if not data:
-                        break
+                        return True
                     discarded_bytes += len(data)
-        except (OSError, trio.ClosedResourceError):
+        except OSError:
+            return True
+        except trio.ClosedResourceError:
             pass
         finally:
             self.tcp.abort()
+        return False
 
 
 class BackendConnPool:
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -308,7 +308,7 @@
             )
         entry = self._find_route(req, internal)
         request_id = self._request_id(req, internal)
-        parent = self._owner.running_requests.find_parent(request_id)
+        parent = self._owner.running_requests.find_parent(request_id, received_at)
         is_nested = parent is not None
         parent_customer = None
         if parent is not None and self.access.table:
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -202,6 +202,7 @@
             while True:
                 await trio.sleep(SWEEP_INTERVAL_S)
                 self._refresh()
+                self.running_requests.expire(trio.current_time())
                 for owned in self._owned.values():
                     owned.pool.close_idle(trio.current_time())
 
@@ -234,7 +235,7 @@
 
     def record_nested_call(self, call: Call, outcome: Outcome, now: float) -> None:
         """Record the end of a call that a request on this VM made."""
-        parent = self.running_requests.find_parent(call.request_id)
+        parent = self.running_requests.find_parent(call.request_id, now)
         if parent is None or not self._weighs_work:
             return
         route = parent.route
@@ -457,10 +458,9 @@
             cancelled = is_cancelled(exc)
             if cancelled:
                 self._log_abandoned(head, exchange, "response", attempt.written)
-            self._release_failed(owned, attempt, cancelled)
+            self._release_failed(owned, attempt, cancelled, run)
             raise
-        finally:
-            self.running_requests.end(run)
+        self.running_requests.end(run)
         now = trio.current_time()
         gate.record_sample(attempt.duration_s, running, now, head.route)
         if attempt.reusable and not gate.draining:
@@ -566,25 +566,34 @@
             )
 
     def _release_failed(
-        self, owned: OwnedServer, attempt: BackendAttempt, cancelled: bool
+        self,
+        owned: OwnedServer,
+        attempt: BackendAttempt,
+        cancelled: bool,
+        run: RunningRequest,
     ) -> None:
         if attempt.refused:
             owned.gate.record_refusal(trio.current_time())
         may_still_run = attempt.written and not attempt.server_finished
         if may_still_run and self._nursery is not None:
             with contextlib.suppress(RuntimeError):  # Closed when the process ends.
-                self._nursery.start_soon(self._wait_abandoned, owned, attempt.conn)
+                self._nursery.start_soon(self._wait_abandoned, owned, attempt.conn, run)
                 return
+        self.running_requests.end(run)
         if attempt.refused and attempt.reusable:
             owned.pool.release(attempt.conn, trio.current_time())
         else:
             owned.pool.discard(attempt.conn)
         owned.gate.release_slot()
 
-    async def _wait_abandoned(self, owned: OwnedServer, conn: BackendConn) -> None:
+    async def _wait_abandoned(
+        self, owned: OwnedServer, conn: BackendConn, run: RunningRequest
+    ) -> None:
         # The slot stays in use, as the backend server may still run the request.
+        self.running_requests.detach(run)
         try:
-            await conn.wait_for_abandoned_request()
+            if await conn.wait_for_abandoned_request():
+                self.running_requests.end(run)
         finally:
             owned.pool.discard(conn)
             owned.gate.release_slot()
--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -10,6 +10,7 @@
 
 # Timeouts of bundles that were in force before this process started are not known.
 MIN_LONGEST_RUN_S = 30.0
+MAX_DETACHED = 4_096
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -53,6 +54,8 @@
     def __init__(self, separator: str) -> None:
         self._separator = separator
         self._runs: dict[str, list[RunningRequest]] = {}
+        # Of these nothing tells when they end.
+        self._detached: dict[RunningRequest, None] = {}
         self._started_at: float | None = None
         self._longest_run_s = MIN_LONGEST_RUN_S
 
@@ -76,19 +79,41 @@
 
     def end(self, run: RunningRequest) -> None:
         """Remove a request that no longer runs."""
+        self._detached.pop(run, None)
         runs = self._runs.get(run.request_id, [])
         if run in runs:
             runs.remove(run)
             if not runs:
                 del self._runs[run.request_id]
 
-    def find_parent(self, request_id: str) -> RunningRequest | None:
-        """Return the running request that makes a call with an id."""
+    def detach(self, run: RunningRequest) -> None:
+        """Keep a request that may go on without a connection until its deadline."""
+        self._detached[run] = None
+        if len(self._detached) > MAX_DETACHED:
+            self.end(next(iter(self._detached)))
+
+    def expire(self, now: float) -> None:
+        """Remove the requests without a connection whose deadline has passed."""
+        for run in [run for run in self._detached if now >= run.deadline]:
+            self.end(run)
+
+    def find_parent(self, request_id: str, now: float) -> RunningRequest | None:
+        """Return the running request that makes a call.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the call.
+        now : float
+            Monotonic time in seconds.
+        """
         if not self._separator:
             return None
         parent_id, found, _ = request_id.rpartition(self._separator)
-        runs = self._runs.get(parent_id) if found else None
-        return runs[0] if runs else None
+        for run in self._runs.get(parent_id, ()) if found else ():
+            if run not in self._detached or now < run.deadline:
+                return run
+        return None
 
     def may_lack_parent(self, request_id: str, now: float) -> bool:
         """Return whether an earlier process may have begun to run a call's parent.
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -225,6 +225,30 @@
 
         self.run_path(body)
 
+    # Guards against the rejection of calls of a run that goes on without its caller.
+    def test_call_of_a_request_whose_caller_left_runs_until_the_server_drops_it(
+        self,
+    ) -> None:
+        async def body(path: LocalPath) -> None:
+            self.release = trio.Event()
+            stream = await trio.open_tcp_stream(path.address, 9101)
+            await stream.send_all(encode_request(bearer(KEY)))
+            while not self.received:
+                await trio.sleep(0.01)
+            await stream.aclose()
+            await trio.sleep(0.2)
+            parent, self.release = self.release, trio.Event()
+            self.release.set()
+            response = await path.send(encode_request(request_id=b"id.1"))
+            self.assertEqual(status_of(response), 200)
+            self.assertIn(b"tenant-id: acme", self.headers_of())
+            parent.set()
+            await trio.sleep(0.2)
+            response = await path.send(encode_request(request_id=b"id.2"))
+            self.assertEqual(status_of(response), 401)
+
+        self.run_path(body)
+
     def test_id_of_a_nested_call_from_another_machine_needs_a_key(self) -> None:
         """Whoever knows the id of a running request could otherwise do without one."""
 
--- a/tests/test_routing/test_running_requests.py
+++ b/tests/test_routing/test_running_requests.py
@@ -4,7 +4,13 @@
 
 import unittest
 
-from marigoldchute.routing.running_requests import RunningRequest, RunningRequests
+from marigoldchute.routing.running_requests import (
+    MAX_DETACHED,
+    RunningRequest,
+    RunningRequests,
+)
+
+NOW = 1.0
 
 
 def make_run(request_id: str = "id", deadline: float = 10.0) -> RunningRequest:
@@ -17,10 +23,10 @@
         outer, inner = make_run("id"), make_run("id.101")
         requests.begin(outer)
         requests.begin(inner)
-        self.assertIs(requests.find_parent("id.201"), outer)
-        self.assertIs(requests.find_parent("id.101.201"), inner)
-        self.assertIsNone(requests.find_parent("id.201.1"))
-        self.assertIsNone(requests.find_parent("id"))
+        self.assertIs(requests.find_parent("id.201", NOW), outer)
+        self.assertIs(requests.find_parent("id.101.201", NOW), inner)
+        self.assertIsNone(requests.find_parent("id.201.1", NOW))
+        self.assertIsNone(requests.find_parent("id", NOW))
 
     def test_id_is_known_until_the_last_of_its_runs_ends(self) -> None:
         requests = RunningRequests(".")
@@ -29,18 +35,53 @@
         requests.begin(second)
         requests.end(first)
         requests.end(first)
-        self.assertIs(requests.find_parent("id.1"), second)
+        self.assertIs(requests.find_parent("id.1", NOW), second)
         requests.end(second)
-        self.assertIsNone(requests.find_parent("id.1"))
+        self.assertIsNone(requests.find_parent("id.1", NOW))
         self.assertEqual(len(requests), 0)
 
     def test_unrelated_ids_have_no_parent(self) -> None:
         requests = RunningRequests("")
         requests.begin(make_run())
-        self.assertIsNone(requests.find_parent("id.1"))
+        self.assertIsNone(requests.find_parent("id.1", NOW))
         self.assertFalse(requests.may_lack_parent("id.1", 0.0))
 
 
+class DetachedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.requests = RunningRequests(".")
+        self.run_ = make_run(deadline=10.0)
+        self.requests.begin(self.run_)
+
+    def test_detached_request_is_known_until_its_deadline(self) -> None:
+        self.requests.detach(self.run_)
+        self.assertIs(self.requests.find_parent("id.1", 9.9), self.run_)
+        self.assertIsNone(self.requests.find_parent("id.1", 10.0))
+        self.requests.expire(9.9)
+        self.assertEqual(len(self.requests), 1)
+        self.requests.expire(10.0)
+        self.assertEqual(len(self.requests), 0)
+
+    def test_request_with_a_connection_does_not_expire(self) -> None:
+        self.requests.expire(11.0)
+        self.assertIs(self.requests.find_parent("id.1", 11.0), self.run_)
+
+    def test_expired_run_does_not_hide_another_one_of_the_same_id(self) -> None:
+        self.requests.detach(self.run_)
+        second = make_run(deadline=20.0)
+        self.requests.begin(second)
+        self.assertIs(self.requests.find_parent("id.1", 15.0), second)
+
+    def test_number_of_detached_requests_is_limited(self) -> None:
+        for index in range(MAX_DETACHED + 10):
+            run = make_run(f"detached-{index}")
+            self.requests.begin(run)
+            self.requests.detach(run)
+        self.assertEqual(len(self.requests), MAX_DETACHED + 1)
+        self.assertIsNone(self.requests.find_parent("detached-9.1", NOW))
+        self.assertIsNotNone(self.requests.find_parent("detached-10.1", NOW))
+
+
 class UnknownParentTest(unittest.TestCase):
     def test_parent_may_be_unknown_for_as_long_as_a_request_may_run(self) -> None:
         cases = [((), 30.0), ((2_000,), 30.0), ((2_000, 45_000), 45.0)]
