Note the parent of a call also while there are no customers

What callers saw: a call is in progress when the first customers come into force. At its next attempt it is rejected with 401, and the request that makes it fails.

Cause: the entry noted the customer of a call's parent only in a bundle with customers. The check that is repeated after a change of the customers then found a request without a key.

Evidence: test_call_in_progress_when_customers_appear_runs failed before: 401 instead of 200.

Change: the parent is noted in any bundle.

Result: the test passes.

--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -310,9 +310,8 @@
         request_id = self._request_id(req, internal)
         parent = self._owner.running_requests.find_parent(request_id, received_at)
         is_nested = parent is not None
-        parent_customer = None
-        if parent is not None and self.access.table:
-            parent_customer = parent.customer
+        # Also without customers, as they may appear before the next attempt.
+        parent_customer = None if parent is None else parent.customer
         identity = self._identify(
             req, responder, entry, request_id, parent_customer, received_at
         )
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -355,6 +355,30 @@
 
         self.run_path(body)
 
+    # Guards against the rejection of calls in progress when the first customers appear.
+    def test_call_in_progress_when_customers_appear_runs(self) -> None:
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE, PUBLIC))
+            parent = self.release = trio.Event()
+            renew = path.entry._renew_identity
+
+            def add_customers(call: Any) -> None:
+                path.put_in_force((ROUTE, PUBLIC), (ACME, BOLT))
+                renew(call)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(path.send, encode_request())
+                while not self.received:
+                    await trio.sleep(0.01)
+                self.release = trio.Event()
+                self.release.set()
+                path.entry._renew_identity = add_customers  # type: ignore[method-assign]
+                response = await path.send(encode_request(request_id=b"id.1"))
+                parent.set()
+            self.assertEqual(status_of(response), 200)
+
+        self.run_path(body)
+
     def test_waiting_request_of_a_customer_that_stays_runs_at_the_next_attempt(
         self,
     ) -> None:
