Take no request for a call of one without an id

What callers saw: while a request without an id runs on a VM, requests from the same VM need no key if their id begins with a dot; they run under the customer of the other one.

Cause: running requests were kept under their id also when it is empty, and the id ".1" extends the empty one.

Evidence: test_request_without_an_id_makes_no_calls failed before: 200 instead of 401.

Change: a request without an id is not kept, and an id without text on both sides of its last separator is not that of a call.

--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -75,7 +75,8 @@
 
     def begin(self, run: RunningRequest) -> None:
         """Add a request that begins to run."""
-        self._runs.setdefault(run.request_id, []).append(run)
+        if run.request_id:
+            self._runs.setdefault(run.request_id, []).append(run)
 
     def end(self, run: RunningRequest) -> None:
         """Remove a request that no longer runs."""
@@ -107,10 +108,7 @@
         now : float
             Monotonic time in seconds.
         """
-        if not self._separator:
-            return None
-        parent_id, found, _ = request_id.rpartition(self._separator)
-        for run in self._runs.get(parent_id, ()) if found else ():
+        for run in self._runs.get(self._parent_id(request_id), ()):
             if run not in self._detached or now < run.deadline:
                 return run
         return None
@@ -125,8 +123,15 @@
         now : float
             Monotonic time in seconds.
         """
-        if not self._separator or not all(request_id.rpartition(self._separator)):
+        if not self._parent_id(request_id):
             return False
         if self._started_at is None:
             return True
         return now < self._started_at + self._longest_run_s
+
+    def _parent_id(self, request_id: str) -> str:
+        """Return the id of the parent of a call, empty if an id is not that of one."""
+        if not self._separator:
+            return ""
+        parent_id, _, suffix = request_id.rpartition(self._separator)
+        return parent_id if suffix else ""
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -267,6 +267,25 @@
 
         self.run_path(body)
 
+    # Guards against requests without a key that pass as calls of one without an id.
+    def test_request_without_an_id_makes_no_calls(self) -> None:
+        async def body(path: LocalPath) -> None:
+            parent = self.release = trio.Event()
+            async with trio.open_nursery() as nursery:
+                request = encode_request(bearer(KEY)).replace(
+                    b"Attempt-Id: id\r\n", b""
+                )
+                nursery.start_soon(path.send, request)
+                while not self.received:
+                    await trio.sleep(0.01)
+                self.release = trio.Event()
+                self.release.set()
+                response = await path.send(encode_request(request_id=b".1"))
+                parent.set()
+            self.assertEqual(status_of(response), 401)
+
+        self.run_path(body)
+
     def test_ended_requests_leave_no_customer_behind(self) -> None:
         async def body(path: LocalPath) -> None:
             await path.send(encode_request(bearer(KEY)))
