Restore the running requests of an earlier process from copies

What callers saw: the requests that outlast their node no longer get 401 for their calls, but 503 until their deadline, and end with 500. What they had begun, such as a payment, is left half done.

Cause: that a request runs is known in one process only.

Change: in bundles with customers each node reports its running requests to two members of its data centre, when they have changed, at most every 0.2 s. A new process of the node asks for those of the earlier one. They are known until their deadline or until another backend server reports; calls that no copy explains are refused with 503 as before.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -22,6 +22,7 @@
 from marigoldchute.hosted.registry import MAX_MISSED_REPORTS, LocalRegistry
 from marigoldchute.hosted.rejections import Rejections
 from marigoldchute.hosted.relay import BundleRelay
+from marigoldchute.hosted.run_exchange import RunExchange
 from marigoldchute.hosted.settings import Endpoint
 from marigoldchute.link.endpoint import LinkEndpoint
 from marigoldchute.link.handlers import Handlers
@@ -286,6 +287,14 @@
         )
         self._registry.on_report = self._owner.record_report
         self._registry.limits_warmup = self._warmup_rates.__contains__
+        self._run_exchange = RunExchange(
+            self._owner.running_requests,
+            self.directory,
+            self._control_pool,
+            handlers,
+            log,
+            now_ms,
+        )
         bounds = cfg.bounds
         self._limiter = QuotaLimiter(rng, bounds.quota_window_s)
         self._quota = QuotaService(
@@ -346,6 +355,7 @@
         self._readiness_http_server = self._make_local_server(readiness)
         self._in_force.add_swap_listener(self._apply_bundle)
         self._in_force.add_swap_listener(self._quota.on_bundle)
+        self._in_force.add_swap_listener(self._run_exchange.on_bundle)
         self.directory.on_view_changed += [
             self.entry.candidate_tables.mark_stale,
             self._order_book.refresh,
@@ -403,6 +413,7 @@
             nursery.start_soon(self._discovery.run)
             nursery.start_soon(self._relay.run)
             nursery.start_soon(self._quota.run)
+            nursery.start_soon(self._run_exchange.run)
             nursery.start_soon(self._expire_servers)
             await nursery.start(self._serve, self._caller_http_server, cfg.callers)
             await nursery.start(self._serve, self._readiness_http_server, cfg.readiness)
@@ -514,6 +525,8 @@
                     "requests_over_quota": self._limiter.denied_count,
                     "quota_reports_lost": self._quota.lost_reports,
                     "quota_customers_limited": self._quota.limited_total,
+                    "requests_restored": self._run_exchange.restored_count,
+                    "run_reports_lost": self._run_exchange.lost_reports,
                     **{
                         f"requests_refused_key_{fault.value}": (
                             self.entry.access.fault_counts[fault]
--- a/marigoldchute/link/methods.py
+++ b/marigoldchute/link/methods.py
@@ -27,3 +27,4 @@
     COLLECT_OUTCOMES = 35
     REPORT_QUOTA_USE = 40
     COLLECT_QUOTA_USE = 41
+    REPORT_RUNS = 50
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -609,6 +609,8 @@
             return
         self._member = member
         announced = {server.server_id: server for server in member.servers}
+        if announced:
+            self.running_requests.retain_servers(announced)
         for server_id in tuple(self._owned):
             if server_id not in announced:
                 self._remove(server_id)
--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -93,6 +93,25 @@
         if len(self._detached) > MAX_DETACHED:
             self.end(next(iter(self._detached)))
 
+    def restore(self, run: RunningRequest) -> bool:
+        """Add a request that an earlier process began to run; return if it is new."""
+        if not run.request_id or run.request_id in self._runs:
+            return False
+        self.begin(run)
+        self.detach(run)
+        return True
+
+    def retain_servers(self, server_ids: Collection[str]) -> None:
+        """Remove the requests without a connection that ran on other servers."""
+        for run in [run for run in self._detached if run.server_id not in server_ids]:
+            self.end(run)
+
+    def list_runs(self, now: float) -> tuple[RunningRequest, ...]:
+        """Return the requests with an id whose deadline has not passed."""
+        return tuple(
+            run for runs in self._runs.values() for run in runs if now < run.deadline
+        )
+
     def expire(self, now: float) -> None:
         """Remove the requests without a connection whose deadline has passed."""
         for run in [run for run in self._detached if now >= run.deadline]:
@@ -123,11 +142,13 @@
         now : float
             Monotonic time in seconds.
         """
-        if not self._parent_id(request_id):
-            return False
+        return bool(self._parent_id(request_id)) and not self.is_complete(now)
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether no request of an earlier process can run any more."""
         if self._started_at is None:
-            return True
-        return now < self._started_at + self._longest_run_s
+            return False
+        return now >= self._started_at + self._longest_run_s
 
     def _parent_id(self, request_id: str) -> str:
         """Return the id of the parent of a call, empty if an id is not that of one."""
--- a/tests/test_platform/test_nested_calls.py
+++ b/tests/test_platform/test_nested_calls.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import signal
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import httpcore
 import trio
@@ -12,6 +13,8 @@
 from tests.test_platform.test_processes import ProcessTestCase
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from tests.support.hosted import Backend, HostedMesh
 
 KEY = "k-41b7"
@@ -20,75 +23,67 @@
 CONN_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError)
 # Final responses to a call: its backend server sends it again after any other.
 FINAL_STATUSES = frozenset({200, 401, 403, 404})
+DENIALS = FINAL_STATUSES - {200}
+PATHS = {"reservas": "/a/1", "turnos": "/b/1"}  # What a backend server calls.
 
 
 class RestartedNodeTest(ProcessTestCase):
-    """The backend server of vm-0 makes a call at the end of its run."""
-
-    async def run_calls(
-        self, mesh: HostedMesh, suffixes: tuple[str, ...] = ("1",)
-    ) -> list[int]:
-        """Restart vm-0 during a run; return the statuses of the calls of the run."""
-        await self.put_customers(mesh)
-        statuses: list[int] = []
-
-        async def call(request_id: str, ends_at: float) -> None:
-            while (left_s := ends_at - trio.current_time()) > 0:
-                with contextlib.suppress(*CONN_ERRORS):
-                    response = await mesh.send_request(
-                        "vm-0", request_id=request_id, deadline_ms=int(left_s * 1000)
-                    )
-                    statuses.append(response.status)
-                    if response.status in FINAL_STATUSES:
-                        return
-                await trio.sleep(RETRY_S)
-
-        async def make_calls(backend: Backend, request_id: str) -> None:
-            ends_at = trio.current_time() + DEADLINE_S - RUN_S
-            async with trio.open_nursery() as nursery:
-                for suffix in suffixes:
-                    nursery.start_soon(call, f"{request_id}.{suffix}", ends_at)
-
-        async def send() -> None:
-            with contextlib.suppress(*CONN_ERRORS):  # The node is killed.
-                await mesh.send_request("vm-0", "/b/1", b"", "run", key=KEY)
-
-        backend = mesh.backends["vm-0"]
-        backend.run_time, backend.before_response = lambda target: RUN_S, make_calls
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            while not backend.runs:
-                await trio.sleep(0.01)
-            await trio.sleep(RUN_S / 3)
-            await self.restart_nodes(mesh)
-            with trio.fail_after(2 * DEADLINE_S):
-                while backend.runs[-1].ended_at == float("inf"):
-                    await trio.sleep(0.05)
-        return statuses
-
-    async def put_customers(self, mesh: HostedMesh) -> None:
-        mesh.tenants = [{"name": "acme", "api_keys": [KEY]}]
-        mesh.put_configuration(timeout_ms=int(DEADLINE_S * 1000))
-        for name in mesh.names:
-            with trio.fail_after(10):
-                while (await mesh.send_request(name)).status != 401:
-                    await trio.sleep(0.05)
+    """Backend servers make calls at the end of a run, which their node does not see.
+
+    Attributes
+    ----------
+    statuses : dict of int to list of int
+        Statuses of the calls by their depth.
+    """
+
+    def run_restarted(
+        self,
+        restart: Callable[[HostedMesh, str], Awaitable[None]],
+        check: Callable[[HostedMesh], None],
+        calls: int = 1,
+        depth: int = 1,
+    ) -> None:
+        """Restart nodes while a request runs, and check the mesh afterwards.
+
+        Parameters
+        ----------
+        restart : callable
+            Gets the mesh and the name of the VM with the request.
+        check : callable
+            Gets the mesh.
+        calls : int
+            Number of calls that each request makes.
+        depth : int
+            Depth of the calls whose parent outlasts its node.
+        """
+        self.statuses = collections.defaultdict(list)
 
-    async def restart_nodes(self, mesh: HostedMesh) -> None:
-        mesh.signal_node("vm-0", signal.SIGKILL)
-        await mesh.wait_for_exit("vm-0")
-        mesh.start_node("vm-0")
-
-    # Guards against the rejection of proper calls by a process that cannot know them.
-    def test_calls_of_a_run_that_outlasts_its_node_are_not_denied(self) -> None:
         async def scenario(mesh: HostedMesh) -> None:
-            statuses = await self.run_calls(mesh, ("101", "201", "301"))
-            self.assertTrue(statuses)
-            self.assertFalse(set(statuses) & {401, 403, 404}, statuses)
+            await self.put_customers(mesh)
+
+            async def make_calls(backend: Backend, request_id: str) -> None:
+                if request_id.startswith("run") and request_id.count(".") < depth:
+                    async with trio.open_nursery() as nursery:
+                        for number in range(1, calls + 1):
+                            call_id = f"{request_id}.{number}01"
+                            nursery.start_soon(self.call, mesh, backend, call_id)
+
+            for backend in mesh.backends.values():
+                backend.run_time = lambda target: RUN_S
+                backend.before_response = make_calls
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.send, mesh)
+                backend = await self.wait_for_run(mesh, depth - 1)
+                await trio.sleep(RUN_S / 3)
+                await restart(mesh, backend.name.removeprefix("i-"))
+                with trio.fail_after(2 * DEADLINE_S):
+                    while backend.runs[-1].ended_at == float("inf"):
+                        await trio.sleep(0.05)
+            check(mesh)
 
-        self.run_outlasting(scenario)
+        self.run_mesh(scenario, "reservas", "turnos", "turnos")
 
-    def run_outlasting(self, scenario: Any) -> None:
+    async def put_customers(self, mesh: HostedMesh) -> None:
         path = {
             "name": "b",
             "path_prefix": "/b/",
@@ -99,9 +94,99 @@
             "service": "reservas",
             "max_attempts": 2,
         }
+        mesh.more_paths.append(path)
+        mesh.tenants = [{"name": "acme", "api_keys": [KEY]}]
+        mesh.put_configuration(timeout_ms=int(DEADLINE_S * 1000))
+        for name in mesh.names:
+            with trio.fail_after(10):
+                while (await mesh.send_request(name)).status != 401:
+                    await trio.sleep(0.05)
 
-        async def prepare(mesh: HostedMesh) -> None:
-            mesh.more_paths.append(path)
-            await scenario(mesh)
-
-        self.run_mesh(prepare, "reservas", "turnos", "turnos")
+    async def send(self, mesh: HostedMesh) -> None:
+        with contextlib.suppress(*CONN_ERRORS):  # The node may be killed.
+            await mesh.send_request("vm-0", "/b/1", b"", "run", 5000, KEY)
+
+    async def call(self, mesh: HostedMesh, backend: Backend, call_id: str) -> None:
+        """Make a call until it has a final response or its time is over."""
+        name, path = backend.name.removeprefix("i-"), PATHS[backend.service]
+        ends_at = trio.current_time() + DEADLINE_S - RUN_S
+        while (left_s := ends_at - trio.current_time()) > 0:
+            with contextlib.suppress(*CONN_ERRORS):
+                response = await mesh.send_request(
+                    name, path, b"", call_id, int(left_s * 1000)
+                )
+                self.statuses[call_id.count(".")].append(response.status)
+                if response.status in FINAL_STATUSES:
+                    return
+            await trio.sleep(RETRY_S)
+
+    async def wait_for_run(self, mesh: HostedMesh, depth: int) -> Backend:
+        """Wait until a request of a depth runs; return its backend server."""
+        while True:
+            for backend in mesh.backends.values():
+                for run in backend.runs:
+                    if (
+                        run.request_id.count(".") == depth
+                        and run.request_id[:3] == "run"
+                    ):
+                        return backend
+            await trio.sleep(0.01)
+
+    async def restart(self, mesh: HostedMesh, *names: str) -> None:
+        for name in names:
+            mesh.signal_node(name, signal.SIGKILL)
+        for name in names:
+            await mesh.wait_for_exit(name)
+        for name in names:
+            mesh.start_node(name)
+
+    def check_served(self, mesh: HostedMesh, depth: int, count: int) -> None:
+        self.assertEqual(self.statuses[depth].count(200), count, self.statuses)
+        self.assertFalse(set(self.statuses[depth]) & DENIALS, self.statuses)
+        requests = [
+            request
+            for backend in mesh.backends.values()
+            for request in backend.requests
+            if request["attempt-id"].count(".") == depth
+        ]
+        names = [request["tenant-id"] for request in requests]
+        self.assertEqual(names, count * ["acme"])
+
+    # Guards against the rejection of calls whose parent an earlier process has sent.
+    def test_calls_of_a_run_that_outlasts_its_node_are_served(self) -> None:
+        def check(mesh: HostedMesh) -> None:
+            self.check_served(mesh, 1, 3)
+            names = [event["event"] for event in mesh.read_events("vm-0")]
+            self.assertIn("node:requests_restored", names)
+
+        self.run_restarted(self.restart, check, calls=3)
+
+    # Guards against copies of running requests that outlast one process only.
+    def test_calls_of_a_run_that_outlasts_two_processes_are_served(self) -> None:
+        async def restart(mesh: HostedMesh, name: str) -> None:
+            await self.restart(mesh, name)
+            with trio.fail_after(5):
+                while "requests_restored" not in mesh.read_log(name):
+                    await trio.sleep(0.02)
+            await trio.sleep(0.3)
+            await self.restart(mesh, name)
+
+        self.run_restarted(restart, lambda mesh: self.check_served(mesh, 1, 1))
+
+    # Guards against the rejection of calls of calls, whose parent came without a key.
+    def test_calls_of_a_nested_run_that_outlasts_its_node_are_served(self) -> None:
+        def check(mesh: HostedMesh) -> None:
+            self.assertIn(200, self.statuses[2])
+            self.assertFalse(set(self.statuses[2]) & DENIALS, self.statuses)
+
+        self.run_restarted(self.restart, check, depth=2)
+
+    # Guards against denials when no copy of the running requests is left.
+    def test_calls_are_refused_but_not_denied_when_all_nodes_are_lost(self) -> None:
+        async def restart(mesh: HostedMesh, name: str) -> None:
+            await self.restart(mesh, *mesh.names)
+
+        def check(mesh: HostedMesh) -> None:
+            self.assertEqual(set(self.statuses[1]), {503})
+
+        self.run_restarted(restart, check)
