Keep requests known whose connection to their backend server was reset

What callers saw: the connection between a node and its backend server is reset, and the server goes on with the request. Its calls get 401, and what it has begun stays half done.

A reset counted as the end of the request, although the network resets connections as well.

Change: such a request stays known until its deadline. A connection that the backend server closes in order ends it as before. Reports to other nodes hold 128 requests at most, those with a connection first, so that a server that resets when it is full does not make them large.

--- a/marigoldchute/hosted/run_copies.py
+++ b/marigoldchute/hosted/run_copies.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-MAX_COPIED_RUNS = 1_024  # In one report.
+MAX_COPIED_RUNS = 128  # In one report.
 
 
 class CopiedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/marigoldchute/routing/backend_conn.py
+++ b/marigoldchute/routing/backend_conn.py
@@ -31,6 +31,8 @@
     ----------
     was_used : bool
         Whether a request was sent on it.
+    was_reset : bool
+        Whether it broke, so that the backend server may not have closed it.
     refused_ids : frozenset of str
         Ids of the requests that the backend server refused on it.
     """
@@ -41,6 +43,7 @@
         "refused_ids",
         "reusable_for_s",
         "tcp",
+        "was_reset",
         "was_used",
     )
 
@@ -48,6 +51,7 @@
         self.tcp = tcp
         self.closed_by_peer = False
         self.was_used = False
+        self.was_reset = False
         self.refused_ids: frozenset[str] = frozenset()
         self.idle_since = 0.0
         self.reusable_for_s = MAX_IDLE_S
@@ -78,7 +82,7 @@
         try:
             await self.tcp.send(data)
         except OSError as exc:
-            self.closed_by_peer = True
+            self.closed_by_peer = self.was_reset = True
             if self.tcp.bytes_written == written_before:
                 raise NotRunError(
                     f"connection to the backend server broke: {exc}",
@@ -99,7 +103,7 @@
         try:
             await self.tcp.send(data)
         except OSError as exc:
-            self.closed_by_peer = True
+            self.closed_by_peer = self.was_reset = True
             raise RequestError(
                 f"connection to the backend server broke: {exc}"
             ) from exc
@@ -115,7 +119,7 @@
         try:
             data = await self.tcp.receive(RECEIVE_BYTES)
         except OSError as exc:
-            self.closed_by_peer = True
+            self.closed_by_peer = self.was_reset = True
             raise RequestError(
                 f"connection to the backend server broke: {exc}"
             ) from exc
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -579,7 +579,10 @@
             with contextlib.suppress(RuntimeError):  # Closed when the process ends.
                 self._nursery.start_soon(self._wait_abandoned, owned, attempt.conn, run)
                 return
-        self.running_requests.end(run)
+        if attempt.written and attempt.conn.was_reset:
+            self.running_requests.detach(run)
+        else:
+            self.running_requests.end(run)
         if attempt.refused and attempt.reusable:
             owned.pool.release(attempt.conn, trio.current_time())
         else:
--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -107,10 +107,13 @@
             self.end(run)
 
     def list_runs(self, now: float) -> tuple[RunningRequest, ...]:
-        """Return the requests with an id whose deadline has not passed."""
-        return tuple(
-            run for runs in self._runs.values() for run in runs if now < run.deadline
-        )
+        """Return the requests with an id whose deadline has not passed.
+
+        Those with a connection come first.
+        """
+        runs = [run for runs in self._runs.values() for run in runs]
+        runs.sort(key=self._detached.__contains__)
+        return tuple(run for run in runs if now < run.deadline)
 
     def expire(self, now: float) -> None:
         """Remove the requests without a connection whose deadline has passed."""
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+import struct
 import unittest
 from typing import TYPE_CHECKING, Any
 
@@ -51,11 +53,16 @@
         self.received: list[bytes] = []
         self.release = trio.Event()
         self.release.set()
+        self.resets_next = False
 
         async def serve(stream: trio.SocketStream) -> None:
             while request := await read_request(stream):
                 self.received.append(request)
                 await self.release.wait()
+                if self.resets_next:
+                    self.resets_next = False
+                    reset(stream)
+                    return
                 request_id = request.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
                 await stream.send_all(
                     b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\nok"
@@ -249,6 +256,21 @@
 
         self.run_path(body)
 
+    # Guards against the rejection of calls of a run whose connection the network reset.
+    def test_call_of_a_request_whose_connection_was_reset_runs(self) -> None:
+        async def body(path: LocalPath) -> None:
+            self.resets_next = True
+            response = await path.send(encode_request(bearer(KEY)))
+            self.assertEqual(status_of(response), 502)
+            response = await path.send(encode_request(request_id=b"id.1"))
+            self.assertEqual(status_of(response), 200)
+            self.assertIn(b"tenant-id: acme", self.headers_of())
+            await trio.sleep(ROUTE.timeout_ms / 1000)
+            response = await path.send(encode_request(request_id=b"id.2"))
+            self.assertEqual(status_of(response), 401)
+
+        self.run_path(body)
+
     def test_id_of_a_nested_call_from_another_machine_needs_a_key(self) -> None:
         """Whoever knows the id of a running request could otherwise do without one."""
 
@@ -437,6 +459,12 @@
         self.run_path(body)
 
 
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that its peer gets a reset."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
 async def refuse() -> None:
     await trio.lowlevel.checkpoint()
     raise NotRunError("full", ResultCode.REQUEST_NOT_RUN_DRAINING)
