Report running requests to peers that are linked anyway

Cause: in a mesh of more than 48 nodes the first members in rendezvous order are mostly not linked, so that each node would open two more links with heartbeats of their own.

Change: peers of the overlay in the data centre come first; without any, other members.

Result: test_members_with_a_link_are_preferred; the tests with real processes pass.

--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -52,8 +52,8 @@
 class RunExchange:
     """Reports the running requests of this VM, and restores those of before a restart.
 
-    The reports go to the first members of the data centre in rendezvous order, which
-    keep the latest one. A new process of the node asks them for the requests of the
+    The reports go to the first peers in the data centre in rendezvous order, which keep
+    the latest one. A new process of the node asks them for the requests of the
     earlier one. Nothing is sent while there are no customers: calls need no parent
     then.
 
@@ -204,9 +204,12 @@
             if member.name != local.name and member.state is MemberState.ALIVE
         ]
         near = [m for m in others if m.data_centre == local.data_centre]
+        # Links to these are open anyway.
+        peers = self._directory.wanted_peers()
+        linked = [m for m in near if m.name in peers]
         in_region = [m for m in others if m.region == local.region]
         self._holders = rendezvous_order(
-            near or in_region or others, f"runs/{local.name}"
+            linked or near or in_region or others, f"runs/{local.name}"
         )
 
 
--- a/tests/test_hosted/test_run_exchange.py
+++ b/tests/test_hosted/test_run_exchange.py
@@ -32,6 +32,7 @@
             Member(f"vm-{i}", 1, 1, "127.0.0.1", 1, "dc" if i < 7 else "far", "r")
             for i in range(9)
         ]
+        self.peers = {member.name: ("", 0) for member in self.members}
         self.silent: set[str] = set()
         self.calls: list[tuple[str, str]] = []
         self.nodes: dict[str, Node] = {}
@@ -64,7 +65,9 @@
         self.requests.start(trio.current_time())
         (local,) = (member for member in mesh.members if member.name == name)
         directory: Any = types.SimpleNamespace(
-            local=local, reachable=lambda: mesh.members
+            local=local,
+            reachable=lambda: mesh.members,
+            wanted_peers=lambda: mesh.peers,
         )
         log: Any = MemoryEventLog()
         self.exchange = RunExchange(
@@ -154,6 +157,16 @@
 
         self.run_mesh(body)
 
+    def test_members_with_a_link_are_preferred(self) -> None:
+        async def body(mesh: Mesh) -> None:
+            mesh.peers = {name: ("", 0) for name in ("vm-3", "vm-5", "vm-8")}
+            self.assertCountEqual(await mesh.nodes["vm-0"].report(), ["vm-3", "vm-5"])
+            mesh.peers = {"vm-8": ("", 0)}
+            mesh.start("vm-0", 2)
+            self.assertEqual(len(await mesh.nodes["vm-0"].report()), 4)
+
+        self.run_mesh(body)
+
     def test_member_that_does_not_respond_is_replaced(self) -> None:
         async def body(mesh: Mesh) -> None:
             node = mesh.nodes["vm-0"]
