Report only requests that run for longer than a restart

Cause: each start and end of a request was a change, so that every node sent a report to two holders five times a second. Most of these requests end before a new process would listen.

Change: a request is reported when it has run for 0.4 s; ended ones leave with the next report, or after 1 s. What a holder keeps of earlier processes has the limit of one report.

--- a/marigoldchute/hosted/run_copies.py
+++ b/marigoldchute/hosted/run_copies.py
@@ -103,14 +103,14 @@
         if copy is not None:
             is_same = copy.process_id == report.process_id
             earlier = copy.earlier if is_same else copy.earlier + copy.runs
-            earlier = _unexpired(earlier, now)
+            earlier = _unexpired(earlier, now)[-MAX_COPIED_RUNS:]
         runs = tuple(_DatedRun(run, now) for run in report.runs[:MAX_COPIED_RUNS])
         self._copies[name] = _Copy(report.process_id, runs, earlier)
         if not report.wants_earlier:
             return ()
         return tuple(
             msgspec.structs.replace(dated.run, remaining_ms=dated.remaining_ms(now))
-            for dated in earlier[-MAX_COPIED_RUNS:]
+            for dated in earlier
         )
 
     def expire(self, now: float) -> None:
--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -32,6 +33,9 @@
     from marigoldchute.routing.running_requests import RunningRequests
 
 REPORT_INTERVAL_S = 0.2
+# A new process takes longer to start, so that shorter requests have ended by then.
+MIN_AGE_S = 0.4
+MAX_STALE_S = 1.0  # For which a holder may have ended requests.
 CALL_TIMEOUT_S = 0.5
 # A member that did not respond is passed over for this time.
 AVOID_S = 2.0
@@ -52,10 +56,10 @@
 class RunExchange:
     """Reports the running requests of this VM, and restores those of before a restart.
 
-    The reports go to the first peers in the data centre in rendezvous order, which keep
-    the latest one. A new process of the node asks them for the requests of the
-    earlier one. Nothing is sent while there are no customers: calls need no parent
-    then.
+    Requests that run for ``MIN_AGE_S`` are reported to the first peers in the data
+    centre in rendezvous order, which keep the latest report. A new process of the node
+    asks them for the requests of the earlier one. Nothing is sent while there are no
+    customers: calls need no parent then.
 
     Parameters
     ----------
@@ -100,8 +104,10 @@
         self._has_customers = False
         self._asked: set[str] = set()
         self._avoided_until: dict[str, float] = {}
-        # What a member has got, by its name and incarnation.
-        self._reported: dict[tuple[str, int], tuple[RunningRequest, ...]] = {}
+        # What a member has got and when, by its name and incarnation.
+        self._reported: dict[
+            tuple[str, int], tuple[frozenset[RunningRequest], float]
+        ] = {}
         self._ordered_from: list[Member] | None = None
         self._holders: list[Member] = []
         handlers.register(Method.REPORT_RUNS, self._handle_report)
@@ -127,7 +133,7 @@
         now : float
             Monotonic time in seconds.
         """
-        runs = self._requests.list_runs(now)
+        runs = self._requests.list_runs(now, MIN_AGE_S)[:MAX_COPIED_RUNS]
         self._update_holders()
         holders = [
             member
@@ -136,23 +142,30 @@
         ]
         async with trio.open_nursery() as nursery:
             for member in holders[:HOLDERS]:
-                if self._lacks(member, runs):
+                if self._is_due(member, runs, now):
                     nursery.start_soon(self._send, member, runs, now)
             if self._requests.is_complete(now):
                 return
             for member in holders[HOLDERS:]:
                 if member.name not in self._asked:
-                    nursery.start_soon(self._send, member, (), now)
-
-    def _lacks(self, member: Member, runs: tuple[RunningRequest, ...]) -> bool:
-        return self._reported.get((member.name, member.incarnation)) != runs
+                    nursery.start_soon(self._send, member, [], now)
+
+    def _is_due(self, member: Member, runs: list[RunningRequest], now: float) -> bool:
+        """Return whether a holder lacks a request, or has had ended ones for long."""
+        last = self._reported.get((member.name, member.incarnation))
+        if last is None:
+            return True
+        reported, reported_at = last
+        if not reported.issuperset(runs):
+            return True
+        return len(reported) > len(runs) and now - reported_at >= MAX_STALE_S
 
     async def _send(
-        self, member: Member, runs: tuple[RunningRequest, ...], now: float
+        self, member: Member, runs: list[RunningRequest], now: float
     ) -> None:
         name = member.name
         wants_earlier = name not in self._asked
-        copied = tuple(_copy_run(run, now) for run in runs[:MAX_COPIED_RUNS])
+        copied = tuple(_copy_run(run, now) for run in runs)
         report = RunReport(self._process_id, wants_earlier, copied)
         self._reported = {k: v for k, v in self._reported.items() if k[0] != name}
         try:
@@ -164,7 +177,7 @@
             self.lost_reports += 1
             self._avoided_until[name] = now + AVOID_S
             return
-        self._reported[name, member.incarnation] = runs
+        self._reported[name, member.incarnation] = (frozenset(runs), now)
         self._asked.add(name)
         if wants_earlier:
             self._restore(name, earlier, now)
@@ -223,5 +236,5 @@
 def _restored_run(run: CopiedRun, now: float) -> RunningRequest:
     deadline = now + run.remaining_ms / 1000
     return RunningRequest(
-        run.request_id, run.route, run.customer, run.server_id, deadline
+        run.request_id, run.route, run.customer, run.server_id, -math.inf, deadline
     )
--- a/marigoldchute/routing/owner.py
+++ b/marigoldchute/routing/owner.py
@@ -444,12 +444,14 @@
             self._dialect,
             self._policy,
         )
+        now = trio.current_time()
         run = RunningRequest(
             head.request_id,
             head.route,
             head.customer,
             server.server_id,
-            trio.current_time() + remaining_ms / 1000,
+            now,
+            now + remaining_ms / 1000,
         )
         self.running_requests.begin(run)
         try:
--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -27,6 +27,9 @@
         Its customer; empty when it has none or it is not known.
     server_id : str
         Backend server that runs it.
+    started_at : float
+        Monotonic time in seconds at which it was sent to the backend server; minus
+        infinity if an earlier process sent it.
     deadline : float
         Monotonic time in seconds after which it makes no further calls.
     """
@@ -35,6 +38,7 @@
     route: str
     customer: str
     server_id: str
+    started_at: float
     deadline: float
 
 
@@ -106,14 +110,24 @@
         for run in [run for run in self._detached if run.server_id not in server_ids]:
             self.end(run)
 
-    def list_runs(self, now: float) -> tuple[RunningRequest, ...]:
-        """Return the requests with an id whose deadline has not passed.
+    def list_runs(self, now: float, min_age_s: float) -> list[RunningRequest]:
+        """Return the requests with an id that still run, those with a connection first.
 
-        Those with a connection come first.
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        min_age_s : float
+            Time in seconds for which they run at least.
         """
-        runs = [run for runs in self._runs.values() for run in runs]
+        runs = [
+            run
+            for runs in self._runs.values()
+            for run in runs
+            if now < run.deadline and now - run.started_at >= min_age_s
+        ]
         runs.sort(key=self._detached.__contains__)
-        return tuple(run for run in runs if now < run.deadline)
+        return runs
 
     def expire(self, now: float) -> None:
         """Remove the requests without a connection whose deadline has passed."""
--- a/tests/test_hosted/test_run_exchange.py
+++ b/tests/test_hosted/test_run_exchange.py
@@ -13,7 +13,12 @@
 from marigoldchute.bundle.model import Customer
 from marigoldchute.errors import PeerError
 from marigoldchute.events import MemoryEventLog
-from marigoldchute.hosted.run_exchange import AVOID_S, RunExchange
+from marigoldchute.hosted.run_exchange import (
+    AVOID_S,
+    MAX_STALE_S,
+    MIN_AGE_S,
+    RunExchange,
+)
 from marigoldchute.link.handlers import Handlers
 from marigoldchute.membership.model import Member
 from marigoldchute.routing.running_requests import RunningRequest, RunningRequests
@@ -21,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-RUN = RunningRequest("id", "r", "acme", "i@1", 20.0)
+RUN = RunningRequest("id", "r", "acme", "i@1", -1.0, 20.0)
 
 
 class Mesh:
@@ -153,7 +158,24 @@
             mesh.start(holders[0], 2)
             self.assertEqual(await node.report(), [holders[0]])
             node.requests.end(RUN)
+            self.assertEqual(await node.report(), [])
+            await trio.sleep(MAX_STALE_S)
             self.assertCountEqual(await node.report(), holders)
+            await trio.sleep(MAX_STALE_S)
+            self.assertEqual(await node.report(), [])
+
+        self.run_mesh(body)
+
+    def test_short_requests_are_not_reported(self) -> None:
+        async def body(mesh: Mesh) -> None:
+            node = mesh.nodes["vm-0"]
+            await node.report()
+            node.requests.begin(
+                dataclasses.replace(RUN, started_at=trio.current_time())
+            )
+            self.assertEqual(await node.report(), [])
+            await trio.sleep(MIN_AGE_S)
+            self.assertEqual(len(await node.report()), 2)
 
         self.run_mesh(body)
 
--- a/tests/test_routing/test_nested_limit.py
+++ b/tests/test_routing/test_nested_limit.py
@@ -110,7 +110,7 @@
             log=RequestLog(log),  # type: ignore[arg-type]
         )
         owner.weighs_work = True
-        run = RunningRequest("id", "outer", "", "i@1", 10.0)
+        run = RunningRequest("id", "outer", "", "i@1", 0.0, 10.0)
         owner.running_requests.begin(run)
         now = 0.0
         for index in range(4 * MIN_WINDOW_CALLS):
--- a/tests/test_routing/test_running_requests.py
+++ b/tests/test_routing/test_running_requests.py
@@ -14,7 +14,7 @@
 
 
 def make_run(request_id: str = "id", deadline: float = 10.0) -> RunningRequest:
-    return RunningRequest(request_id, "r", "acme", "i@1", deadline)
+    return RunningRequest(request_id, "r", "acme", "i@1", 0.0, deadline)
 
 
 class ParentTest(unittest.TestCase):
@@ -40,6 +40,15 @@
         self.assertIsNone(requests.find_parent("id.1", NOW))
         self.assertEqual(len(requests), 0)
 
+    def test_listed_are_those_of_an_age_that_still_run(self) -> None:
+        requests = RunningRequests(".")
+        detached, attached = make_run("id"), make_run("other")
+        for run in (detached, attached, make_run("late", 0.9)):
+            requests.begin(run)
+        requests.detach(detached)
+        self.assertEqual(requests.list_runs(NOW, 0.5), [attached, detached])
+        self.assertEqual(requests.list_runs(NOW, 1.1), [])
+
     def test_unrelated_ids_have_no_parent(self) -> None:
         requests = RunningRequests("")
         requests.begin(make_run())
