Test calls of requests that outlast a planned stop

Cause: besides a kill, a node also goes and comes back by a stop whose grace period ends before its requests.

Change: a test with SIGTERM instead of the kill. Two docstrings say what they did not.

--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -134,7 +134,7 @@
             await trio.sleep_until(started_at + CHECK_INTERVAL_S)
 
     async def report(self, now: float) -> None:
-        """Send one report to each holder that lacks the present one.
+        """Send a report to each holder that is due for one.
 
         Parameters
         ----------
--- a/tests/test_platform/test_nested_calls.py
+++ b/tests/test_platform/test_nested_calls.py
@@ -182,6 +182,15 @@
 
         self.run_restarted(restart, lambda mesh: self.check_served(mesh, 1, 1))
 
+    # Guards against the rejection of calls of requests that outlast the grace period.
+    def test_calls_of_a_run_that_outlasts_a_planned_stop_are_served(self) -> None:
+        async def restart(mesh: HostedMesh, name: str) -> None:
+            mesh.signal_node(name, signal.SIGTERM)
+            await mesh.wait_for_exit(name)
+            mesh.start_node(name)
+
+        self.run_restarted(restart, lambda mesh: self.check_served(mesh, 1, 1))
+
     # Guards against the rejection of calls of calls, whose parent came without a key.
     def test_calls_of_a_nested_run_that_outlasts_its_node_are_served(self) -> None:
         def check(mesh: HostedMesh) -> None:
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -47,7 +47,17 @@
 
 
 class AccessTestCase(unittest.TestCase):
-    """Runs a node with two customers; requests that run are kept in ``received``."""
+    """Runs a node with two customers.
+
+    Attributes
+    ----------
+    received : list of bytes
+        Requests that ran.
+    release : trio.Event
+        Responses wait for it, from the arrival of their request on.
+    resets_next : bool
+        Whether the connection is reset instead of the next response.
+    """
 
     def run_path(self, body: Callable[[LocalPath], Awaitable[None]]) -> None:
         self.received: list[bytes] = []
