Report running requests outside the data centre only without members in it

Cause, suspected: a node that has just started may know members of other regions first. It reported to these and kept the links, with their heartbeats.

Change: members elsewhere are asked only if none of the data centre is known 2 s after the start.

--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -33,6 +33,8 @@
     from marigoldchute.routing.running_requests import RunningRequests
 
 CHECK_INTERVAL_S = 0.2
+# After its start a node may not know the members of its data centre yet.
+START_S = 2.0
 MIN_REPORT_INTERVAL_S = 0.5  # Between two reports to a holder.
 # A new process takes longer to start, so that shorter requests have ended by then.
 MIN_AGE_S = 0.4
@@ -112,7 +114,8 @@
         self._reported: dict[
             tuple[str, int], tuple[frozenset[RunningRequest], float]
         ] = {}
-        self._ordered_from: list[Member] | None = None
+        self._started_at: float | None = None
+        self._ordered_from: tuple[list[Member], bool] | None = None
         self._holders: list[Member] = []
         handlers.register(Method.REPORT_RUNS, self._handle_report)
 
@@ -142,7 +145,7 @@
             Monotonic time in seconds.
         """
         runs = self._requests.list_runs(now, MIN_REPORTED_AGE_S)[:MAX_COPIED_RUNS]
-        self._update_holders()
+        self._update_holders(now)
         holders = [
             member
             for member in self._holders[:ASKED_HOLDERS]
@@ -219,11 +222,14 @@
         now = trio.current_time()
         return ENCODER.encode(self._copies.handle_report(link.peer.name, report, now))
 
-    def _update_holders(self) -> None:
+    def _update_holders(self, now: float) -> None:
+        if self._started_at is None:
+            self._started_at = now
         members = self._directory.reachable()
-        if members is self._ordered_from:
+        knows_members = now - self._started_at >= START_S
+        if (members, knows_members) == self._ordered_from:
             return
-        self._ordered_from = members
+        self._ordered_from = (members, knows_members)
         local = self._directory.local
         others = [
             member
@@ -234,10 +240,10 @@
         # Links to these are open anyway.
         peers = self._directory.wanted_peers()
         linked = [m for m in near if m.name in peers]
-        in_region = [m for m in others if m.region == local.region]
-        self._holders = rendezvous_order(
-            linked or near or in_region or others, f"runs/{local.name}"
-        )
+        far: list[Member] = []
+        if knows_members:
+            far = [m for m in others if m.region == local.region] or others
+        self._holders = rendezvous_order(linked or near or far, f"runs/{local.name}")
 
 
 def _copy_run(run: RunningRequest, now: float) -> CopiedRun:
--- a/tests/test_hosted/test_run_exchange.py
+++ b/tests/test_hosted/test_run_exchange.py
@@ -18,6 +18,7 @@
     MAX_STALE_S,
     MIN_AGE_S,
     MIN_REPORT_INTERVAL_S,
+    START_S,
     RunExchange,
 )
 from marigoldchute.link.handlers import Handlers
@@ -194,6 +195,19 @@
 
         self.run_mesh(body)
 
+    # Guards against links between regions that a node opens at its start.
+    def test_members_elsewhere_are_used_only_if_none_nearby_appears(self) -> None:
+        async def body(mesh: Mesh) -> None:
+            members, mesh.members = mesh.members, mesh.members[:1] + mesh.members[7:]
+            node = mesh.start("vm-0", 1)
+            self.assertEqual(await node.report(), [])
+            await trio.sleep(START_S)
+            self.assertCountEqual(await node.report(), ["vm-7", "vm-8"])
+            mesh.members = members
+            self.assertFalse({"vm-7", "vm-8"} & set(await node.report()))
+
+        self.run_mesh(body)
+
     def test_member_that_does_not_respond_is_replaced(self) -> None:
         async def body(mesh: Mesh) -> None:
             node = mesh.nodes["vm-0"]
