Log and count what told the customer of a request

Change: an identity says what told it, a key or the request that makes the call. Lines of requests have it as identified_by, three metrics count it, and a line key_and_parent names a request with a key whose id is that of a call of a running request.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -38,7 +38,7 @@
 from marigoldchute.quota.limiter import QuotaLimiter
 from marigoldchute.quota.limits import QuotaBound
 from marigoldchute.quota.service import QuotaService
-from marigoldchute.routing.access import AccessControl, KeyFault
+from marigoldchute.routing.access import AccessControl, IdentitySource, KeyFault
 from marigoldchute.routing.budget import WindowRetryBudget
 from marigoldchute.routing.cut import CutCause
 from marigoldchute.routing.entry import Entry
@@ -533,6 +533,12 @@
                         )
                         for fault in KeyFault
                     },
+                    **{
+                        f"requests_identified_by_{source.value}": (
+                            self.entry.access.source_counts[source]
+                        )
+                        for source in IdentitySource
+                    },
                     "routes_of_unknown_kind": self._catalog.unknown_kind_count,
                     "store_restorations": self._store.restorations,
                     "order_statuses_rewritten": self._driver.rewritten_count,
--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -32,6 +32,14 @@
     PARENT_UNKNOWN = "parent_unknown"
 
 
+class IdentitySource(enum.Enum):
+    """What told the customer of a request."""
+
+    NONE = "none"
+    KEY = "key"
+    PARENT = "parent"
+
+
 _FAULT_TEXTS = {
     KeyFault.MISSING: "the request has no key",
     KeyFault.MALFORMED: "the authorization header is not of the form 'Bearer KEY'",
@@ -56,11 +64,14 @@
         Admission class of the customer's requests; None for that of the route.
     is_limited : bool
         Whether the request counts towards the customer's quota.
+    source : IdentitySource
+        What told the customer.
     """
 
     customer: str = ""
     priority: int | None = None
     is_limited: bool = False
+    source: IdentitySource = IdentitySource.NONE
 
 
 ANONYMOUS = Identity()
@@ -115,6 +126,9 @@
         Names of request headers that are not forwarded as received.
     fault_counts : counter of KeyFault
         Requests that were rejected, by cause.
+    source_counts : counter of IdentitySource
+        Requests that were identified, by what told their customer. One that is
+        identified again, after a change of the customers, counts again.
     """
 
     def __init__(
@@ -126,6 +140,7 @@
         self.table = CustomerTable()
         self.own_headers = dialect.mesh_request_headers
         self.fault_counts: collections.Counter[KeyFault] = collections.Counter()
+        self.source_counts: collections.Counter[IdentitySource] = collections.Counter()
         self._dialect = dialect
         self._log = log
         self._is_own_address = is_own_address
@@ -144,6 +159,18 @@
             self.own_headers |= {name for name in names if name}
         self._log_table()
 
+    def has_key(self, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+        """Return whether a request has a key, valid or not, while there are customers.
+
+        Parameters
+        ----------
+        headers : iterable of (bytes, bytes)
+            Lower-case names and values of the request's headers.
+        """
+        if not self.table:
+            return False
+        return any(name == self._dialect.authorization for name, _ in headers)
+
     def identify(
         self,
         headers: Iterable[tuple[bytes, bytes]],
@@ -176,13 +203,32 @@
         """
         if not self.table:
             return ANONYMOUS
+        identity = self._find_identity(
+            headers, route, peer_address, parent_customer, may_lack_parent
+        )
+        self.source_counts[identity.source] += 1
+        return identity
+
+    def _find_identity(
+        self,
+        headers: Iterable[tuple[bytes, bytes]],
+        route: Route,
+        peer_address: str,
+        parent_customer: str | None,
+        may_lack_parent: bool,
+    ) -> Identity:
         is_own = self._is_own_address(peer_address)
         if parent_customer is not None and is_own:
             return self._nested_identity(parent_customer)
         key = parse_key(headers, self._dialect.authorization)
         customer = None if isinstance(key, KeyFault) else self._find(key)
         if customer is not None:
-            return Identity(customer.name, customer.priority, customer.rate_per_s > 0)
+            return Identity(
+                customer.name,
+                customer.priority,
+                customer.rate_per_s > 0,
+                IdentitySource.KEY,
+            )
         if route.is_public:
             return ANONYMOUS
         fault = key if isinstance(key, KeyFault) else KeyFault.UNKNOWN
@@ -196,7 +242,8 @@
 
     def _nested_identity(self, name: str) -> Identity:
         customer = self.table.get(name)
-        return Identity(name, None if customer is None else customer.priority)
+        priority = None if customer is None else customer.priority
+        return Identity(name, priority, source=IdentitySource.PARENT)
 
     def _rejection(self, fault: KeyFault) -> NotRunError:
         self.fault_counts[fault] += 1
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -310,6 +310,8 @@
         request_id = self._request_id(req, internal)
         parent = self._owner.running_requests.find_parent(request_id, received_at)
         is_nested = parent is not None
+        if parent is not None and self.access.has_key(req.headers):
+            self._request_log.emit_key_and_parent(request_id, parent, received_at)
         # Also without customers, as they may appear before the next attempt.
         parent_customer = None if parent is None else parent.customer
         identity = self._identify(
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -18,6 +18,7 @@
     from marigoldchute.routing.http_request import HttpRequest
     from marigoldchute.routing.messages import RequestHead
     from marigoldchute.routing.outcomes import Outcome
+    from marigoldchute.routing.running_requests import RunningRequest
 
 FAILED_LINES_PER_S = 20.0
 FAILED_BURST_LINES = 400.0  # 0.2 MB; a burst of 40 dropped 411 of 1,015 failures.
@@ -63,6 +64,7 @@
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
             "nested_limit": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
+            "key_and_parent": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
             "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
             "abandoned": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
         }
@@ -189,6 +191,31 @@
             ratio_before=round(before, 3),
         )
 
+    def emit_key_and_parent(
+        self, request_id: str, parent: RunningRequest, now: float
+    ) -> None:
+        """Log a request with a key whose id is that of a call of a running request.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        parent : RunningRequest
+            Request whose id it extends.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self._admit("key_and_parent", now):
+            return
+        self._log.emit(
+            "routing",
+            "key_and_parent",
+            "A request with a key has the id of a call of a running request.",
+            request=request_id,
+            parent=parent.request_id,
+            parent_route=parent.route,
+        )
+
     def emit_cut(self, cut: Cut, id_header: bytes, is_foreign: bool = False) -> None:
         """Log a request whose connection ended without a complete response.
 
@@ -366,9 +393,13 @@
 def _call_fields(call: Call | None, now: float) -> dict[str, object]:
     if call is None:
         return {"tries": 0}
-    customer = call.identity.customer
+    identity = call.identity
+    customer_fields = {
+        "customer": identity.customer,
+        "identified_by": identity.source.value,
+    }
     return {
-        **({"customer": customer} if customer else {}),
+        **(customer_fields if identity.customer else {}),
         "tries": call.attempts,
         "trail": call.attempt_log,
         "route": call.route_entry.route.name,
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -13,7 +13,7 @@
 from marigoldchute.bundle.customer_keys import digest_key
 from marigoldchute.bundle.model import Customer, Route
 from marigoldchute.errors import NotRunError, ResultCode
-from marigoldchute.routing.access import KeyFault, parse_key
+from marigoldchute.routing.access import IdentitySource, KeyFault, parse_key
 from tests.support.path_in_process import ROUTE, LocalPath, local_path
 from tests.support.servers import read_request
 
@@ -318,6 +318,30 @@
 
         self.run_path(body)
 
+    def test_identified_requests_are_counted_by_what_told_their_customer(self) -> None:
+        async def body(path: LocalPath) -> None:
+            await self.run_nested(path)
+            await path.send(encode_request(target=b"/p/x"))
+            self.assertEqual(
+                path.entry.access.source_counts,
+                dict.fromkeys(IdentitySource, 1),
+            )
+
+        self.run_path(body)
+
+    def test_key_of_a_request_with_the_id_of_a_call_is_logged(self) -> None:
+        async def body(path: LocalPath) -> None:
+            await self.run_nested(path)
+            self.received.clear()
+            await self.run_nested(path, bearer(KEY))
+            lines = [e for e in path.log.events if e.event == "key_and_parent"]
+            self.assertEqual(
+                [line.fields for line in lines],
+                [{"request": "id.1", "parent": "id", "parent_route": "r"}],
+            )
+
+        self.run_path(body)
+
     def test_ended_requests_leave_no_customer_behind(self) -> None:
         async def body(path: LocalPath) -> None:
             await path.send(encode_request(bearer(KEY)))
