Take no request with a key for a nested call

Cause: a request was a nested call by its id alone, and that was decided before its headers were read, so the key of such a request was never looked at. It ran under the customer of the running request, took no quota, went before the requests of other callers, and was taken by a stopping node.

Change: nested calls carry no key, so a request with the header, valid or not, is that of a caller. This holds from its arrival on, and again when customers appear before its next attempt.

--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -159,8 +159,11 @@
             self.own_headers |= {name for name in names if name}
         self._log_table()
 
-    def has_key(self, headers: Iterable[tuple[bytes, bytes]]) -> bool:
-        """Return whether a request has a key, valid or not, while there are customers.
+    def may_be_nested(self, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+        """Return whether a request may be a call of a backend server by its headers.
+
+        Backend servers have no keys. A request with one, valid or not, is that of a
+        caller, whatever its id.
 
         Parameters
         ----------
@@ -168,8 +171,8 @@
             Lower-case names and values of the request's headers.
         """
         if not self.table:
-            return False
-        return any(name == self._dialect.authorization for name, _ in headers)
+            return True
+        return all(name != self._dialect.authorization for name, _ in headers)
 
     def identify(
         self,
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -65,6 +65,7 @@
     from marigoldchute.routing.owner import Owner
     from marigoldchute.routing.policy import PathPolicy
     from marigoldchute.routing.route_table import RouteEntry
+    from marigoldchute.routing.running_requests import RunningRequest
     from marigoldchute.routing.stop_window import StopWindow
     from marigoldchute.routing.target import Target
     from marigoldchute.util.clock import Clock
@@ -308,10 +309,8 @@
             )
         entry = self._find_route(req, internal)
         request_id = self._request_id(req, internal)
-        parent = self._owner.running_requests.find_parent(request_id, received_at)
+        parent = self._find_parent(req, request_id, received_at)
         is_nested = parent is not None
-        if parent is not None and self.access.has_key(req.headers):
-            self._request_log.emit_key_and_parent(request_id, parent, received_at)
         # Also without customers, as they may appear before the next attempt.
         parent_customer = None if parent is None else parent.customer
         identity = self._identify(
@@ -356,6 +355,16 @@
             self._apply_regions(call)
         return call
 
+    def _find_parent(
+        self, req: HttpRequest, request_id: str, now: float
+    ) -> RunningRequest | None:
+        """Return the request on this VM that makes a call, None if a caller does."""
+        parent = self._owner.running_requests.find_parent(request_id, now)
+        if parent is not None and not self.access.may_be_nested(req.headers):
+            self._request_log.emit_key_and_parent(request_id, parent, now)
+            return None
+        return parent
+
     def _apply_regions(self, call: Call) -> None:
         route = call.route_entry.route.name
         call.regions = self._region_rules.allowed(route, call.customer)
@@ -578,6 +587,9 @@
         if call.customer_table is table:
             return
         self._return_quota(call)
+        if not self.access.may_be_nested(call.req.headers):
+            call.is_nested = False
+            call.parent_customer = None
         call.identity = self._identify(
             call.req,
             call.responder,
--- a/tests/test_platform/test_nested_calls.py
+++ b/tests/test_platform/test_nested_calls.py
@@ -29,8 +29,8 @@
 PATHS = {"reservas": "/a/1", "turnos": "/b/1"}  # What a backend server calls.
 
 
-class RestartedNodeTest(ProcessTestCase):
-    """Backend servers make calls after a restart of the nodes beside them.
+class NestedCallTestCase(ProcessTestCase):
+    """Runs a mesh whose backend servers make calls around a restart of their nodes.
 
     Attributes
     ----------
@@ -161,6 +161,8 @@
         names = [request["tenant-id"] for request in requests]
         self.assertEqual(names, count * ["acme"])
 
+
+class RestartedNodeTest(NestedCallTestCase):
     # Guards against the rejection of calls whose parent an earlier process has sent.
     def test_calls_of_a_run_that_outlasts_its_node_are_served(self) -> None:
         def check(mesh: HostedMesh) -> None:
@@ -208,3 +210,57 @@
             self.assertEqual(set(self.statuses[1]), {503})
 
         self.run_restarted(restart, check)
+
+
+class WithdrawnKeyTest(NestedCallTestCase):
+    """A caller extends the id of a running request with a key that was withdrawn."""
+
+    def run_withdrawn(self, depth: int) -> None:
+        """Send such requests before and after a restart of the node.
+
+        Parameters
+        ----------
+        depth : int
+            Depth of the calls that they pretend to be.
+        """
+        statuses: list[int] = []
+
+        async def send(mesh: HostedMesh, name: str, suffix: str) -> None:
+            (parent,) = {
+                run.request_id
+                for run in mesh.backends[name].runs
+                if run.request_id.count(".") == depth - 1
+                and run.request_id.startswith("run")
+            }
+            response = await mesh.send_request(
+                name, request_id=f"{parent}.{suffix}", key=KEY
+            )
+            statuses.append(response.status)
+
+        async def restart(mesh: HostedMesh, name: str) -> None:
+            mesh.tenants = [{"name": "acme", "api_keys": ["k-next"]}]
+            mesh.put_configuration(timeout_ms=int(DEADLINE_S * 1000))
+            with trio.fail_after(10):
+                while (await mesh.send_request(name, key=KEY)).status != 401:
+                    await trio.sleep(0.05)
+            await send(mesh, name, "8")
+            await self.restart(mesh, name)
+            with trio.fail_after(10):
+                while "requests_restored" not in mesh.read_log(name):
+                    await trio.sleep(0.02)
+            await send(mesh, name, "9")
+
+        def check(mesh: HostedMesh) -> None:
+            self.assertEqual(statuses, [401, 401])
+            self.assertIn(200, self.statuses[depth])
+            self.assertFalse(set(self.statuses[depth]) & DENIALS, self.statuses)
+
+        self.run_restarted(restart, check, depth=depth)
+
+    # Guards against withdrawn keys that run by an id that extends a running request's.
+    def test_withdrawn_key_is_rejected_beside_a_running_request(self) -> None:
+        self.run_withdrawn(1)
+
+    # Guards against the same with the id of a running call, whose parent has no key.
+    def test_withdrawn_key_is_rejected_beside_a_running_call(self) -> None:
+        self.run_withdrawn(2)
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import socket
 import struct
@@ -13,7 +14,9 @@
 from marigoldchute.bundle.customer_keys import digest_key
 from marigoldchute.bundle.model import Customer, Route
 from marigoldchute.errors import NotRunError, ResultCode
+from marigoldchute.quota.messages import Shares, customer_id
 from marigoldchute.routing.access import IdentitySource, KeyFault, parse_key
+from marigoldchute.routing.stop_window import StopWindow
 from tests.support.path_in_process import ROUTE, LocalPath, local_path
 from tests.support.servers import read_request
 
@@ -350,6 +353,112 @@
         self.run_path(body)
 
 
+class KeyAndParentTest(AccessTestCase):
+    """Requests of callers with the id of a call, while its parent runs.
+
+    Calls have no key.
+    """
+
+    async def send_beside_run(
+        self, path: LocalPath, *lines: bytes, **options: Any
+    ) -> bytes:
+        """Return the response to a request with the id of a call of a running one."""
+        own_release = trio.Event()
+        own_release.set()
+        parent, self.release = self.release, own_release
+        response = await path.send(
+            encode_request(*lines, request_id=b"id.1", **options)
+        )
+        self.release = parent
+        return response
+
+    def run_beside(
+        self, body: Callable[[LocalPath], Awaitable[None]], deadline_ms: int = 3_000
+    ) -> None:
+        """Run a test body while a request of acme with the id ``id`` runs."""
+
+        async def run(path: LocalPath) -> None:
+            self.release = trio.Event()
+            deadline = b"Deadline-Ms: %d" % deadline_ms
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(path.send, encode_request(bearer(KEY), deadline))
+                while not self.received:
+                    await trio.sleep(0.01)
+                await body(path)
+                self.release.set()
+
+        self.run_path(run)
+
+    # Guards against withdrawn keys that run by an id that extends a running request's.
+    def test_request_with_an_invalid_key_is_no_call_of_a_running_request(self) -> None:
+        withdrawn = dataclasses.replace(ACME, key_digests=(digest_key(b"k-next"),))
+        values = [bearer(KEY), bearer(b"k-nobody"), b"Authorization: Basic x"]
+
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE, PUBLIC), (withdrawn, BOLT))
+            for lines in ([value] for value in values):
+                response = await self.send_beside_run(path, *lines)
+                self.assertEqual(status_of(response), 401, lines)
+            response = await self.send_beside_run(path, bearer(KEY), bearer(KEY))
+            self.assertEqual(status_of(response), 401)
+            self.assertEqual(len(self.received), 1)
+            response = await self.send_beside_run(path)
+            self.assertEqual(status_of(response), 200)
+
+        self.run_beside(body)
+
+    # Guards against requests of one customer that run under the name of another one.
+    def test_valid_key_tells_the_customer_whatever_the_id(self) -> None:
+        async def body(path: LocalPath) -> None:
+            for target in (b"/a/x", b"/p/x"):
+                await self.send_beside_run(path, bearer(OTHER_KEY), target=target)
+                self.assertIn(b"tenant-id: bolt", self.headers_of())
+
+        self.run_beside(body)
+
+    # Guards against requests of callers that run beyond the quota of their customer.
+    def test_request_with_a_key_counts_towards_the_quota_whatever_the_id(self) -> None:
+        limited = dataclasses.replace(ACME, rate_per_s=10.0, burst=5.0)
+
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE, PUBLIC), (limited, BOLT))
+            path.limiter.apply_shares(Shares(0, {customer_id("acme"): 0.0}), 1e12)
+            response = await self.send_beside_run(path, bearer(KEY))
+            self.assertEqual(status_of(response), 429)
+            self.assertEqual(status_of(await self.send_beside_run(path)), 200)
+
+        self.run_beside(body)
+
+    # Guards against requests of callers that are admitted before those of others.
+    def test_request_with_a_key_is_admitted_as_a_request_of_a_caller(self) -> None:
+        async def body(path: LocalPath) -> None:
+            nested = []
+            execute = path.owner.execute
+
+            async def record(head: Any, exchange: Any) -> None:
+                nested.append(head.is_nested)
+                await execute(head, exchange)
+
+            path.owner.execute = record  # type: ignore[method-assign]
+            await self.send_beside_run(path)
+            await self.send_beside_run(path, bearer(KEY))
+            await self.send_beside_run(path, bearer(b"k-nobody"), target=b"/p/x")
+            self.assertEqual(nested, [True, False, False])
+
+        self.run_beside(body)
+
+    # Guards against requests of callers that a stopping node takes to its end.
+    def test_stopping_node_takes_a_request_with_a_key_as_one_of_a_caller(self) -> None:
+        async def body(path: LocalPath) -> None:
+            now = trio.current_time()
+            path.entry.stop_window = StopWindow(notice_until=now, ends_at=now + 1.0)
+            response = await self.send_beside_run(path, bearer(KEY))
+            self.assertEqual(status_of(response), 503)
+            self.assertEqual(status_of(await self.send_beside_run(path)), 200)
+
+        self.run_beside(body)
+
+
 class UnknownParentTest(AccessTestCase):
     """A process that has just started does not know what already runs."""
 
@@ -430,6 +539,37 @@
 
         self.run_path(body)
 
+    # Guards against requests with a key that stay calls when customers appear.
+    def test_request_with_a_key_is_no_call_once_customers_appear(self) -> None:
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE, PUBLIC))
+            parent = self.release = trio.Event()
+            renew = path.entry._renew_identity
+            nested = []
+
+            def add_customers(call: Any) -> None:
+                nested.append(call.is_nested)
+                path.put_in_force((ROUTE, PUBLIC), (ACME, BOLT))
+                try:
+                    renew(call)
+                finally:
+                    nested.append(call.is_nested)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(path.send, encode_request())
+                while not self.received:
+                    await trio.sleep(0.01)
+                self.release = trio.Event()
+                self.release.set()
+                path.entry._renew_identity = add_customers  # type: ignore[method-assign]
+                request = encode_request(bearer(b"k-nobody"), request_id=b"id.1")
+                response = await path.send(request)
+                parent.set()
+            self.assertEqual(status_of(response), 401)
+            self.assertEqual(nested, [True, False])
+
+        self.run_path(body)
+
     # Guards against the rejection of calls in progress when the first customers appear.
     def test_call_in_progress_when_customers_appear_runs(self) -> None:
         async def body(path: LocalPath) -> None:
