Take no request of another machine for a nested call

A caller on another machine whose id extends that of a running request is admitted before the requests of others, and is taken by a stopping node to its end.

Cause: the address of a request was looked at only for its customer. Whether it is admitted as a nested call was decided by the id alone, also without customers.

Change: one function decides whether a request may be a nested call, by address and key, and all that such calls get follows from it. The line key_and_parent covers both reasons and is called no_nested_call.

Result: test_request_of_another_machine_is_no_call_without_customers_either failed before (is_nested for all three requests) and passes; 428 tests of test_routing pass.

--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -159,8 +159,10 @@
             self.own_headers |= {name for name in names if name}
         self._log_table()
 
-    def may_be_nested(self, headers: Iterable[tuple[bytes, bytes]]) -> bool:
-        """Return whether a request may be a call of a backend server by its headers.
+    def may_be_nested(
+        self, headers: Iterable[tuple[bytes, bytes]], peer_address: str
+    ) -> bool:
+        """Return whether a request may be a call of a backend server of this VM.
 
         Backend servers have no keys. A request with one, valid or not, is that of a
         caller, whatever its id.
@@ -169,7 +171,11 @@
         ----------
         headers : iterable of (bytes, bytes)
             Lower-case names and values of the request's headers.
+        peer_address : str
+            IP address from which the request came.
         """
+        if not self._is_own_address(peer_address):
+            return False
         if not self.table:
             return True
         return all(name != self._dialect.authorization for name, _ in headers)
@@ -178,7 +184,6 @@
         self,
         headers: Iterable[tuple[bytes, bytes]],
         route: Route,
-        peer_address: str,
         parent_customer: str | None,
         may_lack_parent: bool = False,
     ) -> Identity:
@@ -190,13 +195,11 @@
             Lower-case names and values of the request's headers.
         route : Route
             Route of the request.
-        peer_address : str
-            IP address of the caller.
         parent_customer : str or None
-            Customer of the request that runs on this VM and whose id the request's
-            own id extends, empty if that is not known; None without such a request.
+            Customer of the request that makes this one, empty if that is not known;
+            None if the request is no nested call.
         may_lack_parent : bool
-            Whether such a request may run without being known to this process.
+            Whether it may be a call of a request that is not known to this process.
 
         Raises
         ------
@@ -206,9 +209,7 @@
         """
         if not self.table:
             return ANONYMOUS
-        identity = self._find_identity(
-            headers, route, peer_address, parent_customer, may_lack_parent
-        )
+        identity = self._find_identity(headers, route, parent_customer, may_lack_parent)
         self.source_counts[identity.source] += 1
         return identity
 
@@ -216,12 +217,10 @@
         self,
         headers: Iterable[tuple[bytes, bytes]],
         route: Route,
-        peer_address: str,
         parent_customer: str | None,
         may_lack_parent: bool,
     ) -> Identity:
-        is_own = self._is_own_address(peer_address)
-        if parent_customer is not None and is_own:
+        if parent_customer is not None:
             return self._nested_identity(parent_customer)
         key = parse_key(headers, self._dialect.authorization)
         customer = None if isinstance(key, KeyFault) else self._find(key)
@@ -234,11 +233,9 @@
             )
         if route.is_public:
             return ANONYMOUS
-        fault = key if isinstance(key, KeyFault) else KeyFault.UNKNOWN
-        # Backend servers send no key at all.
-        if fault is KeyFault.MISSING and may_lack_parent and is_own:
-            fault = KeyFault.PARENT_UNKNOWN
-        raise self._rejection(fault)
+        if may_lack_parent:
+            raise self._rejection(KeyFault.PARENT_UNKNOWN)
+        raise self._rejection(key if isinstance(key, KeyFault) else KeyFault.UNKNOWN)
 
     def _find(self, key: bytes) -> Customer | None:
         return self.table.find(digest_key(key))
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -309,7 +309,7 @@
             )
         entry = self._find_route(req, internal)
         request_id = self._request_id(req, internal)
-        parent = self._find_parent(req, request_id, received_at)
+        parent = self._find_parent(req, responder, request_id, received_at)
         is_nested = parent is not None
         # Also without customers, as they may appear before the next attempt.
         parent_customer = None if parent is None else parent.customer
@@ -356,14 +356,20 @@
         return call
 
     def _find_parent(
-        self, req: HttpRequest, request_id: str, now: float
+        self,
+        req: HttpRequest,
+        responder: HttpResponder,
+        request_id: str,
+        now: float,
     ) -> RunningRequest | None:
         """Return the request on this VM that makes a call, None if a caller does."""
         parent = self._owner.running_requests.find_parent(request_id, now)
-        if parent is not None and not self.access.may_be_nested(req.headers):
-            self._request_log.emit_key_and_parent(request_id, parent, now)
+        if parent is None:
             return None
-        return parent
+        if self.access.may_be_nested(req.headers, responder.peer_address):
+            return parent
+        self._request_log.emit_no_nested_call(request_id, parent, now)
+        return None
 
     def _apply_regions(self, call: Call) -> None:
         route = call.route_entry.route.name
@@ -538,13 +544,10 @@
         may_lack_parent = (
             parent_customer is None
             and self._owner.running_requests.may_lack_parent(request_id, now)
+            and self.access.may_be_nested(req.headers, responder.peer_address)
         )
         return self.access.identify(
-            req.headers,
-            entry.route,
-            responder.peer_address,
-            parent_customer,
-            may_lack_parent,
+            req.headers, entry.route, parent_customer, may_lack_parent
         )
 
     def _admit(self, call: Call) -> None:
@@ -587,7 +590,8 @@
         if call.customer_table is table:
             return
         self._return_quota(call)
-        if not self.access.may_be_nested(call.req.headers):
+        peer_address = call.responder.peer_address
+        if not self.access.may_be_nested(call.req.headers, peer_address):
             call.is_nested = False
             call.parent_customer = None
         call.identity = self._identify(
--- a/marigoldchute/routing/request_log.py
+++ b/marigoldchute/routing/request_log.py
@@ -64,7 +64,7 @@
             "repeated": TokenBucket(RETRIED_LINES_PER_S, 2 * RETRIED_LINES_PER_S),
             "owner": TokenBucket(OWNER_LINES_PER_S, 2 * OWNER_LINES_PER_S),
             "nested_limit": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
-            "key_and_parent": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
+            "no_nested_call": TokenBucket(LIMIT_LINES_PER_S, 5 * LIMIT_LINES_PER_S),
             "cut": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
             "abandoned": TokenBucket(CUT_LINES_PER_S, CUT_BURST_LINES),
         }
@@ -191,10 +191,10 @@
             ratio_before=round(before, 3),
         )
 
-    def emit_key_and_parent(
+    def emit_no_nested_call(
         self, request_id: str, parent: RunningRequest, now: float
     ) -> None:
-        """Log a request with a key whose id is that of a call of a running request.
+        """Log a request of a caller with the id of a call of a running request.
 
         Parameters
         ----------
@@ -205,12 +205,12 @@
         now : float
             Monotonic time in seconds.
         """
-        if not self._admit("key_and_parent", now):
+        if not self._admit("no_nested_call", now):
             return
         self._log.emit(
             "routing",
-            "key_and_parent",
-            "A request with a key has the id of a call of a running request.",
+            "no_nested_call",
+            "A request with a key, or from another VM, has the id of a nested call.",
             request=request_id,
             parent=parent.request_id,
             parent_route=parent.route,
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -337,7 +337,7 @@
             await self.run_nested(path)
             self.received.clear()
             await self.run_nested(path, bearer(KEY))
-            lines = [e for e in path.log.events if e.event == "key_and_parent"]
+            lines = [e for e in path.log.events if e.event == "no_nested_call"]
             self.assertEqual(
                 [line.fields for line in lines],
                 [{"request": "id.1", "parent": "id", "parent_route": "r"}],
@@ -353,7 +353,7 @@
         self.run_path(body)
 
 
-class KeyAndParentTest(AccessTestCase):
+class PretendedCallTest(AccessTestCase):
     """Requests of callers with the id of a call, while its parent runs.
 
     Calls have no key.
@@ -432,14 +432,7 @@
     # Guards against requests of callers that are admitted before those of others.
     def test_request_with_a_key_is_admitted_as_a_request_of_a_caller(self) -> None:
         async def body(path: LocalPath) -> None:
-            nested = []
-            execute = path.owner.execute
-
-            async def record(head: Any, exchange: Any) -> None:
-                nested.append(head.is_nested)
-                await execute(head, exchange)
-
-            path.owner.execute = record  # type: ignore[method-assign]
+            nested = record_nested(path)
             await self.send_beside_run(path)
             await self.send_beside_run(path, bearer(KEY))
             await self.send_beside_run(path, bearer(b"k-nobody"), target=b"/p/x")
@@ -447,6 +440,21 @@
 
         self.run_beside(body)
 
+    # Guards against callers elsewhere whose requests are admitted first by their id.
+    def test_request_of_another_machine_is_no_call_without_customers_either(
+        self,
+    ) -> None:
+        async def body(path: LocalPath) -> None:
+            path.put_in_force((ROUTE, PUBLIC))
+            nested = record_nested(path)
+            await self.send_beside_run(path)
+            path.own_addresses.clear()
+            await self.send_beside_run(path)
+            await self.send_beside_run(path, target=b"/p/x")
+            self.assertEqual(nested, [True, False, False])
+
+        self.run_beside(body)
+
     # Guards against requests of callers that a stopping node takes to its end.
     def test_stopping_node_takes_a_request_with_a_key_as_one_of_a_caller(self) -> None:
         async def body(path: LocalPath) -> None:
@@ -633,6 +641,19 @@
         self.run_path(body)
 
 
+def record_nested(path: LocalPath) -> list[bool]:
+    """Return a list that gets, for each attempt, whether it is a nested call's."""
+    nested: list[bool] = []
+    execute = path.owner.execute
+
+    async def record(head: Any, exchange: Any) -> None:
+        nested.append(head.is_nested)
+        await execute(head, exchange)
+
+    path.owner.execute = record  # type: ignore[method-assign]
+    return nested
+
+
 def reset(stream: trio.SocketStream) -> None:
     """Close a connection so that its peer gets a reset."""
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
