End nested calls with the request that makes them

What callers saw: nothing known.

Cause: calls expire at the deadline of the request that makes them, but the entry looked only at the deadline in the call and at its route.

Change: the deadline of a call is at most that of its parent; when that has passed, the call is refused as not run. The time left of a restored request counts from the arrival of its copy instead of from the question, as it ended up to 0.5 s early.

--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -197,7 +197,7 @@
         self._reported[name, member.incarnation] = (frozenset(runs), now)
         self._asked.add(name)
         if wants_earlier:
-            self._restore(name, earlier, now)
+            self._restore(name, earlier, trio.current_time())
 
     def _restore(self, name: str, runs: tuple[CopiedRun, ...], now: float) -> None:
         count = sum(self._requests.restore(_restored_run(run, now)) for run in runs)
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -318,15 +318,7 @@
         )
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
-        timeout_ms = entry.route.timeout_ms
-        caller_timeout_ms = parse_deadline_ms(req.header(self._dialect.deadline))
-        if caller_timeout_ms is not None:
-            timeout_ms = min(timeout_ms, caller_timeout_ms)
-        if timeout_ms <= 0:
-            raise NotRunError(
-                "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
-            )
-        deadline = received_at + timeout_ms / 1000
+        deadline = self._find_deadline(req, entry, parent, received_at)
         objective_ms = entry.route.objective_ms
         if self.stop_window is not None:
             deadline = self._limit_deadline(
@@ -371,6 +363,34 @@
         self._request_log.emit_no_nested_call(request_id, parent, now)
         return None
 
+    def _find_deadline(
+        self,
+        req: HttpRequest,
+        entry: RouteEntry,
+        parent: RunningRequest | None,
+        now: float,
+    ) -> float:
+        """Return the monotonic time in seconds at which a request ends at the latest.
+
+        Raises
+        ------
+        NotRunError
+            That time has passed.
+        """
+        timeout_ms = entry.route.timeout_ms
+        caller_timeout_ms = parse_deadline_ms(req.header(self._dialect.deadline))
+        if caller_timeout_ms is not None:
+            timeout_ms = min(timeout_ms, caller_timeout_ms)
+        deadline = now + timeout_ms / 1000
+        if parent is not None:
+            # The request that makes a call has no use for it afterwards.
+            deadline = min(deadline, parent.deadline)
+        if deadline <= now:
+            raise NotRunError(
+                "deadline has passed", ResultCode.REQUEST_NOT_RUN_DEADLINE
+            )
+        return deadline
+
     def _apply_regions(self, call: Call) -> None:
         route = call.route_entry.route.name
         call.regions = self._region_rules.allowed(route, call.customer)
--- a/marigoldchute/routing/running_requests.py
+++ b/marigoldchute/routing/running_requests.py
@@ -137,6 +137,9 @@
     def find_parent(self, request_id: str, now: float) -> RunningRequest | None:
         """Return the running request that makes a call.
 
+        Of several attempts it is the one with the latest deadline, as each of them may
+        make the call.
+
         Parameters
         ----------
         request_id : str
@@ -144,10 +147,12 @@
         now : float
             Monotonic time in seconds.
         """
-        for run in self._runs.get(self._parent_id(request_id), ()):
-            if run not in self._detached or now < run.deadline:
-                return run
-        return None
+        runs = [
+            run
+            for run in self._runs.get(self._parent_id(request_id), ())
+            if run not in self._detached or now < run.deadline
+        ]
+        return max(runs, key=lambda run: run.deadline, default=None)
 
     def may_lack_parent(self, request_id: str, now: float) -> bool:
         """Return whether an earlier process may have begun to run a call's parent.
--- a/tests/test_hosted/test_run_exchange.py
+++ b/tests/test_hosted/test_run_exchange.py
@@ -41,6 +41,7 @@
         ]
         self.peers = {member.name: ("", 0) for member in self.members}
         self.silent: set[str] = set()
+        self.delay_s = 0.002
         self.calls: list[tuple[str, str]] = []
         self.nodes: dict[str, Node] = {}
         for member in self.members:
@@ -93,7 +94,7 @@
     ) -> bytes:
         """Call another node as a ``LinkPool`` does."""
         self.mesh.calls.append((self.name, name))
-        await trio.sleep(0.002)
+        await trio.sleep(self.mesh.delay_s)
         if name in self.mesh.silent:
             raise PeerError("no response")
         handler = self.mesh.nodes[name].handlers.find(method)
@@ -130,6 +131,21 @@
 
         self.run_mesh(body)
 
+    # Guards against calls that end before their parent when a copy arrives slowly.
+    def test_restored_request_ends_no_earlier_than_its_deadline(self) -> None:
+        async def body(mesh: Mesh) -> None:
+            node = mesh.nodes["vm-0"]
+            node.requests.begin(RUN)
+            await node.report()
+            mesh.delay_s = 0.4
+            node = mesh.start("vm-0", 2)
+            await node.report()
+            parent = node.requests.find_parent("id.1", trio.current_time())
+            assert parent is not None
+            self.assertAlmostEqual(parent.deadline, RUN.deadline, delta=0.01)
+
+        self.run_mesh(body)
+
     def test_each_holder_alone_is_enough(self) -> None:
         async def body(mesh: Mesh) -> None:
             node = mesh.nodes["vm-0"]
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -440,6 +440,21 @@
 
         self.run_beside(body)
 
+    # Guards against chains of calls without a key that outlast the first request.
+    def test_call_ends_with_the_request_that_makes_it(self) -> None:
+        async def body(path: LocalPath) -> None:
+            parent, self.release = self.release, trio.Event()
+            started_at = trio.current_time()
+            response = await path.send(encode_request(request_id=b"id.1"))
+            self.assertEqual(status_of(response), 504)
+            self.assertLess(trio.current_time() - started_at, 1.5)
+            self.release.set()
+            response = await path.send(encode_request(request_id=b"id.1.1"))
+            self.assertEqual(status_of(response), 401)
+            self.release = parent
+
+        self.run_beside(body, deadline_ms=700)
+
     # Guards against callers elsewhere whose requests are admitted first by their id.
     def test_request_of_another_machine_is_no_call_without_customers_either(
         self,
--- a/tests/test_routing/test_running_requests.py
+++ b/tests/test_routing/test_running_requests.py
@@ -40,6 +40,14 @@
         self.assertIsNone(requests.find_parent("id.1", NOW))
         self.assertEqual(len(requests), 0)
 
+    # Guards against calls that end with an abandoned attempt while a later one runs.
+    def test_of_the_runs_of_an_id_the_one_that_may_go_on_longest_is_found(self) -> None:
+        requests = RunningRequests(".")
+        runs = [make_run(deadline=deadline) for deadline in (10.0, 12.0, 11.0)]
+        for run in runs:
+            requests.begin(run)
+        self.assertIs(requests.find_parent("id.1", NOW), runs[1])
+
     def test_listed_are_those_of_an_age_that_still_run(self) -> None:
         requests = RunningRequests(".")
         detached, attached = make_run("id"), make_run("other")
