Move the identification of requests out of the entry

Change: RequestIdentifier decides both. A call keeps the request that makes it, and is nested while it has one. No decision changes. Two tests that repeated their set-up share it.

--- a/marigoldchute/routing/access.py
+++ b/marigoldchute/routing/access.py
@@ -33,7 +33,7 @@
 
 
 class IdentitySource(enum.Enum):
-    """What told the customer of a request."""
+    """How the customer of a request was determined."""
 
     NONE = "none"
     KEY = "key"
@@ -65,7 +65,7 @@
     is_limited : bool
         Whether the request counts towards the customer's quota.
     source : IdentitySource
-        What told the customer.
+        How the customer was determined.
     """
 
     customer: str = ""
@@ -127,8 +127,8 @@
     fault_counts : counter of KeyFault
         Requests that were rejected, by cause.
     source_counts : counter of IdentitySource
-        Requests that were identified, by what told their customer. One that is
-        identified again, after a change of the customers, counts again.
+        Requests that were identified, by how their customer was determined. One that
+        is identified again, after a change of the customers, counts again.
     """
 
     def __init__(
--- a/marigoldchute/routing/call.py
+++ b/marigoldchute/routing/call.py
@@ -25,6 +25,7 @@
     from marigoldchute.routing.http_request import HttpRequest, HttpResponder
     from marigoldchute.routing.regions import AllowedRegions
     from marigoldchute.routing.route_table import RouteEntry
+    from marigoldchute.routing.running_requests import RunningRequest
     from marigoldchute.routing.target import Target
 
 
@@ -72,9 +73,8 @@
         route's name and what was decided are then logged.
     identity : Identity
         Customer of the request.
-    parent_customer : str or None
-        Customer of the request on this VM that makes this one, empty if that is not
-        known; None without such a request.
+    parent : RunningRequest or None
+        Request on this VM that makes this one; None if a caller does.
     holds_quota : bool
         Whether quota was taken for a run that has not begun.
     customer_table : CustomerTable or None
@@ -86,7 +86,6 @@
 
     retains_errors = False
     identity: Identity = ANONYMOUS
-    parent_customer: str | None = None
     holds_quota = False
     customer_table: CustomerTable | None = None
 
@@ -105,7 +104,7 @@
         caller_service: str = "",
         started_at: float = 0.0,
         bundle_version: int = 0,
-        is_nested: bool = False,
+        parent: RunningRequest | None = None,
     ) -> None:
         self.req = req
         self.responder = responder
@@ -120,7 +119,7 @@
         self.started_at = started_at
         self.bundle_version = bundle_version
         self.regions_version = bundle_version
-        self.is_nested = is_nested
+        self.parent = parent
         self.attempt_log: list[str] = []
         self.idempotent = entry.is_idempotent(req.method)
         self.body = RequestBody(req)
@@ -144,6 +143,11 @@
         max_attempts = self.route_entry.route.max_attempts
         return self.idempotent and self.delivered_attempts + 1 < max_attempts
 
+    @property
+    def is_nested(self) -> bool:
+        """Whether a request that runs on this VM makes this one."""
+        return self.parent is not None
+
     @property
     def customer(self) -> str:
         """Customer of the request; empty when it is not known."""
--- a/marigoldchute/routing/entry.py
+++ b/marigoldchute/routing/entry.py
@@ -14,7 +14,7 @@
     RequestError,
     ResultCode,
 )
-from marigoldchute.routing.access import ANONYMOUS, AccessControl
+from marigoldchute.routing.access import AccessControl
 from marigoldchute.routing.budget import RetryBudget
 from marigoldchute.routing.call import MIN_SERVER_ERROR_STATUS, Call
 from marigoldchute.routing.candidates import NO_CANDIDATES, CandidateTables
@@ -32,6 +32,7 @@
 from marigoldchute.routing.first_bundle import FirstBundleWait
 from marigoldchute.routing.headers import encode_request_headers, parse_deadline_ms
 from marigoldchute.routing.http_request import CallerDisconnectedError
+from marigoldchute.routing.identification import RequestIdentifier
 from marigoldchute.routing.metrics import RouteMetrics
 from marigoldchute.routing.outcomes import Outcome
 from marigoldchute.routing.policy import STREAMING_POLICY
@@ -53,7 +54,6 @@
     from marigoldchute.link.pool import LinkPool
     from marigoldchute.membership.model import Members
     from marigoldchute.moves.model import SplitSource
-    from marigoldchute.routing.access import Identity
     from marigoldchute.routing.budget import RetryLimit
     from marigoldchute.routing.candidates import Candidates
     from marigoldchute.routing.choice import Chooser
@@ -202,6 +202,9 @@
         self._release_choice = ReleaseChoice(rng, policy.boost_rare_routes)
         self._pacer = WarmupPacer(rng, lambda: len(members.all()))
         self._request_log = RequestLog(log)
+        self._identifier = RequestIdentifier(
+            self.access, owner.running_requests, self._request_log
+        )
         self._dispatcher = Dispatcher(
             members, traffic, owner, chooser, sink, clock, self._check_region
         )
@@ -309,12 +312,10 @@
             )
         entry = self._find_route(req, internal)
         request_id = self._request_id(req, internal)
-        parent = self._find_parent(req, responder, request_id, received_at)
-        is_nested = parent is not None
         # Also without customers, as they may appear before the next attempt.
-        parent_customer = None if parent is None else parent.customer
-        identity = self._identify(
-            req, responder, entry, request_id, parent_customer, received_at
+        parent = self._identifier.find_parent(req, responder, request_id, received_at)
+        identity = self._identifier.identify(
+            req, responder, entry.route, request_id, parent, received_at
         )
         service = self._release_choice.pick_service(entry)
         split = self._splits.split(service.name, service.release)
@@ -322,7 +323,10 @@
         objective_ms = entry.route.objective_ms
         if self.stop_window is not None:
             deadline = self._limit_deadline(
-                self.stop_window, deadline, received_at, internal or is_nested
+                self.stop_window,
+                deadline,
+                received_at,
+                internal or parent is not None,
             )
         call = Call(
             req,
@@ -338,31 +342,14 @@
             self._caller_service(),
             received_at,
             self._routes.version if self._routes is not None else 0,
-            is_nested,
+            parent,
         )
         call.identity = identity
-        call.parent_customer = parent_customer
         call.customer_table = self.access.table
         if self._region_rules.restricts:
             self._apply_regions(call)
         return call
 
-    def _find_parent(
-        self,
-        req: HttpRequest,
-        responder: HttpResponder,
-        request_id: str,
-        now: float,
-    ) -> RunningRequest | None:
-        """Return the request on this VM that makes a call, None if a caller does."""
-        parent = self._owner.running_requests.find_parent(request_id, now)
-        if parent is None:
-            return None
-        if self.access.may_be_nested(req.headers, responder.peer_address):
-            return parent
-        self._request_log.emit_no_nested_call(request_id, parent, now)
-        return None
-
     def _find_deadline(
         self,
         req: HttpRequest,
@@ -550,26 +537,6 @@
                     return
             call.body.rewind()
 
-    def _identify(
-        self,
-        req: HttpRequest,
-        responder: HttpResponder,
-        entry: RouteEntry,
-        request_id: str,
-        parent_customer: str | None,
-        now: float,
-    ) -> Identity:
-        if not self.access.table:
-            return ANONYMOUS
-        may_lack_parent = (
-            parent_customer is None
-            and self._owner.running_requests.may_lack_parent(request_id, now)
-            and self.access.may_be_nested(req.headers, responder.peer_address)
-        )
-        return self.access.identify(
-            req.headers, entry.route, parent_customer, may_lack_parent
-        )
-
     def _admit(self, call: Call) -> None:
         """Check the key of a request, and take quota for its next run.
 
@@ -606,23 +573,10 @@
         NotRunError
             The key of the request was withdrawn.
         """
-        table = self.access.table
-        if call.customer_table is table:
+        if call.customer_table is self.access.table:
             return
         self._return_quota(call)
-        peer_address = call.responder.peer_address
-        if not self.access.may_be_nested(call.req.headers, peer_address):
-            call.is_nested = False
-            call.parent_customer = None
-        call.identity = self._identify(
-            call.req,
-            call.responder,
-            call.route_entry,
-            call.request_id,
-            call.parent_customer,
-            trio.current_time(),
-        )
-        call.customer_table = table
+        self._identifier.identify_again(call, trio.current_time())
         call.encode_headers(self.access.own_headers)
 
     def _may_retain_error(self, call: Call) -> bool:
--- a/tests/test_routing/test_access.py
+++ b/tests/test_routing/test_access.py
@@ -562,13 +562,18 @@
 
         self.run_path(body)
 
-    # Guards against requests with a key that stay calls when customers appear.
-    def test_request_with_a_key_is_no_call_once_customers_appear(self) -> None:
+    def add_customers_during_call(self, *lines: bytes) -> tuple[int, list[bool]]:
+        """Put the first customers in force before the first attempt of a nested call.
+
+        Returns its status, and whether it is a nested call before and after that.
+        """
+        statuses: list[int] = []
+        nested: list[bool] = []
+
         async def body(path: LocalPath) -> None:
             path.put_in_force((ROUTE, PUBLIC))
             parent = self.release = trio.Event()
             renew = path.entry._renew_identity
-            nested = []
 
             def add_customers(call: Any) -> None:
                 nested.append(call.is_nested)
@@ -585,37 +590,22 @@
                 self.release = trio.Event()
                 self.release.set()
                 path.entry._renew_identity = add_customers  # type: ignore[method-assign]
-                request = encode_request(bearer(b"k-nobody"), request_id=b"id.1")
-                response = await path.send(request)
+                response = await path.send(encode_request(*lines, request_id=b"id.1"))
+                statuses.append(status_of(response))
                 parent.set()
-            self.assertEqual(status_of(response), 401)
-            self.assertEqual(nested, [True, False])
 
         self.run_path(body)
+        return statuses[0], nested
+
+    # Guards against requests with a key that stay calls when customers appear.
+    def test_request_with_a_key_is_no_call_once_customers_appear(self) -> None:
+        status, nested = self.add_customers_during_call(bearer(b"k-nobody"))
+        self.assertEqual((status, nested), (401, [True, False]))
 
     # Guards against the rejection of calls in progress when the first customers appear.
     def test_call_in_progress_when_customers_appear_runs(self) -> None:
-        async def body(path: LocalPath) -> None:
-            path.put_in_force((ROUTE, PUBLIC))
-            parent = self.release = trio.Event()
-            renew = path.entry._renew_identity
-
-            def add_customers(call: Any) -> None:
-                path.put_in_force((ROUTE, PUBLIC), (ACME, BOLT))
-                renew(call)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(path.send, encode_request())
-                while not self.received:
-                    await trio.sleep(0.01)
-                self.release = trio.Event()
-                self.release.set()
-                path.entry._renew_identity = add_customers  # type: ignore[method-assign]
-                response = await path.send(encode_request(request_id=b"id.1"))
-                parent.set()
-            self.assertEqual(status_of(response), 200)
-
-        self.run_path(body)
+        status, nested = self.add_customers_during_call()
+        self.assertEqual((status, nested), (200, [True, True]))
 
     def test_waiting_request_of_a_customer_that_stays_runs_at_the_next_attempt(
         self,
