Wait for the copies of running requests in the tests that need them

It failed in 3 of 40 runs at a load of 28 in a scratch copy with more lines, which show no report before the kill: the call ran on the VM that is alone in its data centre, and such a node waits 2 s with its first report. The test waited 1 s, as those beside it do. Ruled out: lost reports (the counter is 0), and a node that had not started (it serves 0.6 s after the kill).

Change: the metric running_requests_copied tells how many of the requests that run on a VM another node has a copy of. The tests wait for it instead of a fixed time; nothing that they check is changed.

--- a/marigoldchute/hosted/node.py
+++ b/marigoldchute/hosted/node.py
@@ -568,6 +568,9 @@
                 {
                     "evacuated_data_centres": len(self._evacuations.evacuated),
                     "limited_cold_servers": self._count_limited(),
+                    "running_requests_copied": self._run_exchange.count_copied(
+                        trio.current_time()
+                    ),
                 },
                 self._memory.held_bytes,
                 self._memory.limit_bytes,
--- a/marigoldchute/hosted/run_exchange.py
+++ b/marigoldchute/hosted/run_exchange.py
@@ -119,6 +119,17 @@
         self._holders: list[Member] = []
         handlers.register(Method.REPORT_RUNS, self._handle_report)
 
+    def count_copied(self, now: float) -> int:
+        """Return the number of running requests of which a member has a copy.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        copied = {run for runs, _ in self._reported.values() for run in runs}
+        return len(copied.intersection(self._requests.list_runs(now, 0.0)))
+
     def on_bundle(self, bundle: Bundle) -> None:
         """Report while the bundle that came into force has customers."""
         self._has_customers = bool(bundle.content.customers)
--- a/tests/test_hosted/test_run_exchange.py
+++ b/tests/test_hosted/test_run_exchange.py
@@ -131,6 +131,19 @@
 
         self.run_mesh(body)
 
+    def test_requests_with_a_copy_are_counted_while_they_run(self) -> None:
+        async def body(mesh: Mesh) -> None:
+            node = mesh.nodes["vm-0"]
+            node.requests.begin(RUN)
+            self.assertEqual(node.exchange.count_copied(trio.current_time()), 0)
+            await node.report()
+            self.assertEqual(node.exchange.count_copied(trio.current_time()), 1)
+            self.assertEqual(node.exchange.count_copied(RUN.deadline), 0)
+            node.requests.end(RUN)
+            self.assertEqual(node.exchange.count_copied(trio.current_time()), 0)
+
+        self.run_mesh(body)
+
     # Guards against calls that end before their parent when a copy arrives slowly.
     def test_restored_request_ends_no_earlier_than_its_deadline(self) -> None:
         async def body(mesh: Mesh) -> None:
--- a/tests/test_platform/test_nested_calls.py
+++ b/tests/test_platform/test_nested_calls.py
@@ -4,12 +4,14 @@
 
 import collections
 import contextlib
+import re
 import signal
 from typing import TYPE_CHECKING
 
 import httpcore
 import trio
 
+from marigoldchute.platform.settings import METRICS_PORT
 from tests.test_platform.test_processes import ProcessTestCase
 
 if TYPE_CHECKING:
@@ -19,7 +21,8 @@
 
 KEY = "k-41b7"
 DEADLINE_S = 15.0
-COPY_S = 1.0  # After which other nodes have a copy of a running request.
+COPY_S = 10.0  # Within which another node has a copy of a running request.
+COPIED = re.compile(r"^marigoldchute_running_requests_copied ([\d.]+)$", re.MULTILINE)
 RETRY_S = 0.1
 MAX_REFUSALS = 50
 CONN_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError)
@@ -80,8 +83,9 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.send, mesh)
                 backend = await self.wait_for_run(mesh, depth - 1)
-                await trio.sleep(COPY_S)
-                await restart(mesh, backend.name.removeprefix("i-"))
+                name = backend.name.removeprefix("i-")
+                await self.wait_for_copy(mesh, name)
+                await restart(mesh, name)
                 self.restarted.set()
                 with trio.fail_after(DEADLINE_S):
                     while backend.runs[-1].ended_at == float("inf"):
@@ -141,6 +145,18 @@
                         return backend
             await trio.sleep(0.01)
 
+    async def wait_for_copy(self, mesh: HostedMesh, name: str) -> None:
+        """Wait until another node has a copy of a request that runs on a VM."""
+        url = f"http://{mesh.address(name)}:{METRICS_PORT}/metrics"
+        async with httpcore.AsyncConnectionPool() as pool:
+            with trio.fail_after(COPY_S):
+                while True:
+                    text = (await pool.request("GET", url)).content.decode()
+                    match = COPIED.search(text)
+                    if match is not None and float(match[1]):
+                        return
+                    await trio.sleep(0.05)
+
     async def restart(self, mesh: HostedMesh, *names: str) -> None:
         for name in names:
             mesh.signal_node(name, signal.SIGKILL)
@@ -179,7 +195,7 @@
             with trio.fail_after(5):
                 while "requests_restored" not in mesh.read_log(name):
                     await trio.sleep(0.02)
-            await trio.sleep(COPY_S)
+            await self.wait_for_copy(mesh, name)
             await self.restart(mesh, name)
 
         self.run_restarted(restart, lambda mesh: self.check_served(mesh, 1, 1))
