Give the test of delayed requests a clock that stands still

The delay of a request is what it took beyond the quickest one of its link, in milliseconds of a clock. When the clock reaches the next millisecond between the sending and the arrival of the first request of the test, that one took 1 ms, and 599 ms are seen of the 600 ms of the second. TransitDelay promises no more: its estimate is never too long. So the test was wrong, not the code.

Change: both requests arrive at the same time of a clock that stands still. The bound of 400 ms stays.

--- a/tests/test_routing/test_owner.py
+++ b/tests/test_routing/test_owner.py
@@ -6,6 +6,7 @@
 import types
 import unittest
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 import msgspec
 import trio
@@ -24,7 +25,6 @@
 )
 from marigoldchute.routing.owner import Owner
 from marigoldchute.routing.request_log import RequestLog
-from marigoldchute.util.clock import boottime_ms
 from tests.support.servers import PORT, read_request, serve_script
 
 if TYPE_CHECKING:
@@ -32,6 +32,7 @@
 
     Script = Callable[[trio.SocketStream], Awaitable[None]]
 
+NOW_MS = 5_000_000  # Of the clock that runs on while a VM is suspended.
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -573,8 +574,10 @@
 
         async def body(owner: Owner) -> None:
             link = types.SimpleNamespace(transit=TransitDelay(), is_ending=False)
-            for transit_ms in (0, delay_ms):
-                await owner.serve(DelayedStream(link, boottime_ms() - transit_ms))
+            # A clock that runs may reach the next millisecond before the first arrival.
+            with patch("marigoldchute.routing.owner.boottime_ms", return_value=NOW_MS):
+                for transit_ms in (0, delay_ms):
+                    await owner.serve(DelayedStream(link, NOW_MS - transit_ms))
 
         self.run_owner(serve, body)
         return deadlines, refusals
